Thin path from a caller to an engine and back

Cause: the repository was empty. Change: daemon, command-line tool, links, sheet, ledger, placement and stand-ins, each in its thinnest honest form, over real sockets.

--- /dev/null
+++ b/src/links/message_router.ts
@@ -0,0 +1,53 @@
+import type { TSchema } from "@sinclair/typebox";
+import { Value } from "@sinclair/typebox/value";
+import type { VmIdentity } from "../vms/identity.ts";
+import type { CallHandler, MessageHandler } from "./links.ts";
+import type { CallType, MessageType } from "./message.ts";
+
+/// Hands what arrives over a link to whoever registered for it.
+export interface MessageRouter {
+  onMessage<Schema extends TSchema>(
+    type: MessageType<Schema>,
+    handler: MessageHandler<Schema>,
+  ): void;
+  onCall<Request extends TSchema, Reply extends TSchema>(
+    type: CallType<Request, Reply>,
+    handler: CallHandler<Request, Reply>,
+  ): void;
+  /// Delivers a message. Unknown names are ignored, so that a newer peer may
+  /// send messages that this version lacks.
+  deliver(name: string, value: unknown, from: VmIdentity): void;
+  /// Answers a call. Rejects when the name is unknown or the handler fails.
+  answer(name: string, value: unknown, from: VmIdentity): Promise<unknown>;
+}
+
+interface Registration {
+  readonly schema: TSchema;
+  readonly handler: (value: unknown, from: VmIdentity) => unknown;
+}
+
+export function createMessageRouter(): MessageRouter {
+  const messages = new Map<string, Registration[]>();
+  const calls = new Map<string, Registration>();
+  return {
+    onMessage(type, handler) {
+      const registrations = messages.get(type.name) ?? [];
+      const registration = { schema: type.schema, handler };
+      messages.set(type.name, [...registrations, registration]);
+    },
+    onCall(type, handler) {
+      calls.set(type.name, { schema: type.request, handler });
+    },
+    deliver(name, value, from) {
+      for (const { schema, handler } of messages.get(name) ?? []) {
+        if (Value.Check(schema, value)) handler(value, from);
+      }
+    },
+    async answer(name, value, from) {
+      const registration = calls.get(name);
+      if (!registration) throw new Error(`unknown call ${name}`);
+      const checked = Value.Parse(registration.schema, value);
+      return await registration.handler(checked, from);
+    },
+  };
+}
--- /dev/null
+++ b/src/support/metrics.ts
@@ -0,0 +1,63 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/// The metrics of one daemon. Labels take few values; none is a customer.
+export interface Metrics {
+  readonly registry: Registry;
+  /// Ended requests by kind and reason.
+  readonly requestsEnded: Counter<"kind" | "reason">;
+  /// Seconds to the first token by length class.
+  readonly firstTokenSeconds: Histogram<"length">;
+  readonly runningRequests: Gauge;
+  readonly sheetRevision: Gauge;
+  readonly connectedVms: Gauge;
+}
+
+const FIRST_TOKEN_BUCKETS_SECONDS = [
+  0.05,
+  0.1,
+  0.2,
+  0.4,
+  0.81,
+  1.6,
+  3.2,
+  10,
+  30,
+  100,
+  300,
+];
+
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    requestsEnded: new Counter({
+      name: "sequoiaturn_requests_ended_total",
+      help: "Requests that ended, by kind and reason",
+      labelNames: ["kind", "reason"],
+      registers,
+    }),
+    firstTokenSeconds: new Histogram({
+      name: "sequoiaturn_first_token_seconds",
+      help: "Time from arrival to first token, by prompt length class",
+      labelNames: ["length"],
+      buckets: FIRST_TOKEN_BUCKETS_SECONDS,
+      registers,
+    }),
+    runningRequests: new Gauge({
+      name: "sequoiaturn_running_requests",
+      help: "Requests that have not ended",
+      registers,
+    }),
+    sheetRevision: new Gauge({
+      name: "sequoiaturn_sheet_revision",
+      help: "Revision of the sheet in force",
+      registers,
+    }),
+    connectedVms: new Gauge({
+      name: "sequoiaturn_connected_vms",
+      help: "Other VMs with a working link",
+      registers,
+    }),
+  };
+}
--- /dev/null
+++ b/src/upstreams/engine_directory.ts
@@ -0,0 +1,206 @@
+import type { ContractBook } from "../contracts/contract_book.ts";
+import type { Upstream } from "../contracts/sheet.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { EngineClient, LoadReport } from "./engine_client.ts";
+
+/// What this VM knows of each engine: the last load report, and the prompt
+/// tokens it sent itself since then.
+
+const REPORT_INTERVAL_MILLISECONDS = 250;
+/// Time an engine rests after a failure before it is chosen again.
+const FAILURE_REST_MILLISECONDS = 2_000;
+/// An engine whose reports stopped for this long is not chosen.
+const REPORT_LIMIT_MILLISECONDS = 5_000;
+
+/// A request sent to an engine that no report covers yet.
+interface RecentSend {
+  readonly sentAt: Milliseconds;
+  readonly uncachedTokens: number;
+}
+
+export interface EngineView {
+  readonly upstream: Upstream;
+  readonly client: EngineClient;
+  readonly report: LoadReport | undefined;
+  /// Time the state in `report` was true, on this VM's monotonic clock.
+  readonly reportTime: Milliseconds;
+  /// Requests of this VM that run there.
+  readonly outstandingRequests: number;
+  readonly outstandingTokens: number;
+  /// Uncached prompt tokens this VM sent since the report.
+  readonly unreportedTokens: number;
+  readonly unreportedRequests: number;
+  readonly usable: boolean;
+}
+
+/// A request counted at an engine. `end` takes it off again.
+export interface SendRecord {
+  end(): void;
+}
+
+export interface EngineDirectory {
+  /// Engines of the sheet that serve this model version, usable or not.
+  enginesOf(model: string, version: string): readonly EngineView[];
+  find(name: string): EngineView | undefined;
+  all(): readonly EngineView[];
+  /// Counts a request that is about to be sent.
+  recordSend(name: string, uncachedTokens: number): SendRecord;
+  /// Notes that the engine failed; it rests for a while.
+  recordFailure(name: string): void;
+  /// Marks an engine as leaving: it gets no new work.
+  setLeaving(name: string, leaving: boolean): void;
+  close(): void;
+}
+
+export interface EngineDirectoryOptions {
+  readonly clock: Clock;
+  readonly book: ContractBook;
+  readonly createClient: (upstream: Upstream) => EngineClient;
+}
+
+interface EngineState {
+  upstream: Upstream;
+  readonly client: EngineClient;
+  readonly stop: AbortController;
+  report: LoadReport | undefined;
+  reportTime: Milliseconds;
+  recentSends: RecentSend[];
+  outstandingRequests: number;
+  outstandingTokens: number;
+  restUntil: Milliseconds;
+  leaving: boolean;
+}
+
+/// Follows the sheet and polls every engine's load.
+export function createEngineDirectory(
+  options: EngineDirectoryOptions,
+): EngineDirectory {
+  const { clock, book } = options;
+  const engines = new Map<string, EngineState>();
+
+  const receiveReport = (state: EngineState, report: LoadReport) => {
+    state.report = report;
+    state.reportTime = clock.now() - report.age;
+    state.recentSends = state.recentSends.filter((send) =>
+      send.sentAt >= state.reportTime
+    );
+  };
+
+  const poll = async (state: EngineState) => {
+    const { signal } = state.stop;
+    while (!signal.aborted) {
+      try {
+        receiveReport(state, await state.client.load());
+      } catch {
+        state.restUntil = clock.now() + REPORT_INTERVAL_MILLISECONDS;
+      }
+      await clock.sleep(REPORT_INTERVAL_MILLISECONDS, signal).catch(() => {});
+    }
+  };
+
+  const add = (upstream: Upstream) => {
+    const state: EngineState = {
+      upstream,
+      client: options.createClient(upstream),
+      stop: new AbortController(),
+      report: undefined,
+      reportTime: clock.now(),
+      recentSends: [],
+      outstandingRequests: 0,
+      outstandingTokens: 0,
+      restUntil: 0,
+      leaving: false,
+    };
+    engines.set(upstream.name, state);
+    void poll(state);
+  };
+
+  const remove = (state: EngineState) => {
+    state.stop.abort(new Error("removed"));
+    engines.delete(state.upstream.name);
+  };
+
+  const follow = (upstreams: readonly Upstream[]) => {
+    const wanted = new Map(
+      upstreams
+        .filter((upstream) => upstream.kind === "engine")
+        .map((upstream) => [upstream.name, upstream]),
+    );
+    for (const state of [...engines.values()]) {
+      const next = wanted.get(state.upstream.name);
+      if (next?.address === state.upstream.address) state.upstream = next;
+      else remove(state);
+    }
+    for (const upstream of wanted.values()) {
+      if (!engines.has(upstream.name)) add(upstream);
+    }
+  };
+
+  const isUsable = (state: EngineState) => {
+    const now = clock.now();
+    return !state.leaving && now >= state.restUntil &&
+      state.report !== undefined &&
+      now - state.reportTime < REPORT_LIMIT_MILLISECONDS + state.report.age;
+  };
+
+  const view = (state: EngineState): EngineView => ({
+    upstream: state.upstream,
+    client: state.client,
+    report: state.report,
+    reportTime: state.reportTime,
+    outstandingRequests: state.outstandingRequests,
+    outstandingTokens: state.outstandingTokens,
+    unreportedTokens: state.recentSends.reduce(
+      (total, send) => total + send.uncachedTokens,
+      0,
+    ),
+    unreportedRequests: state.recentSends.length,
+    usable: isUsable(state),
+  });
+
+  book.onChange((contracts) => follow(contracts.sheet.upstreams));
+  follow(book.current().sheet.upstreams);
+
+  return {
+    enginesOf: (model, version) =>
+      [...engines.values()]
+        .filter((state) =>
+          state.report
+            ? state.report.model === model && state.report.version === version
+            : state.upstream.serves === model
+        )
+        .map(view),
+    find(name) {
+      const state = engines.get(name);
+      return state && view(state);
+    },
+    all: () => [...engines.values()].map(view),
+    recordSend(name, uncachedTokens) {
+      const state = engines.get(name);
+      if (!state) return { end: () => {} };
+      state.recentSends.push({ sentAt: clock.now(), uncachedTokens });
+      state.outstandingRequests++;
+      state.outstandingTokens += uncachedTokens;
+      let ended = false;
+      return {
+        end() {
+          if (ended) return;
+          ended = true;
+          state.outstandingRequests--;
+          state.outstandingTokens -= uncachedTokens;
+        },
+      };
+    },
+    recordFailure(name) {
+      const state = engines.get(name);
+      if (state) state.restUntil = clock.now() + FAILURE_REST_MILLISECONDS;
+    },
+    setLeaving(name, leaving) {
+      const state = engines.get(name);
+      if (state) state.leaving = leaving;
+    },
+    close() {
+      for (const state of [...engines.values()]) remove(state);
+    },
+  };
+}
--- /dev/null
+++ b/src/upstreams/http_engine_client.ts
@@ -0,0 +1,221 @@
+import { Pool } from "undici";
+import {
+  type CacheEvent,
+  type CacheReference,
+  type CompletionCall,
+  type EngineChunk,
+  type EngineClient,
+  EngineLostError,
+  EngineNotReachedError,
+  EngineRefusedError,
+  type ListedStream,
+  type LoadReport,
+  type SpanCall,
+  type StreamEnd,
+} from "./engine_client.ts";
+
+/// Connections to one engine; each carries one stream at a time.
+const CONNECTIONS = 512;
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+/// Limit of calls that carry no stream.
+const CONTROL_TIMEOUT_MILLISECONDS = 2_000;
+/// Answers with these statuses say that the engine did not begin.
+const REFUSED_STATUSES = new Set([400, 404, 409, 413, 429, 503]);
+const NOT_REACHED_CODES = new Set([
+  "ECONNREFUSED",
+  "UND_ERR_CONNECT_TIMEOUT",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+]);
+
+interface CompletionEvent {
+  readonly choices: readonly {
+    readonly text: string;
+    readonly finish_reason: StreamEnd["finishReason"] | null;
+  }[];
+  readonly usage?: {
+    readonly prompt_tokens: number;
+    readonly completion_tokens: number;
+    readonly cached_tokens: number;
+  };
+  readonly stream: {
+    readonly id: string;
+    readonly attempt: number;
+    readonly offset: number;
+    readonly tokens: number;
+  };
+}
+
+export interface HttpEngineClient extends EngineClient {
+  close(): Promise<void>;
+}
+
+function toChunk(event: CompletionEvent): EngineChunk {
+  const choice = event.choices[0];
+  const { usage, stream } = event;
+  const reason = choice?.finish_reason;
+  const end = reason && usage && {
+    finishReason: reason,
+    usage: {
+      promptTokens: usage.prompt_tokens,
+      completionTokens: usage.completion_tokens,
+      cachedTokens: usage.cached_tokens,
+    },
+  };
+  return {
+    streamId: stream.id,
+    attempt: stream.attempt,
+    offset: stream.offset,
+    tokens: stream.tokens,
+    text: choice?.text ?? "",
+    end: end || undefined,
+  };
+}
+
+/// Turns a failure of the HTTP client into this layer's errors.
+function toEngineError(error: unknown): Error {
+  if (error instanceof EngineRefusedError) return error;
+  const code = (error as { code?: string }).code ?? "";
+  if (NOT_REACHED_CODES.has(code)) {
+    return new EngineNotReachedError(code, { cause: error });
+  }
+  const reason = error instanceof Error ? error.message : String(error);
+  return new EngineLostError(reason, { cause: error });
+}
+
+async function* readEvents(
+  body: AsyncIterable<Uint8Array>,
+): AsyncIterable<EngineChunk> {
+  const decoder = new TextDecoder();
+  let rest = "";
+  for await (const part of body) {
+    const lines = (rest + decoder.decode(part, { stream: true })).split("\n");
+    rest = lines.pop() ?? "";
+    for (const line of lines) {
+      if (line === "data: [DONE]") return;
+      if (!line.startsWith("data: ")) continue;
+      yield toChunk(JSON.parse(line.slice(6)) as CompletionEvent);
+    }
+  }
+  throw new EngineLostError("the stream stopped before its end");
+}
+
+function toSpanBody(call: SpanCall) {
+  return {
+    model: call.model,
+    prompt: call.prompt.text,
+    priority: call.priority,
+    stream: true,
+    stream_id: call.streamId,
+    attempt: call.attempt,
+    reservation: call.reservation,
+    context: call.context,
+  };
+}
+
+/// A client of the engine named `name` at `host:port`.
+export function createHttpEngineClient(
+  name: string,
+  address: string,
+): HttpEngineClient {
+  const pool = new Pool(`http://${address}`, {
+    connections: CONNECTIONS,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  const send = async (
+    method: "GET" | "POST" | "DELETE",
+    path: string,
+    options: { body?: object; signal: AbortSignal },
+  ) => {
+    const response = await pool.request({
+      method,
+      path,
+      headers: options.body ? { "content-type": "application/json" } : {},
+      body: options.body ? JSON.stringify(options.body) : undefined,
+      signal: options.signal,
+    });
+    if (response.statusCode < 300) return response.body;
+    const text = await response.body.text();
+    if (REFUSED_STATUSES.has(response.statusCode)) {
+      throw new EngineRefusedError(`${response.statusCode} ${text}`);
+    }
+    throw new EngineLostError(`${response.statusCode} ${text}`);
+  };
+
+  async function* stream(
+    path: string,
+    body: object,
+    signal: AbortSignal,
+  ): AsyncIterable<EngineChunk> {
+    try {
+      yield* readEvents(await send("POST", path, { body, signal }));
+    } catch (error) {
+      throw toEngineError(error);
+    }
+  }
+
+  const control = async (
+    method: "GET" | "POST" | "DELETE",
+    path: string,
+    body?: object,
+  ): Promise<unknown> => {
+    const signal = AbortSignal.timeout(CONTROL_TIMEOUT_MILLISECONDS);
+    try {
+      const answer = await send(method, path, { body, signal });
+      return await answer.json();
+    } catch (error) {
+      throw toEngineError(error);
+    }
+  };
+
+  return {
+    complete: (call: CompletionCall, signal) =>
+      stream("/v1/completions", {
+        ...toSpanBody(call),
+        max_tokens: call.maximumTokens,
+      }, signal),
+    resume: (streamId, position, signal) =>
+      stream(`/v1/streams/${streamId}/resume`, position, signal),
+    async cancel(streamId) {
+      await control("DELETE", `/v1/streams/${streamId}`);
+    },
+    async listStreams() {
+      return await control("GET", "/v1/streams") as ListedStream[];
+    },
+    async reserve(call) {
+      const answer = await control("POST", "/v1/reservations", call);
+      return (answer as { id: string }).id;
+    },
+    async release(reservation) {
+      await control("DELETE", `/v1/reservations/${reservation}`);
+    },
+    async prefillSpan(call, signal) {
+      try {
+        const body = toSpanBody(call);
+        const answer = await send("POST", "/v1/spans", { body, signal });
+        const reference = await answer.json() as Omit<CacheReference, "engine">;
+        return { ...reference, engine: name };
+      } catch (error) {
+        throw toEngineError(error);
+      }
+    },
+    async dropExport(exportId) {
+      await control("DELETE", `/v1/exports/${exportId}`);
+    },
+    async order(order) {
+      await control("POST", "/v1/orders", order);
+    },
+    async load() {
+      return await control("GET", "/v1/load") as LoadReport;
+    },
+    async cacheEvents(after) {
+      const path = `/v1/cache/events?after=${after}`;
+      return await control("GET", path) as CacheEvent[];
+    },
+    close: () => pool.destroy(),
+  };
+}
--- /dev/null
+++ b/src/upstreams/service_client.ts
@@ -0,0 +1,90 @@
+import { Pool } from "undici";
+
+/// Calls to plain services.
+
+export interface ServiceCall {
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly query: string;
+  readonly contentType: string | undefined;
+  readonly idempotencyKey: string | undefined;
+  readonly body: Buffer | undefined;
+}
+
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
+export interface ServiceClient {
+  /// Throws `ServiceNotReachedError` when no byte went out and
+  /// `ServiceLostError` when the call may have run.
+  send(call: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer>;
+}
+
+/// No byte of the call reached the service: it certainly did not run.
+export class ServiceNotReachedError extends Error {
+  override readonly name = "ServiceNotReachedError";
+}
+
+/// The connection was lost after the call went out: it may have run.
+export class ServiceLostError extends Error {
+  override readonly name = "ServiceLostError";
+}
+
+export interface HttpServiceClient extends ServiceClient {
+  close(): Promise<void>;
+}
+
+const CONNECTIONS = 64;
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+const NOT_REACHED_CODES = new Set([
+  "ECONNREFUSED",
+  "UND_ERR_CONNECT_TIMEOUT",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+]);
+
+function toServiceError(error: unknown): Error {
+  const code = (error as { code?: string }).code ?? "";
+  const reason = error instanceof Error ? error.message : String(error);
+  return NOT_REACHED_CODES.has(code)
+    ? new ServiceNotReachedError(reason, { cause: error })
+    : new ServiceLostError(reason, { cause: error });
+}
+
+/// A client of the service at `host:port`.
+export function createHttpServiceClient(address: string): HttpServiceClient {
+  const pool = new Pool(`http://${address}`, {
+    connections: CONNECTIONS,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+  });
+  return {
+    async send(call, signal) {
+      const headers: Record<string, string> = {};
+      if (call.contentType) headers["content-type"] = call.contentType;
+      if (call.idempotencyKey) headers["idempotency-key"] = call.idempotencyKey;
+      try {
+        const response = await pool.request({
+          method: call.method,
+          path: call.path + call.query,
+          headers,
+          body: call.body,
+          signal,
+        });
+        const body = Buffer.from(await response.body.arrayBuffer());
+        const contentType = response.headers["content-type"];
+        return {
+          status: response.statusCode,
+          contentType: String(contentType ?? "application/octet-stream"),
+          body,
+        };
+      } catch (error) {
+        throw toServiceError(error);
+      }
+    },
+    close: () => pool.destroy(),
+  };
+}
--- /dev/null
+++ b/stand_ins/caller.ts
@@ -0,0 +1,128 @@
+import { Agent } from "undici";
+
+/// A caller of the daemon, or of an engine directly.
+
+export interface CompletionOptions {
+  readonly model: string;
+  readonly prompt: string;
+  readonly maximumTokens: number;
+  /// More members of the body.
+  readonly extra?: Readonly<Record<string, unknown>>;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+export interface ServiceCallOptions {
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+/// What a caller got, whether it was an answer or a problem document.
+export interface CallerResult {
+  readonly status: number;
+  readonly text: string;
+  /// Whether the answer came to its end marker.
+  readonly complete: boolean;
+  readonly firstTokenMilliseconds: number;
+  readonly totalMilliseconds: number;
+  readonly problem?: { readonly code: string; readonly executed: string };
+}
+
+export interface Caller {
+  complete(options: CompletionOptions): Promise<CallerResult>;
+  callService(options: ServiceCallOptions): Promise<CallerResult>;
+  close(): Promise<void>;
+}
+
+interface AnswerEvent {
+  readonly choices?: readonly { readonly text: string }[];
+}
+
+/// A caller that sends to `address` (`host:port`) with an API key.
+export function createCaller(address: string, key: string): Caller {
+  const agent = new Agent({ connections: 1_024, headersTimeout: 0 });
+  const origin = `http://${address}`;
+  const authorization = `Bearer ${key}`;
+
+  const readProblem = (text: string) => {
+    try {
+      return JSON.parse(text) as { code: string; executed: string };
+    } catch {
+      return undefined;
+    }
+  };
+
+  return {
+    async complete({ model, prompt, maximumTokens, extra, headers }) {
+      const started = performance.now();
+      const response = await agent.request({
+        origin,
+        path: "/v1/completions",
+        method: "POST",
+        headers: {
+          authorization,
+          "content-type": "application/json",
+          ...headers,
+        },
+        body: JSON.stringify({
+          model,
+          prompt,
+          max_tokens: maximumTokens,
+          stream: true,
+          ...extra,
+        }),
+      });
+      const status = response.statusCode;
+      let firstToken = NaN;
+      let rest = "";
+      let text = "";
+      let complete = false;
+      for await (const part of response.body) {
+        const lines = (rest + part).split("\n");
+        rest = lines.pop() ?? "";
+        for (const line of lines) {
+          if (line === "data: [DONE]") complete = true;
+          else if (line.startsWith("data: ") && status === 200) {
+            const event = JSON.parse(line.slice(6)) as AnswerEvent;
+            const piece = event.choices?.[0]?.text ?? "";
+            if (text === "" && piece !== "") {
+              firstToken = performance.now() - started;
+            }
+            text += piece;
+          }
+        }
+      }
+      return {
+        status,
+        text,
+        complete,
+        firstTokenMilliseconds: firstToken,
+        totalMilliseconds: performance.now() - started,
+        problem: status === 200 ? undefined : readProblem(rest),
+      };
+    },
+    async callService({ method, path, headers, body }) {
+      const started = performance.now();
+      const response = await agent.request({
+        origin,
+        path: `/v1/services/${path}`,
+        method,
+        headers: { authorization, ...headers },
+        body,
+      });
+      const text = await response.body.text();
+      const totalMilliseconds = performance.now() - started;
+      const status = response.statusCode;
+      return {
+        status,
+        text,
+        complete: status < 300,
+        firstTokenMilliseconds: totalMilliseconds,
+        totalMilliseconds,
+        problem: status < 300 ? undefined : readProblem(text),
+      };
+    },
+    close: () => agent.destroy(),
+  };
+}
--- /dev/null
+++ b/stand_ins/demonstration.ts
@@ -0,0 +1,188 @@
+import { randomBytes } from "node:crypto";
+import { readFile } from "node:fs/promises";
+import { parseSheetCsv } from "../src/contracts/sheet_csv.ts";
+import { createKey } from "../src/requests/idempotency_key.ts";
+import { type Caller, type CallerResult, createCaller } from "./caller.ts";
+import { type Deployment, startDeployment } from "./deployment.ts";
+import { expectedAnswer } from "./engine_model.ts";
+
+/// Runs the main job for both deployments' shapes and prints what each caller
+/// got.
+
+interface Shape {
+  readonly title: string;
+  readonly file: string;
+  readonly model: string;
+  readonly shortCustomer: string;
+  readonly longCustomer: string;
+  readonly service: string;
+  readonly statusPath: string;
+  readonly actionPath: string;
+}
+
+const SHAPES: readonly Shape[] = [
+  {
+    title: "Muscat Municipal Bindery Utility",
+    file: "samples/muscat.csv",
+    model: "album-text",
+    shortCustomer: "counter-muttrah",
+    longCustomer: "archivists",
+    service: "order-desk",
+    statusPath: "orders/status",
+    actionPath: "orders",
+  },
+  {
+    title: "Thar Gobar Sanjha Co-operative",
+    file: "samples/thar.csv",
+    model: "rota-assistant",
+    shortCustomer: "herders-mithi",
+    longCustomer: "committee",
+    service: "rota-ledger",
+    statusPath: "deliveries/status",
+    actionPath: "deliveries",
+  },
+];
+
+const ENGINE_MEMORY_TOKENS = 400_000;
+/// Prefill fast enough to show the largest prompt in a few seconds.
+const FAST_PREFILL = {
+  memoryTokens: ENGINE_MEMORY_TOKENS,
+  prefillTokensPerStep: 8_192,
+  prefillMillisecondsPerToken: 0.005,
+};
+const BYTES_PER_TOKEN = 4;
+const SHORT_TOKENS = 1_000;
+const SHORT_REQUESTS = 12;
+const ANSWER_TOKENS = 32;
+
+const print = (line: string) => void process.stdout.write(line + "\n");
+
+function promptOf(label: string, tokens: number): string {
+  const length = tokens * BYTES_PER_TOKEN;
+  return `${label} `.repeat(Math.ceil(length / label.length)).slice(0, length);
+}
+
+function describe(label: string, result: CallerResult, correct: boolean) {
+  const first = result.firstTokenMilliseconds.toFixed(0).padStart(6);
+  const total = result.totalMilliseconds.toFixed(0).padStart(6);
+  const verdict = correct ? "as expected" : "WRONG";
+  print(
+    `  ${label.padEnd(34)} ${result.status} first ${first} ms  ` +
+      `whole ${total} ms  ${verdict}`,
+  );
+}
+
+async function askCompletion(
+  caller: Caller,
+  request: { label: string; model: string; tokens: number },
+): Promise<boolean> {
+  const prompt = promptOf(request.label, request.tokens);
+  const result = await caller.complete({
+    model: request.model,
+    prompt,
+    maximumTokens: ANSWER_TOKENS,
+  });
+  const correct = result.complete &&
+    result.text.length === expectedAnswer(prompt, ANSWER_TOKENS).length;
+  describe(`${request.label} (${request.tokens} tokens)`, result, correct);
+  return correct;
+}
+
+async function askService(shape: Shape, deployment: Deployment) {
+  const key = createKey(Date.now(), randomBytes(10).toString("hex"));
+  const callers = deployment.daemons.map((daemon) =>
+    createCaller(
+      daemon.callerAddress,
+      `demonstration-key-${shape.shortCustomer}`,
+    )
+  );
+  const [first, second] = callers;
+  const order = {
+    method: "POST" as const,
+    path: `${shape.service}/${shape.actionPath}`,
+    headers: { "idempotency-key": key, "content-type": "application/json" },
+    body: JSON.stringify({ pages: 48 }),
+  };
+  const placed = await first!.callService(order);
+  describe("one-time action", placed, placed.status === 200);
+  const repeated = await second!.callService(order);
+  const same = repeated.text === placed.text;
+  describe("same key at another entry", repeated, same);
+  const status = await first!.callService({
+    method: "GET",
+    path: `${shape.service}/${shape.statusPath}?key=${key}`,
+  });
+  const known = status.text.includes('"executed":true');
+  describe("status check", status, known);
+  let runs = 0;
+  for (const service of deployment.services.values()) {
+    runs += service.runsOf(key);
+  }
+  print(`  the service ran the action ${runs} time(s)`);
+  await Promise.all(callers.map((caller) => caller.close()));
+  return placed.status === 200 && same && known && runs === 1;
+}
+
+async function demonstrate(shape: Shape): Promise<[Deployment, boolean]> {
+  const sheet = parseSheetCsv(await readFile(shape.file, "utf8"));
+  const deployment = await startDeployment({
+    sheet,
+    vms: 3,
+    engine: FAST_PREFILL,
+  });
+  print(`\n${shape.title}: ${deployment.engines.size} engines`);
+  for (const daemon of deployment.daemons) {
+    const { identity, callerAddress, administrationAddress } = daemon;
+    print(
+      `  ${identity.vm} in ${identity.dataCentre}: ` +
+        `callers ${callerAddress}, administration ${administrationAddress}`,
+    );
+  }
+  const revision = await deployment.applySheet();
+  print(`  sheet revision ${revision} is in force on every VM`);
+  const callerOf = (index: number, customer: string) =>
+    createCaller(
+      deployment.daemons[index % 3]!.callerAddress,
+      `demonstration-key-${customer}`,
+    );
+  const long = callerOf(0, shape.longCustomer);
+  const { model } = shape;
+  const largest = Math.floor(2.2 * ENGINE_MEMORY_TOKENS);
+  const results = [
+    askCompletion(long, { label: "whole archive", model, tokens: largest }),
+  ];
+  const shorts = Array.from({ length: SHORT_REQUESTS }, (_, index) => {
+    const caller = callerOf(index, shape.shortCustomer);
+    const label = `question ${index + 1}`;
+    results.push(askCompletion(caller, { label, model, tokens: SHORT_TOKENS }));
+    return caller;
+  });
+  const correct = await Promise.all(results);
+  const once = await askService(shape, deployment);
+  await Promise.all([long, ...shorts].map((caller) => caller.close()));
+  const held = [...deployment.engines.values()].reduce(
+    (total, engine) => total + engine.heldTokens(),
+    0,
+  );
+  print(`  engine memory still held: ${held} tokens`);
+  return [deployment, once && held === 0 && correct.every(Boolean)];
+}
+
+const once = process.argv.includes("--once");
+const deployments: Deployment[] = [];
+let allCorrect = true;
+for (const shape of SHAPES) {
+  const [deployment, correct] = await demonstrate(shape);
+  deployments.push(deployment);
+  allCorrect &&= correct;
+}
+print(allCorrect ? "\nEverything as expected." : "\nSomething went WRONG.");
+
+async function finish(): Promise<never> {
+  await Promise.all(deployments.map((deployment) => deployment.close()));
+  process.exit(allCorrect ? 0 : 1);
+}
+
+if (once) await finish();
+print("Running until Ctrl-C.");
+process.on("SIGINT", () => void finish());
--- /dev/null
+++ b/stand_ins/fake_clock.ts
@@ -0,0 +1,130 @@
+import { type Clock, sleepWith, type Timer } from "../src/support/clock.ts";
+
+/// A clock that moves only when told to.
+export interface FakeClock extends Clock {
+  /// Runs every timer due within `duration`, in order of time.
+  advance(duration: number): Promise<void>;
+  /// Lets pending promise callbacks run without moving time.
+  settle(): Promise<void>;
+  /// Advances in steps until `promise` settles or `limit` has passed.
+  advanceUntil<T>(promise: Promise<T>, limit?: number): Promise<T>;
+  /// How many timers wait.
+  pendingTimers(): number;
+}
+
+interface PendingTimer {
+  readonly due: number;
+  readonly order: number;
+  readonly callback: () => void;
+  cancelled: boolean;
+}
+
+const START_OF_WALL_TIME = 1_750_000_000_000;
+const SETTLE_TURNS = 3;
+
+const turn = () => new Promise<void>((resolve) => setImmediate(resolve));
+
+/// Creates a clock that starts at zero.
+export function createFakeClock(): FakeClock {
+  const heap: PendingTimer[] = [];
+  let time = 0;
+  let order = 0;
+  let cancelledCount = 0;
+
+  const before = (left: PendingTimer, right: PendingTimer) =>
+    left.due < right.due ||
+    (left.due === right.due && left.order < right.order);
+
+  const push = (timer: PendingTimer) => {
+    let index = heap.push(timer) - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!before(timer, heap[parent]!)) break;
+      heap[index] = heap[parent]!;
+      index = parent;
+    }
+    heap[index] = timer;
+  };
+
+  const pop = () => {
+    const top = heap[0];
+    const last = heap.pop();
+    if (!top || !last || heap.length === 0) return top;
+    let index = 0;
+    while (true) {
+      let child = 2 * index + 1;
+      if (child >= heap.length) break;
+      if (child + 1 < heap.length && before(heap[child + 1]!, heap[child]!)) {
+        child++;
+      }
+      if (!before(heap[child]!, last)) break;
+      heap[index] = heap[child]!;
+      index = child;
+    }
+    heap[index] = last;
+    return top;
+  };
+
+  const schedule = (delay: number, callback: () => void): Timer => {
+    const due = time + Math.max(0, delay);
+    const timer: PendingTimer = {
+      due,
+      order: order++,
+      callback,
+      cancelled: false,
+    };
+    push(timer);
+    return {
+      cancel: () => {
+        if (!timer.cancelled) cancelledCount++;
+        timer.cancelled = true;
+      },
+    };
+  };
+
+  const settle = async () => {
+    for (let count = 0; count < SETTLE_TURNS; count++) await turn();
+  };
+
+  const advance = async (duration: number) => {
+    const end = time + duration;
+    await settle();
+    while (heap[0] && heap[0].due <= end) {
+      const timer = pop()!;
+      if (timer.cancelled) {
+        cancelledCount--;
+        continue;
+      }
+      time = timer.due;
+      timer.cancelled = true;
+      timer.callback();
+      if (!heap[0] || heap[0].due > time) await turn();
+    }
+    time = end;
+    await settle();
+  };
+
+  const advanceUntil = async <T>(promise: Promise<T>, limit = 3_600_000) => {
+    let settled = false;
+    promise.then(() => (settled = true), () => (settled = true));
+    const end = time + limit;
+    await settle();
+    while (!settled && time < end) {
+      const next = heap[0];
+      await advance(next ? Math.max(0, next.due - time) : end - time);
+    }
+    if (!settled) throw new Error(`not settled after ${limit} ms`);
+    return promise;
+  };
+
+  return {
+    now: () => time,
+    wallTime: () => START_OF_WALL_TIME + time,
+    schedule,
+    sleep: sleepWith(schedule),
+    advance,
+    settle,
+    advanceUntil,
+    pendingTimers: () => heap.length - cancelledCount,
+  };
+}
--- /dev/null
+++ b/stand_ins/local_links.ts
@@ -0,0 +1,132 @@
+import {
+  type Links,
+  LinkUnansweredError,
+  LinkUnreachableError,
+} from "../src/links/links.ts";
+import {
+  createMessageRouter,
+  type MessageRouter,
+} from "../src/links/message_router.ts";
+import type { Clock } from "../src/support/clock.ts";
+import type { VmIdentity } from "../src/vms/identity.ts";
+
+/// Links between VMs of one process, for tests under the fake clock.
+export interface LocalNetwork {
+  /// Adds a VM. One with the same name replaces the earlier incarnation.
+  join(identity: VmIdentity): Links;
+  /// Removes a VM without notice.
+  remove(vm: string): void;
+  /// Cuts or restores the way from one VM to another.
+  setCut(from: string, to: string, cut: boolean): void;
+}
+
+interface Member {
+  readonly identity: VmIdentity;
+  readonly router: MessageRouter;
+  readonly listeners: (() => void)[];
+}
+
+const CALL_TIMEOUT_MILLISECONDS = 1_000;
+
+/// Creates a network whose every message takes `latency` milliseconds.
+export function createLocalNetwork(clock: Clock, latency = 1): LocalNetwork {
+  const members = new Map<string, Member>();
+  const cuts = new Set<string>();
+
+  const reaches = (from: string, to: string) =>
+    members.has(from) && members.has(to) && !cuts.has(`${from} ${to}`);
+
+  const notify = () => {
+    for (const member of members.values()) {
+      member.listeners.forEach((listener) => listener());
+    }
+  };
+
+  const carry = (from: string, to: Member, action: () => void) => {
+    clock.schedule(latency, () => {
+      const current = members.get(to.identity.vm) === to;
+      if (current && reaches(from, to.identity.vm)) action();
+    });
+  };
+
+  const createLinks = (member: Member): Links => {
+    const self = member.identity;
+    const alive = () => members.get(self.vm) === member;
+    const peers = () => {
+      const others = [...members.values()].filter((other) =>
+        other !== member && alive() &&
+        reaches(self.vm, other.identity.vm) &&
+        reaches(other.identity.vm, self.vm)
+      );
+      return others.map((other) => other.identity);
+    };
+    const find = (vm: string) => {
+      const connected = peers().some((peer) => peer.vm === vm);
+      return connected ? members.get(vm) : undefined;
+    };
+    return {
+      self,
+      peers,
+      send(vm, type, value) {
+        const other = find(vm);
+        if (!other) return false;
+        const copy = structuredClone(value);
+        carry(self.vm, other, () => {
+          other.router.deliver(type.name, copy, self);
+        });
+        return true;
+      },
+      broadcast(type, value) {
+        for (const peer of peers()) this.send(peer.vm, type, value);
+      },
+      call(vm, type, value, limits) {
+        const other = find(vm);
+        if (!other) {
+          return Promise.reject(new LinkUnreachableError(`no link to ${vm}`));
+        }
+        const limit = limits?.timeoutMilliseconds ?? CALL_TIMEOUT_MILLISECONDS;
+        const copy = structuredClone(value);
+        return new Promise((resolve, reject) => {
+          const timer = clock.schedule(
+            limit,
+            () => reject(new LinkUnansweredError(`${vm} did not answer`)),
+          );
+          const settle = (action: () => void) =>
+            carry(vm, member, () => {
+              timer.cancel();
+              action();
+            });
+          carry(self.vm, other, () => {
+            other.router.answer(type.name, copy, self).then(
+              (reply) => settle(() => resolve(structuredClone(reply) as never)),
+              (error: Error) =>
+                settle(() => reject(new LinkUnansweredError(error.message))),
+            );
+          });
+        });
+      },
+      onMessage: member.router.onMessage,
+      onCall: member.router.onCall,
+      onPeersChange: (listener) => void member.listeners.push(listener),
+    };
+  };
+
+  return {
+    join(identity) {
+      const router = createMessageRouter();
+      const member: Member = { identity, router, listeners: [] };
+      members.set(identity.vm, member);
+      notify();
+      return createLinks(member);
+    },
+    remove(vm) {
+      members.delete(vm);
+      notify();
+    },
+    setCut(from, to, cut) {
+      if (cut) cuts.add(`${from} ${to}`);
+      else cuts.delete(`${from} ${to}`);
+      notify();
+    },
+  };
+}
--- /dev/null
+++ b/stand_ins/measure.ts
@@ -0,0 +1,21 @@
+import { type Measurement, toMarkdown, writeResult } from "./measurement.ts";
+
+/// Runs one measurement by name and writes its result.
+
+const MEASUREMENTS: Readonly<Record<string, () => Promise<Measurement>>> = {
+  overhead: async () =>
+    (await import("./measurements/overhead.ts")).measureOverhead,
+};
+
+const [name = "", ...options] = process.argv.slice(2);
+const load = MEASUREMENTS[name];
+if (!load) {
+  const names = Object.keys(MEASUREMENTS).join(", ");
+  process.stderr.write(`usage: npm run measure -- <name>; names: ${names}\n`);
+  process.exit(2);
+}
+const measure = await load();
+const result = await measure(options);
+await writeResult(result);
+process.stdout.write(toMarkdown(result));
+process.exit(0);
