Separate the decisions of an entry from its sockets

Cause: the request path could only be run over HTTP, so faults at each step could not be caused under the fake clock. Change: RequestHandler holds the life of a request without HTTP, and createEntry wires an entry from given links, store and clients; the daemon adds the sockets. Conclusion: the fault matrix can drive whole entries in one process.

--- a/src/administration/administration_api.ts
+++ b/src/administration/administration_api.ts
@@ -2,19 +2,15 @@
 import { Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
 import Fastify, { type FastifyInstance, type FastifyRequest } from "fastify";
-import type { ContractBook } from "../contracts/contract_book.ts";
 import { Sheet } from "../contracts/sheet.ts";
-import type { SheetFollower } from "../contracts/sheet_follower.ts";
 import {
   SheetConflictError,
-  type SheetStore,
   SheetUndecidedError,
 } from "../contracts/sheet_store.ts";
+import type { Entry } from "../entry.ts";
 import type { Links } from "../links/links.ts";
-import type { RequestRegistry } from "../requests/request_registry.ts";
 import type { Logger } from "../support/log.ts";
 import type { Metrics } from "../support/metrics.ts";
-import type { EngineDirectory } from "../upstreams/engine_directory.ts";
 
 /// The interface towards operators, health checks and metrics.
 
@@ -22,15 +18,9 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly links: Links;
-  readonly book: ContractBook;
-  readonly sheets: SheetStore;
-  readonly follower: SheetFollower;
-  readonly registry: RequestRegistry;
-  readonly engines: EngineDirectory;
+  readonly entry: Entry;
   readonly operateToken: string;
   readonly viewToken: string | undefined;
-  /// Whether this VM takes new requests.
-  readonly isReady: () => boolean;
   /// Starts a graceful shutdown.
   readonly drain: () => void;
 }
@@ -60,7 +50,8 @@
 export function createAdministrationApi(
   options: AdministrationApiOptions,
 ): FastifyInstance {
-  const { log, links, book, registry, engines, follower } = options;
+  const { log, links, entry } = options;
+  const { book, registry, engines, follower } = entry;
   const application = Fastify({
     bodyLimit: BODY_LIMIT_BYTES,
     forceCloseConnections: true,
@@ -93,7 +84,7 @@
 
   application.get("/live", () => ({ live: true }));
   application.get("/ready", (_request, reply) => {
-    const ready = options.isReady();
+    const ready = entry.isReady();
     return reply.code(ready ? 200 : 503).send({ ready });
   });
   application.get("/metrics", async (_request, reply) => {
@@ -109,7 +100,7 @@
     requireRole(request, "view");
     return {
       vm: links.self,
-      ready: options.isReady(),
+      ready: entry.isReady(),
       sheetRevision: book.current().revision,
       peers: links.peers().map((peer) => ({
         ...peer,
@@ -144,7 +135,7 @@
       const message = faults.map((fault) => `${fault.path}: ${fault.message}`);
       return reply.code(400).send({ code: "invalid", message });
     }
-    const head = await options.sheets.apply(body);
+    const head = await entry.sheets.apply(body);
     const { author, applyId } = body;
     log.info("sheet accepted", { author, applyId, revision: head.revision });
     await follower.accept(head);
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -1,32 +1,19 @@
 import { createServer } from "node:http";
 import type { AddressInfo, Server } from "node:net";
 import { createAdministrationApi } from "./administration/administration_api.ts";
-import { createContractBook } from "./contracts/contract_book.ts";
-import { startSheetFollower } from "./contracts/sheet_follower.ts";
-import { createSheetStore } from "./contracts/sheet_store.ts";
+import { createEntry } from "./entry.ts";
 import { createLinkMesh } from "./links/link_mesh.ts";
 import { createEtcdStore } from "./platform/etcd_store.ts";
 import { createHttpVmList } from "./platform/vm_list.ts";
-import { createAdmission } from "./requests/admission.ts";
 import { createCallerApi } from "./requests/caller_api.ts";
-import { createCompletionRunner } from "./requests/completion_run.ts";
-import { createLedger } from "./requests/ledger.ts";
-import {
-  createRequestRegistry,
-  type RequestEnd,
-} from "./requests/request_registry.ts";
-import { createServiceRunner } from "./requests/service_run.ts";
+import type { RequestEnd } from "./requests/request_registry.ts";
 import type { Settings } from "./settings.ts";
 import { createSystemClock } from "./support/clock.ts";
 import { createLogger } from "./support/log.ts";
 import { createMetrics, type Metrics } from "./support/metrics.ts";
 import { createSystemRandom } from "./support/random.ts";
-import { createEngineDirectory } from "./upstreams/engine_directory.ts";
 import { createHttpEngineClient } from "./upstreams/http_engine_client.ts";
-import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import { createHttpServiceClient } from "./upstreams/service_client.ts";
-import { createServiceDirectory } from "./upstreams/service_directory.ts";
-import { createTokenEstimator } from "./upstreams/token_estimator.ts";
 import type { VmIdentity } from "./vms/identity.ts";
 
 /// One entry VM: everything the daemon does, wired together.
@@ -103,83 +90,50 @@
     server: linkServer,
   });
 
-  const book = createContractBook();
-  const sheets = createSheetStore(store);
-  const follower = startSheetFollower({
+  const entry = createEntry({
     clock,
-    log: logFor("contracts"),
-    links,
-    sheets,
-    book,
-  });
-
-  const engines = createEngineDirectory({
-    clock,
-    book,
-    createClient: ({ name, address }) => createHttpEngineClient(name, address),
-  });
-  const services = createServiceDirectory({
-    book,
     random,
-    createClient: ({ address }) => createHttpServiceClient(address),
+    logFor,
+    links,
+    store,
+    createEngineClient: ({ name, address }) =>
+      createHttpEngineClient(name, address),
+    createServiceClient: ({ address }) => createHttpServiceClient(address),
   });
-
-  const registry = createRequestRegistry(clock);
+  const { registry } = entry;
   registry.onEnd((end) => countEnd(metrics, end));
-  const admission = createAdmission(clock);
-  const placement = new ShortestWaitPlacement(random);
-  let draining = false;
-
   const callers = createCallerApi({
     clock,
     random,
-    log: logFor("requests"),
-    book,
-    registry,
-    admission,
-    completions: createCompletionRunner({ clock, engines, placement }),
-    services: createServiceRunner({
-      clock,
-      random,
-      services,
-      ledger: createLedger(store),
-    }),
-    estimator: createTokenEstimator(),
+    handler: entry.handler,
     bodyLimit: settings.bodyLimitBytes,
   });
+  let drained: Promise<void> | undefined;
 
   const close = async () => {
-    follower.close();
-    engines.close();
+    entry.close();
     links.close();
     linkServer.close();
     await Promise.allSettled([callers.close(), administration.close()]);
     await store.close();
   };
 
-  const drain = async () => {
-    if (draining) return;
-    draining = true;
-    admission.stop();
+  const drainAndClose = async () => {
     log.info("draining", { running: registry.running().length });
-    const limit = clock.sleep(settings.drainLimitMilliseconds);
-    await Promise.race([registry.whenIdle(), limit]);
-    log.info("drained");
+    await entry.drain(settings.drainLimitMilliseconds);
+    log.info("drained", { running: registry.running().length });
     await close();
   };
 
+  const drain = () => drained ??= drainAndClose();
+
   const administration = createAdministrationApi({
     log: logFor("administration"),
     metrics,
     links,
-    book,
-    sheets,
-    follower,
-    registry,
-    engines,
+    entry,
     operateToken: settings.operateToken,
     viewToken: settings.viewToken,
-    isReady: () => !draining && follower.isCurrent(),
     drain: () => void drain(),
   });
 
--- /dev/null
+++ b/src/requests/request_handler.ts
@@ -0,0 +1,246 @@
+import type { ContractBook, Contracts } from "../contracts/contract_book.ts";
+import {
+  type Customer,
+  type ModelShare,
+  PRIORITIES,
+  type Priority,
+} from "../contracts/sheet.ts";
+import type { Clock } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
+import type { RandomSource } from "../support/random.ts";
+import type { EngineChunk } from "../upstreams/engine_client.ts";
+import { describePrompt } from "../upstreams/prompt_blocks.ts";
+import type {
+  ServiceAnswer,
+  ServiceCall,
+} from "../upstreams/service_client.ts";
+import type { TokenEstimator } from "../upstreams/token_estimator.ts";
+import type { Admission } from "./admission.ts";
+import type { CallerCompletion } from "./caller_body.ts";
+import type { CallerHeaders } from "./caller_headers.ts";
+import type {
+  CompletionRequest,
+  CompletionRunner,
+  RunContext,
+} from "./completion_run.ts";
+import { startDeadline } from "./deadline.ts";
+import { RequestError, toRequestError } from "./request_error.ts";
+import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
+import type { ServiceRunner } from "./service_run.ts";
+
+/// The life of a request, independent of how callers connect: authentication,
+/// the contract, admission, the deadline, and one known end.
+
+export interface RequestHandlerOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Logger;
+  readonly book: ContractBook;
+  readonly registry: RequestRegistry;
+  readonly admission: Admission;
+  readonly completions: CompletionRunner;
+  readonly services: ServiceRunner;
+  readonly estimator: TokenEstimator;
+}
+
+/// A request as it came in.
+export interface ReceivedRequest {
+  readonly id: string;
+  readonly headers: CallerHeaders;
+  /// Aborts when the caller closes its connection.
+  readonly gone: AbortSignal;
+}
+
+/// Hands an answer to the caller. `signal` bounds its waits.
+export type AnswerSink = (
+  answer: AsyncIterable<EngineChunk>,
+  signal: AbortSignal,
+) => Promise<void>;
+
+export interface ReceivedServiceCall {
+  readonly service: string;
+  readonly call: Omit<ServiceCall, "idempotencyKey">;
+}
+
+export interface RequestHandler {
+  /// Runs a completion and feeds its answer to `sink`. Throws `RequestError`.
+  complete(
+    received: ReceivedRequest,
+    completion: CallerCompletion,
+    sink: AnswerSink,
+  ): Promise<void>;
+  /// Runs a call of a service. Throws `RequestError`.
+  callService(
+    received: ReceivedRequest,
+    call: ReceivedServiceCall,
+  ): Promise<ServiceAnswer>;
+}
+
+const PRIORITY_STEP = 10;
+/// Added to the engine priority of long prompts.
+const LONG_PRIORITY_OFFSET = 5;
+
+interface Authenticated {
+  readonly received: ReceivedRequest;
+  readonly customer: Customer;
+  readonly contracts: Contracts;
+}
+
+interface Work {
+  readonly open: OpenRequest;
+  readonly caller: Authenticated;
+  readonly tokens: number;
+  readonly isLong: boolean;
+}
+
+/// The less urgent of the customer's priority and the one asked for.
+function effectivePriority({ customer, received }: Authenticated): Priority {
+  const contract = PRIORITIES.indexOf(customer.priority);
+  const asked = received.headers.priority ?? PRIORITIES[0];
+  return PRIORITIES[Math.max(contract, PRIORITIES.indexOf(asked))]!;
+}
+
+function chooseVersion(shares: readonly ModelShare[], random: RandomSource) {
+  const total = shares.reduce((sum, share) => sum + share.share, 0);
+  let point = random.next() * total;
+  for (const share of shares) {
+    point -= share.share;
+    if (point < 0) return share.version;
+  }
+  return shares.at(-1)!.version;
+}
+
+/// Time the request may take: the smaller of the caller's and the contract's.
+function deadlineOf({ customer, received }: Authenticated, isLong: boolean) {
+  const limit = isLong
+    ? customer.longDeadlineMilliseconds
+    : customer.shortDeadlineMilliseconds;
+  return Math.min(received.headers.deadline ?? limit, limit);
+}
+
+export function createRequestHandler(
+  options: RequestHandlerOptions,
+): RequestHandler {
+  const { clock, random, book, registry, admission, log, estimator } = options;
+
+  const authenticate = (received: ReceivedRequest): Authenticated => {
+    const contracts = book.current();
+    const customer = contracts.customerOf(received.headers.keyHash);
+    if (!customer) throw new RequestError("unauthenticated");
+    return { received, customer, contracts };
+  };
+
+  /// Admits the request and runs `action` under its deadline. The request
+  /// has ended when this settles.
+  const carryOut = async <Result>(
+    work: Work,
+    action: (context: RunContext) => Promise<Result>,
+  ): Promise<Result> => {
+    const { open, caller } = work;
+    const deadline = startDeadline(clock, deadlineOf(caller, work.isLong));
+    const signal = AbortSignal.any([deadline.signal, caller.received.gone]);
+    let release = () => {};
+    try {
+      const ticket = admission.admit({ ...work, customer: caller.customer });
+      release = () => ticket.release();
+      open.update({ state: "admitted" });
+      const result = await action({ open, deadline, signal });
+      open.end();
+      return result;
+    } catch (thrown) {
+      const error = toRequestError(thrown);
+      if (error.code === "internal") {
+        const reason = String((error.cause as Error)?.stack ?? error.cause);
+        log.warn("internal error", { requestId: open.id, reason });
+      }
+      open.end(error);
+      throw error;
+    } finally {
+      deadline.clear();
+      release();
+    }
+  };
+
+  const planCompletion = (
+    caller: Authenticated,
+    completion: CallerCompletion,
+  ): CompletionRequest => {
+    const { contracts, customer } = caller;
+    const { model, maximumTokens } = completion;
+    if (!contracts.hasModel(model)) throw new RequestError("model_unknown");
+    const shares = contracts.sharesOf(customer.name, model);
+    if (shares.length === 0) throw new RequestError("model_not_allowed");
+    const bytesPerToken = estimator.bytesPerToken(model);
+    const prompt = describePrompt(completion.prompt, bytesPerToken);
+    const isLong = prompt.tokens >= contracts.options.longPromptTokens;
+    const level = PRIORITIES.indexOf(effectivePriority(caller));
+    return {
+      customer: customer.name,
+      model,
+      version: chooseVersion(shares, random),
+      prompt,
+      maximumTokens,
+      priority: level * PRIORITY_STEP + (isLong ? LONG_PRIORITY_OFFSET : 0),
+      isLong,
+    };
+  };
+
+  async function* learnUsage(
+    answer: AsyncIterable<EngineChunk>,
+    { model, prompt }: CompletionRequest,
+  ): AsyncIterable<EngineChunk> {
+    for await (const chunk of answer) {
+      if (chunk.end) {
+        const bytes = Buffer.byteLength(prompt.text);
+        const tokens = chunk.end.usage.promptTokens;
+        estimator.learn(model, { bytes, tokens });
+      }
+      yield chunk;
+    }
+  }
+
+  return {
+    async complete(received, completion, sink) {
+      const caller = authenticate(received);
+      const plan = planCompletion(caller, completion);
+      const { customer, isLong } = plan;
+      const promptTokens = plan.prompt.tokens;
+      const open = registry.open({
+        id: received.id,
+        kind: "completion",
+        customer,
+        target: plan.model,
+        promptTokens,
+        isLong,
+      });
+      const tokens = promptTokens + plan.maximumTokens;
+      await carryOut({ open, caller, tokens, isLong }, async (context) => {
+        const answer = options.completions.run(plan, context);
+        await sink(learnUsage(answer, plan), context.signal);
+      });
+    },
+    async callService(received, { service, call }) {
+      const caller = authenticate(received);
+      const { contracts } = caller;
+      if (contracts.upstreamsOf("service", service).length === 0) {
+        throw new RequestError("service_unknown");
+      }
+      const customer = caller.customer.name;
+      const open = registry.open({
+        id: received.id,
+        kind: "service",
+        customer,
+        target: service,
+        promptTokens: 0,
+        isLong: false,
+      });
+      const { idempotencyKey } = received.headers;
+      const work = { open, caller, tokens: 0, isLong: false };
+      return await carryOut(work, (context) => {
+        const keyed = { ...call, idempotencyKey };
+        const plan = { customer, service, call: keyed, contracts };
+        return options.services.run(plan, context);
+      });
+    },
+  };
+}
