Add a fleet of entries under the fake clock

Cause: faults at each step of a request have to be caused over several entries, with everything around them observable. Change: startFleet wires entries over local links, the memory store, engine models and service models; the HTTP stand-ins serve the same models.

--- a/stand_ins/deployment.ts
+++ b/stand_ins/deployment.ts
@@ -15,11 +15,8 @@
 import { startEngineServer } from "./engine_server.ts";
 import { startKeyValueServer } from "./key_value_server.ts";
 import { createMemoryStore, type MemoryStore } from "./memory_store.ts";
-import {
-  type ExecutionCounts,
-  type ServiceServer,
-  startServiceServer,
-} from "./service_server.ts";
+import { createServiceModel, type ServiceModel } from "./service_model.ts";
+import { startServiceServer } from "./service_server.ts";
 import type { StandInServer } from "./stand_in_server.ts";
 import { startVmListServer, type VmListServer } from "./vm_list_server.ts";
 
@@ -36,7 +33,8 @@
 export interface Deployment {
   readonly daemons: readonly Daemon[];
   readonly engines: ReadonlyMap<string, EngineModel>;
-  readonly services: ReadonlyMap<string, ServiceServer>;
+  /// By service name; its replicas share one model.
+  readonly services: ReadonlyMap<string, ServiceModel>;
   readonly store: MemoryStore;
   readonly vmList: VmListServer;
   /// The sheet with the addresses of the running upstreams.
@@ -61,17 +59,15 @@
   const keyValueServer = await startKeyValueServer(store);
   const vmList = await startVmListServer(clock);
   const engines = new Map<string, EngineModel>();
-  const services = new Map<string, ServiceServer>();
-  const executions = new Map<string, ExecutionCounts>();
+  const services = new Map<string, ServiceModel>();
   const servers: StandInServer[] = [keyValueServer, vmList];
 
   const startUpstream = async (upstream: Upstream): Promise<Upstream> => {
     const { name, serves, checksFencing } = upstream;
     if (upstream.kind === "service") {
-      const counts = executions.get(serves) ?? new Map();
-      executions.set(serves, counts);
-      const service = await startServiceServer(clock, counts);
-      services.set(name, service);
+      const model = services.get(serves) ?? createServiceModel(clock);
+      services.set(serves, model);
+      const service = await startServiceServer(model);
       servers.push(service);
       return { ...upstream, address: service.address };
     }
--- /dev/null
+++ b/stand_ins/fleet.ts
@@ -0,0 +1,249 @@
+import { createHash } from "node:crypto";
+import type { Sheet } from "../src/contracts/sheet.ts";
+import { createEntry, type Entry } from "../src/entry.ts";
+import type { CallerCompletion } from "../src/requests/caller_body.ts";
+import type { CallerHeaders } from "../src/requests/caller_headers.ts";
+import {
+  type RequestError,
+  toRequestError,
+} from "../src/requests/request_error.ts";
+import { createSilentLogger } from "../src/support/log.ts";
+import { createSeededRandom } from "../src/support/random.ts";
+import type { StreamEnd } from "../src/upstreams/engine_client.ts";
+import type { ServiceAnswer } from "../src/upstreams/service_client.ts";
+import {
+  createEngineModel,
+  type EngineModel,
+  type EngineModelOptions,
+} from "./engine_model.ts";
+import { createFakeClock, type FakeClock } from "./fake_clock.ts";
+import { createLocalNetwork, type LocalNetwork } from "./local_links.ts";
+import { createMemoryStore, type MemoryStore } from "./memory_store.ts";
+import { createServiceModel, type ServiceModel } from "./service_model.ts";
+
+/// Several entries with stand-ins for everything around them, in one process
+/// under the fake clock, for tests of failures and for measurements.
+
+export interface FleetOptions {
+  readonly sheet: Sheet;
+  readonly entries: number;
+  readonly seed: number;
+  readonly engine?: Partial<EngineModelOptions>;
+  /// Data centres that the entries are spread over.
+  readonly dataCentres?: readonly string[];
+}
+
+/// What a caller had received when its request ended.
+export interface FleetAnswer {
+  readonly text: string;
+  readonly end: StreamEnd | undefined;
+  readonly error: RequestError | undefined;
+}
+
+export interface FleetServiceAnswer {
+  readonly answer: ServiceAnswer | undefined;
+  readonly error: RequestError | undefined;
+}
+
+/// A request that a fleet's caller sends.
+export interface FleetCall {
+  readonly vm: string;
+  /// The customer's API key.
+  readonly key: string;
+  readonly headers?: Partial<CallerHeaders>;
+  /// Aborts when the caller goes away.
+  readonly gone?: AbortSignal;
+}
+
+export interface Fleet {
+  readonly clock: FakeClock;
+  readonly network: LocalNetwork;
+  readonly store: MemoryStore;
+  readonly engines: ReadonlyMap<string, EngineModel>;
+  /// By service name.
+  readonly services: ReadonlyMap<string, ServiceModel>;
+  /// Running entries by VM name: `vm-1`, `vm-2`, ….
+  readonly entries: ReadonlyMap<string, Entry>;
+  /// Starts a VM, or a new incarnation of a stopped one.
+  start(vm: string): Entry;
+  /// Ends a VM at once: its links, store and upstream calls all fail.
+  kill(vm: string): void;
+  complete(
+    call: FleetCall,
+    completion: Partial<CallerCompletion>,
+  ): Promise<FleetAnswer>;
+  callService(
+    call: FleetCall,
+    target: { service: string; method: "GET" | "POST"; path: string },
+  ): Promise<FleetServiceAnswer>;
+  /// Tokens held at all engines.
+  heldTokens(): number;
+}
+
+/// Time for the sheet to be adopted and the first load reports to come.
+const START_MILLISECONDS = 1_000;
+
+/// Starts a fleet with its sheet in force.
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const { sheet, seed } = options;
+  const clock = createFakeClock();
+  const network = createLocalNetwork(clock);
+  const store = createMemoryStore(clock);
+  const engines = new Map<string, EngineModel>();
+  const services = new Map<string, ServiceModel>();
+  const entries = new Map<string, Entry>();
+  const stops = new Map<string, AbortController>();
+  const dataCentres = options.dataCentres ?? ["muttrah"];
+  let started = 0;
+  let nextRequest = 0;
+
+  for (const { kind, name, serves, checksFencing } of sheet.upstreams) {
+    if (kind === "service") {
+      if (!services.has(serves)) {
+        services.set(serves, createServiceModel(clock));
+      }
+      continue;
+    }
+    const model = createEngineModel({
+      clock,
+      name,
+      model: serves,
+      checksFencing,
+      ...options.engine,
+    });
+    engines.set(name, model);
+  }
+
+  const start = (vm: string): Entry => {
+    const number = Number(vm.split("-").at(-1));
+    const random = createSeededRandom(seed * 1_000 + started++);
+    const identity = {
+      vm,
+      incarnation: random.hex(8),
+      dataCentre: dataCentres[number % dataCentres.length]!,
+    };
+    const stop = new AbortController();
+    const entry = createEntry({
+      clock,
+      random,
+      logFor: createSilentLogger,
+      links: network.join(identity),
+      store: untilStopped(store.connect(), stop.signal),
+      createEngineClient: ({ name }) =>
+        untilStopped(engines.get(name)!, stop.signal),
+      createServiceClient: ({ serves }) =>
+        untilStopped(services.get(serves)!.connect(), stop.signal),
+    });
+    entries.set(vm, entry);
+    stops.set(vm, stop);
+    return entry;
+  };
+
+  const receive = ({ vm, key, headers, gone }: FleetCall) => ({
+    id: `request-${nextRequest++}`,
+    headers: {
+      keyHash: createHash("sha256").update(key).digest("hex"),
+      deadline: undefined,
+      priority: undefined,
+      idempotencyKey: undefined,
+      ...headers,
+    },
+    gone: AbortSignal.any([
+      stops.get(vm)!.signal,
+      gone ?? new AbortController().signal,
+    ]),
+  });
+
+  for (let number = 1; number <= options.entries; number++) {
+    start(`vm-${number}`);
+  }
+  const first = entries.get("vm-1")!;
+  const proposal = { sheet, base: 0, applyId: "fleet-start", author: "fleet" };
+  await first.follower.accept(await first.sheets.apply(proposal));
+  await clock.advance(START_MILLISECONDS);
+
+  return {
+    clock,
+    network,
+    store,
+    engines,
+    services,
+    entries,
+    start,
+    kill(vm) {
+      network.remove(vm);
+      stops.get(vm)?.abort(new Error(`${vm} was killed`));
+      entries.get(vm)?.close();
+      entries.delete(vm);
+    },
+    async complete(call, completion) {
+      let text = "";
+      let end: StreamEnd | undefined;
+      try {
+        await entries.get(call.vm)!.handler.complete(
+          receive(call),
+          {
+            isChat: false,
+            model: "text",
+            prompt: "hello",
+            maximumTokens: 16,
+            stream: true,
+            ...completion,
+          },
+          async (answer) => {
+            for await (const chunk of answer) {
+              text += chunk.text;
+              end = chunk.end;
+            }
+          },
+        );
+        return { text, end, error: undefined };
+      } catch (error) {
+        return { text, end, error: toRequestError(error) };
+      }
+    },
+    async callService(call, { service, method, path }) {
+      const [plain, query] = path.split("?", 2);
+      try {
+        const received = receive(call);
+        const { handler } = entries.get(call.vm)!;
+        const answer = await handler.callService(received, {
+          service,
+          call: {
+            method,
+            path: plain!,
+            query: query === undefined ? "" : `?${query}`,
+            contentType: "application/json",
+            body: method === "POST" ? Buffer.from("{}") : undefined,
+          },
+        });
+        return { answer, error: undefined };
+      } catch (error) {
+        return { answer: undefined, error: toRequestError(error) };
+      }
+    },
+    heldTokens: () =>
+      [...engines.values()].reduce(
+        (total, engine) => total + engine.heldTokens(),
+        0,
+      ),
+  };
+}
+
+/// A client whose calls never settle once its VM has stopped, as those of a
+/// dead process.
+function untilStopped<Client extends object>(
+  client: Client,
+  stopped: AbortSignal,
+): Client {
+  return new Proxy(client, {
+    get(target, name) {
+      const member = Reflect.get(target, name) as unknown;
+      if (typeof member !== "function") return member;
+      return (...values: unknown[]) => {
+        if (stopped.aborted) return new Promise(() => {});
+        return member.apply(target, values);
+      };
+    },
+  });
+}
--- a/stand_ins/service_server.ts
+++ b/stand_ins/service_server.ts
@@ -1,59 +1,49 @@
-import type { Clock } from "../src/support/clock.ts";
+import {
+  type ServiceCall,
+  ServiceLostError,
+  ServiceNotReachedError,
+} from "../src/upstreams/service_client.ts";
+import type { ServiceModel } from "./service_model.ts";
 import {
   createStandInApplication,
   listen,
   type StandInServer,
 } from "./stand_in_server.ts";
 
-/// Executions by idempotency key, shared by the replicas of one service.
-export type ExecutionCounts = Map<string, number>;
-
-/// A plain service that counts how often it ran for each key.
-export interface ServiceServer extends StandInServer {
-  /// Executions of non-idempotent calls by idempotency key.
-  runsOf(key: string): number;
-  /// Delays every answer.
-  setDelay(milliseconds: number): void;
-  /// The next `count` calls run, then the connection is cut.
-  cutAnswers(count: number): void;
-}
-
-/// Serves any path: `POST` executes once for each call, `GET` tells whether
-/// the key in `?key=` has run.
+/// Serves one replica of a service model on a loopback port.
 export async function startServiceServer(
-  clock: Clock,
-  runs: ExecutionCounts = new Map(),
-): Promise<ServiceServer> {
+  model: ServiceModel,
+): Promise<StandInServer> {
   const application = createStandInApplication();
-  let delay = 0;
-  let answersToCut = 0;
+  const client = model.connect();
+  const { signal } = new AbortController();
 
-  application.post("/*", async (request, reply) => {
-    const key = String(request.headers["idempotency-key"] ?? "none");
-    runs.set(key, (runs.get(key) ?? 0) + 1);
-    if (delay > 0) await clock.sleep(delay);
-    if (answersToCut > 0) {
-      answersToCut--;
-      reply.hijack();
-      reply.raw.destroy();
-      return;
-    }
-    return { placed: true, key, run: runs.get(key) };
+  application.setErrorHandler((error, _request, reply) => {
+    const cut = error instanceof ServiceLostError ||
+      error instanceof ServiceNotReachedError;
+    if (cut) return void reply.raw.destroy();
+    return reply.code(500).send({ error: String(error) });
   });
 
-  application.get("/load", () => ({ running: 0 }));
-
-  application.get("/*", async (request) => {
-    if (delay > 0) await clock.sleep(delay);
-    const { key } = request.query as { key?: string };
-    return { key, executed: key !== undefined && runs.has(key) };
+  application.route({
+    method: ["GET", "POST"],
+    url: "/*",
+    handler: async (request, reply) => {
+      const [path, query] = request.url.split("?", 2);
+      const key = request.headers["idempotency-key"];
+      const call: ServiceCall = {
+        method: request.method as ServiceCall["method"],
+        path: path!,
+        query: query === undefined ? "" : `?${query}`,
+        contentType: request.headers["content-type"],
+        idempotencyKey: key === undefined ? undefined : String(key),
+        body: undefined,
+      };
+      const answer = await client.send(call, signal);
+      reply.code(answer.status).type(answer.contentType);
+      return reply.send(answer.body);
+    },
   });
 
-  const server = await listen(application);
-  return {
-    ...server,
-    runsOf: (key) => runs.get(key) ?? 0,
-    setDelay: (milliseconds) => void (delay = milliseconds),
-    cutAnswers: (count) => void (answersToCut = count),
-  };
+  return await listen(application);
 }
