Measure placement under load beside the usual policies

Placement had never been compared with anything. Prompts of 4k to 100k tokens share a queue with the short ones, which is the next thing to change.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -30,7 +30,11 @@
   createEngineDirectory,
   type EngineDirectory,
 } from "./upstreams/engine_directory.ts";
-import { ShortestWaitPlacement } from "./upstreams/placement.ts";
+import {
+  type PlacementPolicy,
+  ShortestWaitPlacement,
+} from "./upstreams/placement.ts";
+import type { describePrompt } from "./upstreams/prompt_blocks.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
@@ -48,6 +52,9 @@
   readonly store: KeyValueStore;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
   readonly createServiceClient: (upstream: Upstream) => ServiceClient;
+  /// Replaces the placement, for comparisons.
+  readonly createPlacement?: (random: RandomSource) => PlacementPolicy;
+  readonly describePrompt?: typeof describePrompt;
 }
 
 export interface Entry {
@@ -89,7 +96,8 @@
   });
   const registry = createRequestRegistry(clock);
   const admission = createAdmission(clock);
-  const placement = new ShortestWaitPlacement(random);
+  const placement = options.createPlacement?.(random) ??
+    new ShortestWaitPlacement(random);
   const ledger = createLedger(store);
   const handler = createRequestHandler({
     clock,
@@ -101,6 +109,7 @@
     completions: createCompletionRunner({ clock, engines, placement }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
+    describePrompt: options.describePrompt,
   });
   let draining = false;
 
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -41,6 +41,8 @@
   readonly completions: CompletionRunner;
   readonly services: ServiceRunner;
   readonly estimator: TokenEstimator;
+  /// Measurements give prompts a length without giving them a text.
+  readonly describePrompt?: typeof describePrompt;
 }
 
 /// A request as it came in.
@@ -122,6 +124,7 @@
   options: RequestHandlerOptions,
 ): RequestHandler {
   const { clock, random, book, registry, admission, log, estimator } = options;
+  const describe = options.describePrompt ?? describePrompt;
 
   const authenticate = (received: ReceivedRequest): Authenticated => {
     const contracts = book.current();
@@ -171,7 +174,7 @@
     const shares = contracts.sharesOf(customer.name, model);
     if (shares.length === 0) throw new RequestError("model_not_allowed");
     const bytesPerToken = estimator.bytesPerToken(model);
-    const prompt = describePrompt(completion.prompt, bytesPerToken);
+    const prompt = describe(completion.prompt, bytesPerToken);
     const isLong = prompt.tokens >= contracts.options.longPromptTokens;
     const level = PRIORITIES.indexOf(effectivePriority(caller));
     return {
--- a/stand_ins/engine_model.ts
+++ b/stand_ins/engine_model.ts
@@ -86,6 +86,8 @@
   remainingPrefill: number;
   generated: number;
   admitted: boolean;
+  /// Whether its blocks are in the prefix cache.
+  stored: boolean;
   end?: StreamEnd;
   lost?: Error;
   waiters: (() => void)[];
@@ -110,6 +112,8 @@
   retainMilliseconds: 30_000,
 };
 const KEPT_CACHE_EVENTS = 4_096;
+/// Outdated snapshots that are dropped together.
+const SNAPSHOT_PRUNE_COUNT = 64;
 /// Shortest step that the reported rate assumes.
 const MINIMUM_STEP_MILLISECONDS = 0.01;
 /// Share of the memory that cached prefixes of ended streams may fill.
@@ -139,6 +143,8 @@
   const options = { ...DEFAULTS, ...given };
   const { clock, name } = options;
   const streams = new Map<string, StreamRecord>();
+  /// Streams that have neither ended nor been lost, oldest first.
+  const live = new Set<StreamRecord>();
   const reservations = new Map<string, { tokens: number; timer: Timer }>();
   const exports = new Map<string, number>();
   const cachedBlocks = new Map<string, true>();
@@ -174,24 +180,22 @@
     return total;
   };
 
-  const active = () =>
-    [...streams.values()].filter((stream) => !stream.end && !stream.lost);
-
   const heldTokens = () => {
-    const held = active().filter((stream) => stream.admitted);
-    return sum(held.map((stream) => stream.heldTokens)) +
-      sum([...reservations.values()].map((entry) => entry.tokens)) +
-      sum(exports.values());
+    let held = sum(exports.values());
+    for (const stream of live) held += stream.admitted ? stream.heldTokens : 0;
+    for (const reservation of reservations.values()) held += reservation.tokens;
+    return held;
   };
 
   const freeTokens = () => options.memoryTokens - heldTokens();
 
   const recordSnapshot = () => {
-    const running = active();
     const time = clock.now();
+    let queuedTokens = 0;
+    for (const stream of live) queuedTokens += stream.remainingPrefill;
     const report = {
-      queuedTokens: sum(running.map((stream) => stream.remainingPrefill)),
-      runningStreams: running.length,
+      queuedTokens,
+      runningStreams: live.size,
       freeTokens: freeTokens(),
       memoryTokens: options.memoryTokens,
       prefillTokensPerSecond: 1_000 * options.prefillTokensPerStep /
@@ -204,7 +208,7 @@
     const keepFrom = snapshots.findLastIndex((entry) =>
       entry.time <= time - reportLag
     );
-    if (keepFrom > 0) snapshots = snapshots.slice(keepFrom);
+    if (keepFrom >= SNAPSHOT_PRUNE_COUNT) snapshots = snapshots.slice(keepFrom);
   };
 
   const publish = (kind: CacheEvent["kind"], block: string) => {
@@ -255,6 +259,7 @@
         cachedTokens: stream.cachedTokens,
       },
     };
+    live.delete(stream);
     counters.finished++;
     if (stream.exported) {
       exports.set(stream.call.streamId, stream.heldTokens);
@@ -265,12 +270,16 @@
     });
   };
 
+  const inOrderOfUrgency = (included: (stream: StreamRecord) => boolean) => {
+    const found: StreamRecord[] = [];
+    for (const stream of live) if (included(stream)) found.push(stream);
+    return found.sort((left, right) =>
+      left.call.priority - right.call.priority || left.order - right.order
+    );
+  };
+
   const admitWaiting = () => {
-    const waiting = active()
-      .filter((stream) => !stream.admitted)
-      .sort((left, right) =>
-        left.call.priority - right.call.priority || left.order - right.order
-      );
+    const waiting = inOrderOfUrgency((stream) => !stream.admitted);
     for (const stream of waiting) {
       if (stream.heldTokens > freeTokens()) return;
       stream.admitted = true;
@@ -279,11 +288,9 @@
 
   const prefill = (): number => {
     let budget = options.prefillTokensPerStep;
-    const pending = active()
-      .filter((stream) => stream.admitted && stream.remainingPrefill > 0)
-      .sort((left, right) =>
-        left.call.priority - right.call.priority || left.order - right.order
-      );
+    const pending = inOrderOfUrgency((stream) =>
+      stream.admitted && stream.remainingPrefill > 0
+    );
     for (const stream of pending) {
       const tokens = Math.min(budget, stream.remainingPrefill);
       stream.remainingPrefill -= tokens;
@@ -301,9 +308,10 @@
       if (stream.generated >= stream.call.maximumTokens) finish(stream);
       wake(stream);
     }
-    for (const stream of active()) {
+    for (const stream of live) {
       if (!stream.admitted || stream.remainingPrefill > 0) continue;
-      storeBlocks(stream.call.prompt.blocks);
+      if (!stream.stored) storeBlocks(stream.call.prompt.blocks);
+      stream.stored = true;
       if (stream.call.maximumTokens === 0) {
         finish(stream);
         wake(stream);
@@ -314,7 +322,7 @@
 
   const step = () => {
     admitWaiting();
-    const running = active().filter((stream) => stream.admitted);
+    const running = [...live].filter((stream) => stream.admitted);
     if (running.length === 0) {
       stepping = false;
       return;
@@ -350,10 +358,11 @@
     generation++;
     down = true;
     stepping = false;
-    for (const stream of active()) {
+    for (const stream of live) {
       stream.lost = new EngineLostError(`${name} crashed`);
       wake(stream);
     }
+    live.clear();
     for (const entry of reservations.values()) entry.timer.cancel();
     streams.clear();
     reservations.clear();
@@ -397,9 +406,11 @@
       remainingPrefill: call.prompt.tokens - cachedTokens,
       generated: 0,
       admitted: reserved,
+      stored: false,
       waiters: [],
     };
     streams.set(call.streamId, stream);
+    live.add(stream);
     counters.started++;
     startStepping();
     return stream;
@@ -410,6 +421,7 @@
     if (streams.get(streamId) !== stream) return;
     streams.delete(streamId);
     if (stream.end) return;
+    live.delete(stream);
     counters.cancelled++;
     stream.lost = new EngineLostError("cancelled");
     wake(stream);
@@ -533,7 +545,7 @@
   const listStreams = (): ListedStream[] => {
     requireUp();
     if (!options.listsStreams) return [];
-    return active().map((stream) => ({
+    return [...live].map((stream) => ({
       streamId: stream.call.streamId,
       attempt: stream.attempt,
       tokens: stream.heldTokens,
@@ -545,7 +557,7 @@
     name,
     counters,
     heldTokens,
-    runningStreams: () => active().length,
+    runningStreams: () => live.size,
     crash,
     restart() {
       down = false;
--- a/stand_ins/fake_clock.ts
+++ b/stand_ins/fake_clock.ts
@@ -22,6 +22,10 @@
 const START_OF_WALL_TIME = 1_750_000_000_000;
 const SETTLE_TURNS = 3;
 
+/// Resolves after all promise callbacks that are due.
+const drainMicrotasks = () =>
+  new Promise<void>((resolve) => process.nextTick(resolve));
+
 const turn = () => new Promise<void>((resolve) => setImmediate(resolve));
 
 /// Creates a clock that starts at zero.
@@ -86,10 +90,9 @@
     for (let count = 0; count < SETTLE_TURNS; count++) await turn();
   };
 
-  const advance = async (duration: number) => {
-    const end = time + duration;
-    await settle();
-    while (heap[0] && heap[0].due <= end) {
+  /// Runs the timers due by `end` until there are no more or `stopped`.
+  const runUntil = async (end: number, stopped: () => boolean) => {
+    while (!stopped() && heap[0] && heap[0].due <= end) {
       const timer = pop()!;
       if (timer.cancelled) {
         cancelledCount--;
@@ -98,8 +101,14 @@
       time = timer.due;
       timer.cancelled = true;
       timer.callback();
-      if (!heap[0] || heap[0].due > time) await turn();
+      if (!heap[0] || heap[0].due > time) await drainMicrotasks();
     }
+  };
+
+  const advance = async (duration: number) => {
+    const end = time + duration;
+    await settle();
+    await runUntil(end, () => false);
     time = end;
     await settle();
   };
@@ -110,8 +119,9 @@
     const end = time + limit;
     await settle();
     while (!settled && time < end) {
-      const next = heap[0];
-      await advance(next ? Math.max(0, next.due - time) : end - time);
+      await runUntil(end, () => settled);
+      await settle();
+      if (!settled && !(heap[0] && heap[0].due <= end)) time = end;
     }
     if (!settled) throw new Error(`not settled after ${limit} ms`);
     return promise;
--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { Sheet } from "../src/contracts/sheet.ts";
-import { createEntry, type Entry } from "../src/entry.ts";
+import { createEntry, type Entry, type EntryOptions } from "../src/entry.ts";
 import type { CallerCompletion } from "../src/requests/caller_body.ts";
 import type { CallerHeaders } from "../src/requests/caller_headers.ts";
 import {
@@ -9,7 +9,7 @@
 } from "../src/requests/request_error.ts";
 import { createSilentLogger } from "../src/support/log.ts";
 import { createSeededRandom } from "../src/support/random.ts";
-import type { StreamEnd } from "../src/upstreams/engine_client.ts";
+import type { EngineChunk, StreamEnd } from "../src/upstreams/engine_client.ts";
 import type { ServiceAnswer } from "../src/upstreams/service_client.ts";
 import {
   createEngineModel,
@@ -31,6 +31,8 @@
   readonly engine?: Partial<EngineModelOptions>;
   /// Data centres that the entries are spread over.
   readonly dataCentres?: readonly string[];
+  /// Parts of every entry that a comparison replaces.
+  readonly entry?: Partial<EntryOptions>;
 }
 
 /// What a caller had received when its request ended.
@@ -53,6 +55,8 @@
   readonly headers?: Partial<CallerHeaders>;
   /// Aborts when the caller goes away.
   readonly gone?: AbortSignal;
+  /// Sees every chunk as it arrives.
+  readonly onChunk?: (chunk: EngineChunk) => void;
 }
 
 export interface Fleet {
@@ -133,6 +137,7 @@
         untilStopped(engines.get(name)!, stop.signal),
       createServiceClient: ({ serves }) =>
         untilStopped(services.get(serves)!.connect(), stop.signal),
+      ...options.entry,
     });
     entries.set(vm, entry);
     stops.set(vm, stop);
@@ -192,6 +197,7 @@
           },
           async (answer) => {
             for await (const chunk of answer) {
+              call.onChunk?.(chunk);
               text += chunk.text;
               end = chunk.end;
             }
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -5,6 +5,7 @@
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Measurement>>> = {
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
+  policy: async () => (await import("./measurements/policy.ts")).measurePolicy,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
