Announce prefills between entries and let shorter prompts go first

Prompts of 4k to 100k tokens shared one engine priority with the short ones, and an entry knew other entries' sends only from reports a second old. Every doubling of the length now costs an engine priority step (objective slowdown; timeToFirstToken keeps one step for all that are not short), entries announce their running prefills in 20 ms batches, the estimate counts only what goes first at that priority, and engines slower than estimated are estimated so.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -30,10 +30,12 @@
   createEngineDirectory,
   type EngineDirectory,
 } from "./upstreams/engine_directory.ts";
+import { startLoadDigests } from "./upstreams/load_digest.ts";
 import {
   type PlacementPolicy,
   ShortestWaitPlacement,
 } from "./upstreams/placement.ts";
+import { createPrefillBook } from "./upstreams/prefill_book.ts";
 import type { describePrompt } from "./upstreams/prompt_blocks.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
@@ -84,9 +86,12 @@
     sheets,
     book,
   });
+  const prefills = createPrefillBook();
+  const stopDigests = startLoadDigests({ clock, links, prefills });
   const engines = createEngineDirectory({
     clock,
     book,
+    prefills,
     createClient: options.createEngineClient,
   });
   const services = createServiceDirectory({
@@ -128,6 +133,7 @@
     },
     close() {
       follower.close();
+      stopDigests();
       engines.close();
     },
   };
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -12,8 +12,12 @@
 import type {
   EngineDirectory,
   EngineView,
+  SendRecord,
 } from "../upstreams/engine_directory.ts";
-import type { PlacementPolicy } from "../upstreams/placement.ts";
+import {
+  expectedFirstToken,
+  type PlacementPolicy,
+} from "../upstreams/placement.ts";
 import { checkedChunks } from "./attempt.ts";
 import type { Deadline } from "./deadline.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
@@ -66,6 +70,8 @@
   attempt: number;
   offset: number;
   sent: boolean;
+  /// Counts the running attempt at its engine.
+  send: SendRecord | undefined;
 }
 
 export function createCompletionRunner(
@@ -120,6 +126,7 @@
     for await (const chunk of untilAborted(checked, context.signal)) {
       if (state.offset === 0 && chunk.tokens > 0) {
         context.open.update({ state: "streaming", firstTokenAt: clock.now() });
+        state.send?.prefillEnded();
       }
       state.sent = true;
       state.offset += chunk.tokens;
@@ -134,7 +141,14 @@
   ): AsyncIterable<EngineChunk> {
     const { state, context } = runtime;
     const { name } = engine.upstream;
-    const send = engines.recordSend(name, request.prompt.tokens);
+    const { priority, isLong, prompt } = request;
+    const send = engines.recordSend(name, prompt.tokens, {
+      priority,
+      isLong,
+      expectedMilliseconds: expectedFirstToken(engine, request) /
+        engine.slowness,
+    });
+    state.send = send;
     let ended = false;
     try {
       let source = engine.client.complete(
@@ -248,6 +262,7 @@
         attempt: 0,
         offset: 0,
         sent: false,
+        send: undefined,
       };
       while (true) {
         state.attempt++;
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -24,6 +24,7 @@
   RunContext,
 } from "./completion_run.ts";
 import { startDeadline } from "./deadline.ts";
+import { enginePriority } from "./engine_priority.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
 import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
 import type { ServiceRunner } from "./service_run.ts";
@@ -78,10 +79,6 @@
   ): Promise<ServiceAnswer>;
 }
 
-const PRIORITY_STEP = 10;
-/// Added to the engine priority of long prompts.
-const LONG_PRIORITY_OFFSET = 5;
-
 interface Authenticated {
   readonly received: ReceivedRequest;
   readonly customer: Customer;
@@ -183,7 +180,11 @@
       version: chooseVersion(shares, random),
       prompt,
       maximumTokens,
-      priority: level * PRIORITY_STEP + (isLong ? LONG_PRIORITY_OFFSET : 0),
+      priority: enginePriority({
+        ...contracts.options,
+        level,
+        tokens: prompt.tokens,
+      }),
       isLong,
     };
   };
--- a/src/upstreams/engine_directory.ts
+++ b/src/upstreams/engine_directory.ts
@@ -2,6 +2,11 @@
 import type { Upstream } from "../contracts/sheet.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { EngineClient, LoadReport } from "./engine_client.ts";
+import {
+  createPrefillBook,
+  type PrefillBook,
+  type PrefillGroup,
+} from "./prefill_book.ts";
 
 /// What this VM knows of each engine: the last load report, and the prompt
 /// tokens it sent itself since then.
@@ -12,6 +17,12 @@
 /// An engine whose reports stopped for this long is not chosen.
 const REPORT_LIMIT_MILLISECONDS = 5_000;
 
+/// Weight of one request in an engine's running slowness.
+const SLOWNESS_LEARNING_RATE = 0.2;
+const SLOWNESS_BOUNDS = { least: 1, most: 8 };
+/// Prefills expected to take less than this say little about an engine.
+const SLOWNESS_FLOOR_MILLISECONDS = 50;
+
 /// A request sent to an engine that no report covers yet.
 interface RecentSend {
   readonly sentAt: Milliseconds;
@@ -30,11 +41,29 @@
   /// Uncached prompt tokens this VM sent since the report.
   readonly unreportedTokens: number;
   readonly unreportedRequests: number;
+  /// Prefills that have not ended, of this VM and as others announced them.
+  readonly prefills: readonly PrefillGroup[];
+  /// Tokens of the known prefills when the last report was true.
+  readonly knownAtReport: number;
+  /// Measured times to first token over the expected ones; 1 is as expected.
+  readonly slowness: number;
   readonly usable: boolean;
 }
 
-/// A request counted at an engine. `end` takes it off again.
+/// What is known of a request that is about to be sent.
+export interface SendOptions {
+  readonly priority?: number;
+  readonly isLong?: boolean;
+  /// Time to first token that was expected of the engine, had it its usual
+  /// speed.
+  readonly expectedMilliseconds?: Milliseconds;
+}
+
+/// A request counted at an engine.
 export interface SendRecord {
+  /// Its first token came.
+  prefillEnded(): void;
+  /// Takes it off again.
   end(): void;
 }
 
@@ -44,7 +73,11 @@
   find(name: string): EngineView | undefined;
   all(): readonly EngineView[];
   /// Counts a request that is about to be sent.
-  recordSend(name: string, uncachedTokens: number): SendRecord;
+  recordSend(
+    name: string,
+    uncachedTokens: number,
+    options?: SendOptions,
+  ): SendRecord;
   /// Notes that the engine failed; it rests for a while.
   recordFailure(name: string): void;
   /// Marks an engine as leaving: it gets no new work.
@@ -56,6 +89,7 @@
   readonly clock: Clock;
   readonly book: ContractBook;
   readonly createClient: (upstream: Upstream) => EngineClient;
+  readonly prefills?: PrefillBook;
 }
 
 interface EngineState {
@@ -69,6 +103,9 @@
   outstandingTokens: number;
   restUntil: Milliseconds;
   leaving: boolean;
+  slowness: number;
+  /// Tokens of the known prefills at each poll, oldest first.
+  knownTokens: { readonly at: Milliseconds; readonly tokens: number }[];
 }
 
 /// Follows the sheet and polls every engine's load.
@@ -76,6 +113,7 @@
   options: EngineDirectoryOptions,
 ): EngineDirectory {
   const { clock, book } = options;
+  const prefills = options.prefills ?? createPrefillBook();
   const engines = new Map<string, EngineState>();
 
   const receiveReport = (state: EngineState, report: LoadReport) => {
@@ -84,6 +122,25 @@
     state.recentSends = state.recentSends.filter((send) =>
       send.sentAt >= state.reportTime
     );
+    const { knownTokens } = state;
+    knownTokens.push({ at: clock.now(), tokens: knownAt(state) });
+    while (knownTokens.length > 1 && knownTokens[1]!.at <= state.reportTime) {
+      knownTokens.shift();
+    }
+  };
+
+  const knownAt = ({ upstream }: EngineState) =>
+    prefills.at(upstream.name).reduce((sum, group) => sum + group.tokens, 0);
+
+  const learnSlowness = (
+    state: EngineState,
+    times: { expected: Milliseconds; measured: Milliseconds },
+  ) => {
+    if (!(times.expected >= SLOWNESS_FLOOR_MILLISECONDS)) return;
+    const { least, most } = SLOWNESS_BOUNDS;
+    const ratio = times.measured / times.expected;
+    const bounded = Math.min(most, Math.max(least, ratio));
+    state.slowness += SLOWNESS_LEARNING_RATE * (bounded - state.slowness);
   };
 
   const poll = async (state: EngineState) => {
@@ -110,6 +167,8 @@
       outstandingTokens: 0,
       restUntil: 0,
       leaving: false,
+      slowness: 1,
+      knownTokens: [],
     };
     engines.set(upstream.name, state);
     void poll(state);
@@ -155,6 +214,9 @@
       0,
     ),
     unreportedRequests: state.recentSends.length,
+    prefills: prefills.at(state.upstream.name),
+    knownAtReport: state.knownTokens[0]?.tokens ?? 0,
+    slowness: state.slowness,
     usable: isUsable(state),
   });
 
@@ -175,17 +237,28 @@
       return state && view(state);
     },
     all: () => [...engines.values()].map(view),
-    recordSend(name, uncachedTokens) {
+    recordSend(name, uncachedTokens, details = {}) {
       const state = engines.get(name);
-      if (!state) return { end: () => {} };
-      state.recentSends.push({ sentAt: clock.now(), uncachedTokens });
+      if (!state) return { prefillEnded: () => {}, end: () => {} };
+      const { priority = 0, isLong = false } = details;
+      const sentAt = clock.now();
+      const send = { priority, tokens: uncachedTokens, isLong };
+      const removePrefill = prefills.add(name, send);
+      state.recentSends.push({ sentAt, uncachedTokens });
       state.outstandingRequests++;
       state.outstandingTokens += uncachedTokens;
       let ended = false;
       return {
+        prefillEnded() {
+          removePrefill();
+          const expected = details.expectedMilliseconds;
+          if (expected === undefined) return;
+          learnSlowness(state, { expected, measured: clock.now() - sentAt });
+        },
         end() {
           if (ended) return;
           ended = true;
+          removePrefill();
           state.outstandingRequests--;
           state.outstandingTokens -= uncachedTokens;
         },
--- a/src/upstreams/placement.ts
+++ b/src/upstreams/placement.ts
@@ -9,6 +9,8 @@
   readonly prompt: Prompt;
   readonly maximumTokens: number;
   readonly isLong: boolean;
+  /// Engine priority; smaller is more urgent.
+  readonly priority: number;
   /// Usable engines that have room for the prompt.
   readonly candidates: readonly EngineView[];
 }
@@ -18,19 +20,35 @@
 }
 
 /// Engines compared for each request; more would make many VMs pick the same.
-const COMPARED_ENGINES = 4;
+const COMPARED_ENGINES = 8;
 
-/// Expected time to first token of a prompt of `tokens` uncached tokens.
+/// Work as an engine orders it.
+export type PrefillNeed = Pick<PlacementQuestion, "prompt" | "priority">;
+
+/// Prompt tokens that the engine prefills before one of this priority.
+export function tokensAhead(engine: EngineView, priority: number): number {
+  let ahead = 0;
+  let known = 0;
+  for (const group of engine.prefills) {
+    known += group.tokens;
+    if (group.priority <= priority) ahead += group.tokens;
+  }
+  const reported = engine.report?.queuedTokens ?? 0;
+  const unknown = Math.max(0, reported - Math.max(known, engine.knownAtReport));
+  return ahead + unknown;
+}
+
+/// Expected time to first token.
 export function expectedFirstToken(
   engine: EngineView,
-  tokens: number,
+  { prompt, priority }: PrefillNeed,
 ): Milliseconds {
-  const report = engine.report;
+  const { report } = engine;
   if (!report) return Infinity;
-  const queued = report.queuedTokens + engine.unreportedTokens + tokens;
-  const prefill = 1_000 * queued / report.prefillTokensPerSecond;
+  const tokens = tokensAhead(engine, priority) + prompt.tokens;
+  const prefill = 1_000 * tokens / report.prefillTokensPerSecond;
   const running = report.runningStreams + engine.unreportedRequests;
-  return prefill + running * report.decodeMilliseconds;
+  return engine.slowness * (prefill + running * report.decodeMilliseconds);
 }
 
 /// Chooses the engine with the shortest expected time to first token among a
@@ -49,7 +67,7 @@
     for (let count = 0; count < COMPARED_ENGINES && pool.length > 0; count++) {
       const index = randomInteger(this.#random, pool.length);
       const [engine] = pool.splice(index, 1);
-      const wait = expectedFirstToken(engine!, question.prompt.tokens);
+      const wait = expectedFirstToken(engine!, question);
       if (wait >= bestWait) continue;
       best = engine;
       bestWait = wait;
