Queue in front of the engines and refuse what would be late

Admitted long requests were late because engines took two long prompts at once or one that their memory couldn't hold. Requests now wait in bounded queues, one for each priority and length class, fair among customers in tokens; long ones until an engine without a long prefill has the memory; what would be late is refused at once with Retry-After. Baselines now leave out our other mechanisms.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -21,10 +21,13 @@
   createRequestRegistry,
   type RequestRegistry,
 } from "./requests/request_registry.ts";
+import { createRequestQueues } from "./requests/request_queues.ts";
 import { createServiceRunner } from "./requests/service_run.ts";
+import { createStartGate } from "./requests/start_gate.ts";
 import type { Clock, Milliseconds } from "./support/clock.ts";
 import type { Logger } from "./support/log.ts";
 import type { RandomSource } from "./support/random.ts";
+import { createDemandMeter } from "./upstreams/demand_meter.ts";
 import type { EngineClient } from "./upstreams/engine_client.ts";
 import {
   createEngineDirectory,
@@ -45,6 +48,14 @@
 /// daemon gives it real connections; tests and measurements give it stand-ins
 /// and a clock of their own.
 
+/// Parts of the policy that a comparison may leave out.
+export type Mechanism =
+  | "announcements"
+  | "lengthPriority"
+  | "queues"
+  | "feasibility"
+  | "slowness";
+
 export interface EntryOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -57,6 +68,7 @@
   /// Replaces the placement, for comparisons.
   readonly createPlacement?: (random: RandomSource) => PlacementPolicy;
   readonly describePrompt?: typeof describePrompt;
+  readonly disabled?: readonly Mechanism[];
 }
 
 export interface Entry {
@@ -87,11 +99,15 @@
     book,
   });
   const prefills = createPrefillBook();
-  const stopDigests = startLoadDigests({ clock, links, prefills });
+  const has = (mechanism: Mechanism) => !options.disabled?.includes(mechanism);
+  const stopDigests = has("announcements")
+    ? startLoadDigests({ clock, links, prefills })
+    : () => {};
   const engines = createEngineDirectory({
     clock,
     book,
     prefills,
+    learnsSlowness: has("slowness"),
     createClient: options.createEngineClient,
   });
   const services = createServiceDirectory({
@@ -100,7 +116,17 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
-  const admission = createAdmission(clock);
+  const queues = createRequestQueues({
+    clock,
+    gate: createStartGate(engines),
+    demand: createDemandMeter(clock),
+    vmCount: () => links.peers().length + 1,
+    refusesInfeasible: has("feasibility"),
+  });
+  const admission = createAdmission(
+    clock,
+    has("queues") ? queues : undefined,
+  );
   const placement = options.createPlacement?.(random) ??
     new ShortestWaitPlacement(random);
   const ledger = createLedger(store);
@@ -115,6 +141,7 @@
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
     describePrompt: options.describePrompt,
+    ordersByLength: has("lengthPriority"),
   });
   let draining = false;
 
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -1,6 +1,7 @@
 import type { Customer } from "../contracts/sheet.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import { RequestError } from "./request_error.ts";
+import type { QueueNeed, RequestQueues } from "./request_queues.ts";
 
 /// Decides whether a request may start. A request that is refused here has
 /// not run.
@@ -10,6 +11,14 @@
   /// Prompt and requested tokens.
   readonly tokens: number;
   readonly isLong: boolean;
+  /// What a completion needs of the engines; services have none.
+  readonly need?: QueueNeed;
+}
+
+/// How long an admission may take.
+export interface AdmissionLimits {
+  readonly remaining: Milliseconds;
+  readonly signal: AbortSignal;
 }
 
 /// A place that an admitted request holds until `release`.
@@ -18,8 +27,12 @@
 }
 
 export interface Admission {
-  /// Throws `RequestError` when the request is refused.
-  admit(question: AdmissionQuestion): AdmissionTicket;
+  /// Resolves when the request may be sent. Throws `RequestError` when it is
+  /// refused, at once, or when `signal` aborts.
+  admit(
+    question: AdmissionQuestion,
+    limits: AdmissionLimits,
+  ): Promise<AdmissionTicket>;
   /// Refuses everything from now on.
   stop(): void;
 }
@@ -40,8 +53,12 @@
   long: number;
 }
 
-/// Admission by the contract's limits, counted on this VM alone.
-export function createAdmission(clock: Clock): Admission {
+/// Admission by the contract's limits, counted on this VM alone, then by the
+/// queues in front of the engines.
+export function createAdmission(
+  clock: Clock,
+  queues?: RequestQueues,
+): Admission {
   const uses = new Map<string, CustomerUse>();
   let running = 0;
   let stopped = false;
@@ -83,7 +100,7 @@
   };
 
   return {
-    admit({ customer, tokens, isLong }) {
+    async admit({ customer, tokens, isLong, need }, limits) {
       if (stopped) throw new RequestError("draining", { retryAfterSeconds: 1 });
       if (running >= RUNNING_LIMIT) {
         throw new RequestError("queue_full", { retryAfterSeconds: 1 });
@@ -96,19 +113,25 @@
       if (isLong && use.long >= customer.concurrentLongRequests) {
         throw new RequestError("limit_spent", { retryAfterSeconds: 5 });
       }
+      if (need) queues?.check(need, limits.remaining);
       use.requests.level -= 1;
       use.tokens.level -= tokens;
       if (isLong) use.long++;
       running++;
       let released = false;
-      return {
-        release() {
-          if (released) return;
-          released = true;
-          running--;
-          if (isLong) use.long--;
-        },
+      const release = () => {
+        if (released) return;
+        released = true;
+        running--;
+        if (isLong) use.long--;
       };
+      try {
+        if (need) await queues?.enter(need, limits.signal);
+      } catch (error) {
+        release();
+        throw error;
+      }
+      return { release };
     },
     stop: () => void (stopped = true),
   };
--- a/src/requests/engine_priority.ts
+++ b/src/requests/engine_priority.ts
@@ -8,6 +8,8 @@
   readonly tokens: number;
   readonly longPromptTokens: number;
   readonly objective: Objective;
+  /// Whether prompts that are not long are told apart by their length.
+  readonly byLength: boolean;
 }
 
 const LEVEL_STEP = 10;
@@ -23,9 +25,11 @@
 export function enginePriority(question: PriorityQuestion): number {
   const { level, tokens, longPromptTokens, objective } = question;
   const base = level * LEVEL_STEP;
+  const isLong = tokens >= longPromptTokens;
+  if (!question.byLength) return base + (isLong ? LONG_STEP : 0);
   if (tokens <= SHORT_PROMPT_TOKENS) return base;
   if (objective === "timeToFirstToken") return base + 1;
-  if (tokens >= longPromptTokens) return base + LONG_STEP;
+  if (isLong) return base + LONG_STEP;
   const doublings = Math.ceil(Math.log2(tokens / SHORT_PROMPT_TOKENS));
   return base + Math.min(doublings, MEDIUM_STEPS);
 }
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -26,6 +26,7 @@
 import { startDeadline } from "./deadline.ts";
 import { enginePriority } from "./engine_priority.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
+import type { QueueNeed } from "./request_queues.ts";
 import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
 import type { ServiceRunner } from "./service_run.ts";
 
@@ -42,6 +43,8 @@
   readonly completions: CompletionRunner;
   readonly services: ServiceRunner;
   readonly estimator: TokenEstimator;
+  /// Whether shorter prompts go first at the engines; true unless given.
+  readonly ordersByLength?: boolean;
   /// Measurements give prompts a length without giving them a text.
   readonly describePrompt?: typeof describePrompt;
 }
@@ -90,6 +93,7 @@
   readonly caller: Authenticated;
   readonly tokens: number;
   readonly isLong: boolean;
+  readonly need?: QueueNeed;
 }
 
 /// The less urgent of the customer's priority and the one asked for.
@@ -141,7 +145,9 @@
     const signal = AbortSignal.any([deadline.signal, caller.received.gone]);
     let release = () => {};
     try {
-      const ticket = admission.admit({ ...work, customer: caller.customer });
+      const question = { ...work, customer: caller.customer };
+      const remaining = deadline.remaining();
+      const ticket = await admission.admit(question, { remaining, signal });
       release = () => ticket.release();
       open.update({ state: "admitted" });
       const result = await action({ open, deadline, signal });
@@ -184,6 +190,7 @@
         ...contracts.options,
         level,
         tokens: prompt.tokens,
+        byLength: options.ordersByLength ?? true,
       }),
       isLong,
     };
@@ -218,7 +225,9 @@
         isLong,
       });
       const tokens = promptTokens + plan.maximumTokens;
-      await carryOut({ open, caller, tokens, isLong }, async (context) => {
+      const need = { ...plan, weight: caller.customer.weight };
+      const work = { open, caller, tokens, isLong, need };
+      await carryOut(work, async (context) => {
         const answer = options.completions.run(plan, context);
         await sink(learnUsage(answer, plan), context.signal);
       });
--- /dev/null
+++ b/src/requests/start_gate.ts
@@ -0,0 +1,89 @@
+import type { Milliseconds } from "../support/clock.ts";
+import type { Prompt } from "../upstreams/engine_client.ts";
+import type {
+  EngineDirectory,
+  EngineView,
+} from "../upstreams/engine_directory.ts";
+import {
+  expectedFirstToken,
+  takesLongPrefill,
+  tokensAhead,
+} from "../upstreams/placement.ts";
+
+/// Whether engines have room for one more request now, and how long it would
+/// take to its end.
+
+export interface StartNeed {
+  readonly model: string;
+  readonly version: string;
+  readonly prompt: Prompt;
+  readonly maximumTokens: number;
+  readonly priority: number;
+  readonly isLong: boolean;
+}
+
+export interface StartGate {
+  mayStart(need: StartNeed): boolean;
+  /// Expected time to the end of the answer.
+  expectedDuration(need: StartNeed, ahead: WorkAhead): Milliseconds;
+}
+
+/// Work that competes with a request and is not at engines yet.
+export interface WorkAhead {
+  /// Queued prompt tokens that go first, on all VMs.
+  readonly queuedTokens: number;
+  /// Prompt tokens a second, on all VMs, that will overtake it.
+  readonly overtakingTokensPerSecond: number;
+}
+
+/// Wait at the best engine above which requests are kept back, so that the
+/// queues decide who is next.
+const ENGINE_WAIT_LIMIT_MILLISECONDS = 500;
+/// Share of the rate that is assumed to be left in the worst case.
+const LEAST_RATE_SHARE = 0.1;
+/// Time that one more token of the answer is allowed to take.
+const TOKEN_MILLISECONDS = 26;
+
+export function createStartGate(engines: EngineDirectory): StartGate {
+  const usableOf = ({ model, version }: StartNeed) =>
+    engines.enginesOf(model, version).filter((engine) => engine.usable);
+
+  const fits = (engine: EngineView, need: StartNeed) =>
+    need.prompt.tokens + need.maximumTokens <=
+      (engine.report?.memoryTokens ?? 0);
+
+  return {
+    mayStart(need) {
+      const usable = usableOf(need);
+      const candidates = usable.filter((engine) => fits(engine, need));
+      if (candidates.length === 0) return true;
+      if (need.isLong) {
+        return candidates.some((engine) => takesLongPrefill(engine, need));
+      }
+      const nothing = { ...need.prompt, tokens: 0 };
+      return candidates.some((engine) =>
+        expectedFirstToken(engine, { ...need, prompt: nothing }) <
+          ENGINE_WAIT_LIMIT_MILLISECONDS
+      );
+    },
+    expectedDuration(need, { queuedTokens, overtakingTokensPerSecond }) {
+      const usable = usableOf(need);
+      if (usable.length === 0) return 0;
+      const rates = usable.map((engine) =>
+        engine.report!.prefillTokensPerSecond / engine.slowness
+      );
+      const total = rates.reduce((sum, rate) => sum + rate, 0);
+      const left = 1 - overtakingTokensPerSecond / total;
+      const share = Math.max(LEAST_RATE_SHARE, left);
+      const own = Math.min(
+        ...usable.map((engine, index) =>
+          (tokensAhead(engine, need.priority) + need.prompt.tokens) /
+          rates[index]!
+        ),
+      );
+      const queued = queuedTokens / total;
+      return 1_000 * (own + queued) / share +
+        need.maximumTokens * TOKEN_MILLISECONDS;
+    },
+  };
+}
--- a/src/upstreams/engine_directory.ts
+++ b/src/upstreams/engine_directory.ts
@@ -90,6 +90,8 @@
   readonly book: ContractBook;
   readonly createClient: (upstream: Upstream) => EngineClient;
   readonly prefills?: PrefillBook;
+  /// Whether engines that answer late are estimated slower; true unless given.
+  readonly learnsSlowness?: boolean;
 }
 
 interface EngineState {
@@ -136,6 +138,7 @@
     state: EngineState,
     times: { expected: Milliseconds; measured: Milliseconds },
   ) => {
+    if (options.learnsSlowness === false) return;
     if (!(times.expected >= SLOWNESS_FLOOR_MILLISECONDS)) return;
     const { least, most } = SLOWNESS_BOUNDS;
     const ratio = times.measured / times.expected;
--- a/src/upstreams/placement.ts
+++ b/src/upstreams/placement.ts
@@ -25,17 +25,48 @@
 /// Work as an engine orders it.
 export type PrefillNeed = Pick<PlacementQuestion, "prompt" | "priority">;
 
+/// Unannounced tokens from which on an engine is taken to prefill a long
+/// prompt.
+const LONG_PREFILL_TOKENS = 50_000;
+
+/// Reported tokens of prefills that no VM announced.
+function unknownTokens(engine: EngineView): number {
+  let known = 0;
+  for (const group of engine.prefills) known += group.tokens;
+  const reported = engine.report?.queuedTokens ?? 0;
+  return Math.max(0, reported - Math.max(known, engine.knownAtReport));
+}
+
 /// Prompt tokens that the engine prefills before one of this priority.
 export function tokensAhead(engine: EngineView, priority: number): number {
-  let ahead = 0;
-  let known = 0;
+  let ahead = unknownTokens(engine);
   for (const group of engine.prefills) {
-    known += group.tokens;
     if (group.priority <= priority) ahead += group.tokens;
   }
-  const reported = engine.report?.queuedTokens ?? 0;
-  const unknown = Math.max(0, reported - Math.max(known, engine.knownAtReport));
-  return ahead + unknown;
+  return ahead;
+}
+
+/// Whether a long prompt is being prefilled there.
+function hasLongPrefill(engine: EngineView): boolean {
+  return engine.prefills.some((group) => group.long > 0) ||
+    unknownTokens(engine) >= LONG_PREFILL_TOKENS;
+}
+
+/// Whether the engine's free memory holds the request, as far as is known.
+export function hasFreeMemory(
+  engine: EngineView,
+  need: Pick<PlacementQuestion, "prompt" | "maximumTokens">,
+): boolean {
+  const free = (engine.report?.freeTokens ?? 0) - engine.unreportedTokens;
+  return free >= need.prompt.tokens + need.maximumTokens;
+}
+
+/// Whether a long prompt may be sent there now.
+export function takesLongPrefill(
+  engine: EngineView,
+  need: Pick<PlacementQuestion, "prompt" | "maximumTokens">,
+): boolean {
+  return !hasLongPrefill(engine) && hasFreeMemory(engine, need);
 }
 
 /// Expected time to first token.
@@ -61,7 +92,13 @@
   }
 
   choose(question: PlacementQuestion): EngineView | undefined {
-    const pool = [...question.candidates];
+    const { candidates, isLong } = question;
+    const free = candidates.filter((engine) =>
+      isLong
+        ? takesLongPrefill(engine, question)
+        : hasFreeMemory(engine, question)
+    );
+    const pool = [...(free.length > 0 ? free : candidates)];
     let best: EngineView | undefined;
     let bestWait = Infinity;
     for (let count = 0; count < COMPARED_ENGINES && pool.length > 0; count++) {
--- a/stand_ins/engine_model.ts
+++ b/stand_ins/engine_model.ts
@@ -346,6 +346,7 @@
     });
   };
 
+  /// Goes on after work came or memory was freed.
   const startStepping = () => {
     recordSnapshot();
     if (stepping) return;
@@ -425,7 +426,7 @@
     counters.cancelled++;
     stream.lost = new EngineLostError("cancelled");
     wake(stream);
-    recordSnapshot();
+    startStepping();
   };
 
   const wait = (stream: StreamRecord, signal: AbortSignal) =>
@@ -512,7 +513,10 @@
     const id = `r${order++}`;
     const timer = clock.schedule(
       call.leaseMilliseconds,
-      () => reservations.delete(id),
+      () => {
+        reservations.delete(id);
+        startStepping();
+      },
     );
     reservations.set(id, { tokens: call.tokens, timer });
     recordSnapshot();
@@ -581,11 +585,11 @@
     release: async (reservation) => {
       await Promise.resolve().then(requireUp);
       reservations.get(reservation)?.timer.cancel();
-      reservations.delete(reservation);
+      if (reservations.delete(reservation)) startStepping();
     },
     dropExport: async (exportId) => {
       await Promise.resolve().then(requireUp);
-      exports.delete(exportId);
+      if (exports.delete(exportId)) startStepping();
     },
     order: async (given) => await Promise.resolve().then(() => obey(given)),
     load: async () => await Promise.resolve().then(load),
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -6,6 +6,8 @@
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
   policy: async () => (await import("./measurements/policy.ts")).measurePolicy,
+  subsets: async () =>
+    (await import("./measurements/subsets.ts")).measureSubsets,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
--- a/stand_ins/measurements/policy.ts
+++ b/stand_ins/measurements/policy.ts
@@ -1,4 +1,4 @@
-import type { EntryOptions } from "../../src/entry.ts";
+import type { EntryOptions, Mechanism } from "../../src/entry.ts";
 import type { Fleet } from "../fleet.ts";
 import type { MeasurementResult, ResultTable } from "../measurement.ts";
 import {
@@ -62,8 +62,17 @@
   readonly entry: Partial<EntryOptions>;
 }
 
+/// Comparisons with usual placements leave out what is not placement.
+const PLACEMENT_ONLY: readonly Mechanism[] = [
+  "announcements",
+  "lengthPriority",
+  "queues",
+  "feasibility",
+  "slowness",
+];
+
 const OURS: Policy = { name: "sequoiaturn", entry: {} };
-const BASELINES: readonly Policy[] = [
+const PLACEMENTS: readonly Policy[] = [
   {
     name: "random",
     entry: { createPlacement: (random) => new RandomPlacement(random) },
@@ -94,6 +103,11 @@
   },
 ];
 
+const BASELINES: readonly Policy[] = PLACEMENTS.map(({ name, entry }) => ({
+  name,
+  entry: { ...entry, disabled: PLACEMENT_ONLY },
+}));
+
 const engineOf = (fleet: Fleet) => [...fleet.engines.values()][0]!;
 const FAULTS: readonly Fault[] = [
   { name: "one engine lost", begin: (fleet) => engineOf(fleet).crash() },
@@ -250,6 +264,39 @@
   return rows;
 }
 
+interface Ablation {
+  readonly name: string;
+  readonly entry: Partial<EntryOptions>;
+}
+
+const ABLATIONS: readonly Ablation[] = [
+  { name: "everything on", entry: {} },
+  ...PLACEMENT_ONLY.map((mechanism) => ({
+    name: `no ${mechanism}`,
+    entry: { disabled: [mechanism] },
+  })),
+  ...PLACEMENTS
+    .filter(({ name }) => name === "power of two choices" || name === "random")
+    .map(({ name, entry }) => ({ name: `${name} as the placement`, entry })),
+];
+
+/// One mechanism off at a time, where it should matter.
+async function measureAblations(): Promise<CellRow[]> {
+  const rows: CellRow[] = [];
+  const slow = FAULTS[1]!;
+  for (const { name, entry } of ABLATIONS) {
+    const options = { site: MUSCAT, entry };
+    const measure = async (
+      label: string,
+      extra: { load: number; fault?: Fault },
+    ) => rows.push(await measureCell([label, name], { ...options, ...extra }));
+    await measure("0.85", { load: TARGET_LOAD });
+    await measure("1.30", { load: OVERLOAD });
+    await measure(`0.85, ${slow.name}`, { load: TARGET_LOAD, fault: slow });
+  }
+  return rows;
+}
+
 /// p95 of short first tokens of arrivals in the window that ends the allowed
 /// time after the fault.
 function recoveredP95({ result }: CellRow): number {
@@ -338,6 +385,7 @@
   const rows = await measureLoads();
   const slowdowns = await measureSlowdown(rows);
   const faults = await measureFaults();
+  const ablations = await measureAblations();
   const objectives = await measureObjectives();
   return {
     name: "policy",
@@ -357,6 +405,10 @@
       toTable("Muscat at 0.85 load with a fault at half time", [
         "fault",
       ], faults),
+      toTable("Muscat with one mechanism off at a time", [
+        "load",
+        "left out",
+      ], ablations),
       toTable("Objective of the sheet at 0.85 load", [
         "site",
         "objective",
--- a/test/upstreams/placement_test.ts
+++ b/test/upstreams/placement_test.ts
@@ -111,7 +111,8 @@
     ["timeToFirstToken", 900_000, 11],
   ] as const;
   for (const [objective, tokens, expected] of cases) {
-    const question = { objective, tokens, level: 1, longPromptTokens: 100_000 };
+    const given = { objective, tokens, level: 1, longPromptTokens: 100_000 };
+    const question = { ...given, byLength: true };
     t.is(enginePriority(question), expected, `${objective} ${tokens}`);
   }
 });
