Reuse engine connections and count what one daemon adds

Cause: the reader of an engine's event stream stopped at the end marker, so the HTTP client destroyed every connection with its unread tail and opened a new one for each request; each request also built an error it rarely needed and drew random bytes four at a time. Ruled out: hashing of prompt blocks (38 of 4,000 profiled milliseconds). Change: the last chunk is held until the body has ended; the caller-gone error is built only when the caller goes; random bytes come from a pool; the last event and the end marker are one write. The measurement runs caller, daemon and stand-ins as separate processes and adds the memory held.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -147,6 +147,7 @@
     drain,
     close,
   };
-  log.info("started", { callerAddress: daemon.callerAddress });
+  const { callerAddress, administrationAddress, linkAddress } = daemon;
+  log.info("started", { callerAddress, administrationAddress, linkAddress });
   return daemon;
 }
--- a/src/requests/answer_writer.ts
+++ b/src/requests/answer_writer.ts
@@ -52,6 +52,8 @@
   };
 }
 
+const END_OF_STREAM = "data: [DONE]\n\n";
+
 function untilDrained(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
     response.once("drain", resolve);
@@ -80,11 +82,11 @@
       whole: false,
     });
     const event = `data: ${JSON.stringify(document)}\n\n`;
+    if (end) return void response.end(event + END_OF_STREAM);
     if (!response.write(event)) {
       await raceAbort(untilDrained(response), options.signal);
     }
   }
-  response.end("data: [DONE]\n\n");
 }
 
 /// Collects the answer and writes it as one document.
--- a/src/requests/caller_api.ts
+++ b/src/requests/caller_api.ts
@@ -65,9 +65,10 @@
 
 function receive(request: FastifyRequest, reply: FastifyReply) {
   const gone = new AbortController();
-  const problem = new RequestError("caller_gone", { executed: "unknown" });
-  const onClose = () => gone.abort(problem);
-  reply.raw.once("close", onClose);
+  reply.raw.once("close", () => {
+    if (reply.raw.writableFinished) return;
+    gone.abort(new RequestError("caller_gone", { executed: "unknown" }));
+  });
   const received: ReceivedRequest = {
     id: request.id,
     headers: readCallerHeaders(request.raw),
--- a/src/support/metrics.ts
+++ b/src/support/metrics.ts
@@ -1,4 +1,10 @@
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from "prom-client";
 
 /// The metrics of one daemon. Labels take few values; none is a customer.
 export interface Metrics {
@@ -29,6 +35,7 @@
 export function createMetrics(): Metrics {
   const registry = new Registry();
   const registers = [registry];
+  collectDefaultMetrics({ register: registry });
   return {
     registry,
     requestsEnded: new Counter({
--- a/src/support/random.ts
+++ b/src/support/random.ts
@@ -8,11 +8,25 @@
   hex(length: number): string;
 }
 
+/// Bytes that the system random source draws at a time.
+const POOL_BYTES = 4_096;
+
 /// Cryptographically strong randomness for production use.
 export function createSystemRandom(): RandomSource {
+  let pool = randomBytes(POOL_BYTES);
+  let used = 0;
+  const draw = (length: number): Buffer => {
+    if (length > POOL_BYTES) return randomBytes(length);
+    if (used + length > POOL_BYTES) {
+      pool = randomBytes(POOL_BYTES);
+      used = 0;
+    }
+    used += length;
+    return pool.subarray(used - length, used);
+  };
   return {
-    next: () => randomBytes(4).readUInt32LE() / 2 ** 32,
-    hex: (length) => randomBytes(length).toString("hex"),
+    next: () => draw(4).readUInt32LE() / 2 ** 32,
+    hex: (length) => draw(length).toString("hex"),
   };
 }
 
--- a/src/upstreams/http_engine_client.ts
+++ b/src/upstreams/http_engine_client.ts
@@ -83,21 +83,30 @@
   return new EngineLostError(reason, { cause: error });
 }
 
+/// Yields the chunks of an event stream. The last one is held back until the
+/// body has ended, so that the connection can be used again.
 async function* readEvents(
   body: AsyncIterable<Uint8Array>,
 ): AsyncIterable<EngineChunk> {
   const decoder = new TextDecoder();
   let rest = "";
-  for await (const part of body) {
-    const lines = (rest + decoder.decode(part, { stream: true })).split("\n");
-    rest = lines.pop() ?? "";
-    for (const line of lines) {
-      if (line === "data: [DONE]") return;
-      if (!line.startsWith("data: ")) continue;
-      yield toChunk(JSON.parse(line.slice(6)) as CompletionEvent);
+  let last: EngineChunk | undefined;
+  try {
+    for await (const part of body) {
+      const lines = (rest + decoder.decode(part, { stream: true })).split("\n");
+      rest = lines.pop() ?? "";
+      for (const line of lines) {
+        if (!line.startsWith("data: {")) continue;
+        const chunk = toChunk(JSON.parse(line.slice(6)) as CompletionEvent);
+        if (chunk.end) last = chunk;
+        else yield chunk;
+      }
     }
+  } catch (error) {
+    if (!last) throw error;
   }
-  throw new EngineLostError("the stream stopped before its end");
+  if (!last) throw new EngineLostError("the stream stopped before its end");
+  yield last;
 }
 
 function toSpanBody(call: SpanCall) {
--- a/stand_ins/measurements/overhead.ts
+++ b/stand_ins/measurements/overhead.ts
@@ -1,20 +1,32 @@
 import { build } from "hdr-histogram-js";
-import { sampleSheet } from "../sample_sheet.ts";
+import { request } from "undici";
+import type { Sheet } from "../../src/contracts/sheet.ts";
 import { type Caller, createCaller } from "../caller.ts";
-import { startDeployment } from "../deployment.ts";
 import type { MeasurementResult, ResultTable } from "../measurement.ts";
+import {
+  type DaemonProcess,
+  startProcessDeployment,
+} from "../process_deployment.ts";
+import { sampleSheet } from "../sample_sheet.ts";
 
-/// Latency that one daemon adds to a call of an engine stand-in, and the rate
-/// it carries, both against the same calls sent directly.
+/// Latency that one daemon adds to a call of an engine stand-in, the rate it
+/// carries, and the memory it holds under many or under huge requests.
 
 const KEY = "caller-key";
-const SEQUENTIAL_CALLS = 1_000;
+const SEQUENTIAL_CALLS = 2_000;
 const CONCURRENT_CALLERS = 64;
-const CONCURRENT_CALLS = 4_000;
-const WARM_UP_CALLS = 300;
+const CONCURRENT_CALLS = 8_000;
+const WARM_UP_CALLS = 2_000;
 const PROMPT = "word".repeat(1_000);
+const HELD_SHORT_REQUESTS = 10_000;
+const HELD_LONG_REQUESTS = 20;
+const LONG_PROMPT = "word".repeat(1_000_000);
+const HOLD_POLL_MILLISECONDS = 250;
+const HOLD_POLLS = 120;
 const MEDIAN_TARGET_MILLISECONDS = 1;
 const P99_TARGET_MILLISECONDS = 5;
+const MEMORY_TARGET_MEGABYTES = 256;
+const BYTES_PER_MEGABYTE = 1_048_576;
 /// The engine answers at once, so that only the path to it counts.
 const INSTANT_ENGINE = {
   stepMilliseconds: 0,
@@ -23,6 +35,28 @@
   prefillTokensPerStep: 1_000_000,
   retainMilliseconds: 100,
 };
+/// Engines that answer the first token only after minutes.
+const HOLDING_ENGINE = {
+  memoryTokens: 30_000_000,
+  prefillTokensPerStep: 1,
+  stepMilliseconds: 1_000,
+};
+
+/// A sheet whose limits and deadlines don't end the held requests.
+function generousSheet(engines: number): Sheet {
+  const sheet = sampleSheet({ keys: { caller: KEY }, engines, replicas: 0 });
+  return {
+    ...sheet,
+    customers: sheet.customers.map((customer) => ({
+      ...customer,
+      requestsPerSecond: 1_000_000,
+      tokensPerSecond: 1_000_000_000,
+      concurrentLongRequests: 1_000,
+      shortDeadlineMilliseconds: 900_000,
+      longDeadlineMilliseconds: 900_000,
+    })),
+  };
+}
 
 interface Latencies {
   readonly median: number;
@@ -30,6 +64,13 @@
   readonly perSecond: number;
 }
 
+interface HeldMemory {
+  readonly name: string;
+  readonly running: number;
+  readonly residentMegabytes: number;
+  readonly heapMegabytes: number;
+}
+
 let nextStream = 0;
 
 async function callOnce(caller: Caller): Promise<void> {
@@ -68,16 +109,14 @@
   return CONCURRENT_CALLS * 1_000 / (performance.now() - started);
 }
 
-/// Measures both ways in one run, taking turns.
-export async function measureOverhead(): Promise<MeasurementResult> {
-  const deployment = await startDeployment({
-    sheet: sampleSheet({ keys: { caller: KEY }, engines: 1, replicas: 0 }),
+async function measureLatencies(): Promise<[Latencies, Latencies]> {
+  const deployment = await startProcessDeployment({
+    sheet: generousSheet(1),
     vms: 1,
     engine: INSTANT_ENGINE,
   });
   await deployment.applySheet();
-  const engineAddress = deployment.sheet.upstreams[0]!.address;
-  const direct = createCaller(engineAddress, KEY);
+  const direct = createCaller(deployment.sheet.upstreams[0]!.address, KEY);
   const through = createCaller(deployment.daemons[0]!.callerAddress, KEY);
   for (let count = 0; count < WARM_UP_CALLS; count++) {
     await callOnce(direct);
@@ -91,13 +130,83 @@
   const throughRate = await measureRate(through);
   await Promise.all([direct.close(), through.close()]);
   await deployment.close();
-  return toResult(
+  return [
     { ...directTimes!, perSecond: directRate },
     { ...throughTimes!, perSecond: throughRate },
+  ];
+}
+
+async function readMetric(daemon: DaemonProcess, name: string) {
+  const url = `http://${daemon.administrationAddress}/metrics`;
+  const text = await (await request(url)).body.text();
+  const line = text.split("\n").find((item) => item.startsWith(`${name} `));
+  return Number(line?.split(" ")[1]);
+}
+
+async function measureHeld(
+  name: string,
+  options: { requests: number; prompt: string },
+): Promise<HeldMemory> {
+  const deployment = await startProcessDeployment({
+    sheet: generousSheet(20),
+    vms: 1,
+    engine: HOLDING_ENGINE,
+  });
+  await deployment.applySheet();
+  const daemon = deployment.daemons[0]!;
+  const callers = Array.from(
+    { length: 10 },
+    () => createCaller(daemon.callerAddress, KEY),
   );
+  for (let count = 0; count < options.requests; count++) {
+    callers[count % callers.length]!.complete({
+      model: "text",
+      prompt: options.prompt,
+      maximumTokens: 4,
+    }).catch(() => {});
+    if (count % 100 === 99) await new Promise((done) => setTimeout(done, 20));
+  }
+  const running = () => readMetric(daemon, "sequoiaturn_running_requests");
+  for (let poll = 0; poll < HOLD_POLLS; poll++) {
+    if (await running() >= options.requests) break;
+    await new Promise((done) => setTimeout(done, HOLD_POLL_MILLISECONDS));
+  }
+  const held = {
+    name,
+    running: await running(),
+    residentMegabytes: await readMetric(
+      daemon,
+      "process_resident_memory_bytes",
+    ) / BYTES_PER_MEGABYTE,
+    heapMegabytes: await readMetric(daemon, "nodejs_heap_size_used_bytes") /
+      BYTES_PER_MEGABYTE,
+  };
+  await deployment.close();
+  await Promise.all(callers.map((caller) => caller.close()));
+  return held;
 }
 
-function toResult(direct: Latencies, through: Latencies): MeasurementResult {
+/// Measures both ways in one run, taking turns, then the memory held.
+export async function measureOverhead(): Promise<MeasurementResult> {
+  const [direct, through] = await measureLatencies();
+  const held = [
+    await measureHeld("10,000 short requests", {
+      requests: HELD_SHORT_REQUESTS,
+      prompt: PROMPT,
+    }),
+    await measureHeld("20 requests of a million tokens", {
+      requests: HELD_LONG_REQUESTS,
+      prompt: LONG_PROMPT,
+    }),
+  ];
+  return toResult(direct, through, held);
+}
+
+function toResult(
+  direct: Latencies,
+  through: Latencies,
+  held: readonly HeldMemory[],
+): MeasurementResult {
   const added = {
     median: through.median - direct.median,
     p99: through.p99 - direct.p99,
@@ -108,16 +217,26 @@
     p99.toFixed(2),
     perSecond.toFixed(0),
   ];
-  const table: ResultTable = {
+  const latencies: ResultTable = {
     title: "Calls of 1,000 tokens, one token answered",
     columns: ["way", "median ms", "p99 ms", "requests per second"],
     rows: [row("direct", direct), row("through the daemon", through)],
   };
+  const memory: ResultTable = {
+    title: "Memory of the daemon while requests run",
+    columns: ["load", "running", "resident MB", "heap used MB"],
+    rows: held.map((item) => [
+      item.name,
+      item.running,
+      item.residentMegabytes.toFixed(0),
+      item.heapMegabytes.toFixed(0),
+    ]),
+  };
   return {
     name: "overhead",
-    summary: "Added latency of one daemon. Caller, daemon and engine share " +
-      "one process here, so the rates are those of one core for all three.",
-    tables: [table],
+    summary: "One daemon against calling the engine stand-in directly. " +
+      "Caller, daemon and stand-ins are three processes.",
+    tables: [latencies, memory],
     targets: [
       {
         name: "added latency, median",
@@ -131,6 +250,12 @@
         measured: `${added.p99.toFixed(2)} ms`,
         met: added.p99 <= P99_TARGET_MILLISECONDS,
       },
+      ...held.map((item) => ({
+        name: `resident memory, ${item.name}`,
+        target: `< ${MEMORY_TARGET_MEGABYTES} MB`,
+        measured: `${item.residentMegabytes.toFixed(0)} MB`,
+        met: item.residentMegabytes < MEMORY_TARGET_MEGABYTES,
+      })),
     ],
   };
 }
