Unite the VM list with the links into one membership

Duties such as limits, ledger shards and keepers need a common view of who may hold them, and the platform's list alone lags. Membership gives each incarnation a state that only moves forward; a draining VM tells its peers, a partition makes a VM unreachable but never gone, and an incarnation that was given up is told to stop.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -4,7 +4,7 @@
 import { createEntry } from "./entry.ts";
 import { createLinkMesh } from "./links/link_mesh.ts";
 import { createEtcdStore } from "./platform/etcd_store.ts";
-import { createHttpVmList } from "./platform/vm_list.ts";
+import { createHttpVmList, createSharedVmList } from "./platform/vm_list.ts";
 import { createCallerApi } from "./requests/caller_api.ts";
 import type { RequestEnd } from "./requests/request_registry.ts";
 import type { Settings } from "./settings.ts";
@@ -75,6 +75,10 @@
   const metrics = createMetrics();
 
   const store = createEtcdStore(settings.storeUrl);
+  const vmList = createSharedVmList(
+    createHttpVmList(settings.vmListUrl),
+    clock,
+  );
   const linkServer = createServer();
   await listenOn(linkServer, settings.linkAddress);
   const { linkSecret, previousLinkSecret } = settings;
@@ -86,7 +90,7 @@
     secrets: previousLinkSecret
       ? [linkSecret, previousLinkSecret]
       : [linkSecret],
-    vmList: createHttpVmList(settings.vmListUrl),
+    vmList,
     server: linkServer,
   });
 
@@ -96,6 +100,11 @@
     logFor,
     links,
     store,
+    vmList,
+    onExpelled: () => {
+      log.warn("peers gave this incarnation up; stopping");
+      void drain();
+    },
     createEngineClient: ({ name, address }) =>
       createHttpEngineClient(name, address),
     createServiceClient: ({ address }) => createHttpServiceClient(address),
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -9,7 +9,9 @@
 import { createSheetStore, type SheetStore } from "./contracts/sheet_store.ts";
 import type { Upstream } from "./contracts/sheet.ts";
 import type { Links } from "./links/links.ts";
+import { startMembershipMessages } from "./links/membership_messages.ts";
 import type { KeyValueStore } from "./platform/key_value_store.ts";
+import type { VmList } from "./platform/vm_list.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createLedger } from "./requests/ledger.ts";
@@ -30,10 +32,15 @@
   createEngineDirectory,
   type EngineDirectory,
 } from "./upstreams/engine_directory.ts";
+import {
+  createLeavingUpstreams,
+  type LeavingUpstreams,
+} from "./upstreams/leaving_upstreams.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
 /// daemon gives it real connections; tests and measurements give it stand-ins
@@ -46,11 +53,16 @@
   readonly logFor: (area: string) => Logger;
   readonly links: Links;
   readonly store: KeyValueStore;
+  readonly vmList: VmList;
+  /// Called when peers have declared this incarnation gone: it has to stop.
+  readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
   readonly createServiceClient: (upstream: Upstream) => ServiceClient;
 }
 
 export interface Entry {
+  readonly membership: Membership;
+  readonly leavingUpstreams: LeavingUpstreams;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
@@ -67,7 +79,20 @@
 }
 
 export function createEntry(options: EntryOptions): Entry {
-  const { clock, random, links, store, logFor } = options;
+  const { clock, random, links, store, vmList, logFor } = options;
+  const membership = createMembership({
+    clock,
+    log: logFor("vms"),
+    self: links.self,
+    vmList,
+    peers: links,
+  });
+  const membershipMessages = startMembershipMessages({
+    clock,
+    links,
+    membership,
+    onExpelled: options.onExpelled,
+  });
   const book = createContractBook();
   const sheets = createSheetStore(store);
   const follower = startSheetFollower({
@@ -77,14 +102,23 @@
     sheets,
     book,
   });
+  const leavingUpstreams = createLeavingUpstreams({
+    clock,
+    log: logFor("upstreams"),
+    links,
+    book,
+    vmList,
+  });
   const engines = createEngineDirectory({
     clock,
     book,
+    isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
   const services = createServiceDirectory({
     book,
     random,
+    isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
@@ -105,6 +139,8 @@
   let draining = false;
 
   return {
+    membership,
+    leavingUpstreams,
     book,
     sheets,
     follower,
@@ -114,10 +150,14 @@
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
+      membership.leave();
       admission.stop();
       await Promise.race([registry.whenIdle(), clock.sleep(limit)]);
     },
     close() {
+      membershipMessages.close();
+      membership.close();
+      leavingUpstreams.close();
       follower.close();
       engines.close();
     },
--- /dev/null
+++ b/src/links/membership_messages.ts
@@ -0,0 +1,70 @@
+import type { Clock } from "../support/clock.ts";
+import { VmIdentity } from "../vms/identity.ts";
+import type { Membership } from "../vms/membership.ts";
+import type { Links } from "./links.ts";
+import { defineMessage } from "./message.ts";
+
+/// Carries a VM's own departure to its peers, and tells an incarnation that
+/// others have given up that it may not return.
+
+const LeavingMessage = defineMessage("vms.leaving", VmIdentity, {
+  replaceKey: ({ vm, incarnation }) => `${vm} ${incarnation}`,
+});
+const GoneMessage = defineMessage("vms.gone", VmIdentity, {
+  replaceKey: ({ vm, incarnation }) => `${vm} ${incarnation}`,
+});
+
+/// Interval at which a leaving VM repeats that it leaves.
+const REPEAT_MILLISECONDS = 1_000;
+
+export interface MembershipMessagesOptions {
+  readonly clock: Clock;
+  readonly links: Links;
+  readonly membership: Membership;
+  /// Called once when peers have declared this incarnation gone.
+  readonly onExpelled: () => void;
+}
+
+export interface MembershipMessages {
+  close(): void;
+}
+
+export function startMembershipMessages(
+  options: MembershipMessagesOptions,
+): MembershipMessages {
+  const { clock, links, membership } = options;
+  const { self } = membership;
+  const stop = new AbortController();
+  let expelled = false;
+
+  const isLeaving = () => !membership.candidates().includes(self.vm);
+
+  const tell = () => {
+    if (isLeaving()) links.broadcast(LeavingMessage, self);
+    for (const peer of links.peers()) {
+      if (!membership.isGone(peer.vm, peer.incarnation)) continue;
+      links.send(peer.vm, GoneMessage, peer);
+    }
+  };
+
+  const repeat = async () => {
+    while (!stop.signal.aborted) {
+      if (isLeaving()) tell();
+      await clock.sleep(REPEAT_MILLISECONDS, stop.signal).catch(() => {});
+    }
+  };
+
+  links.onMessage(LeavingMessage, (identity, from) => {
+    if (identity.vm === from.vm) membership.note(identity, "leaving");
+  });
+  links.onMessage(GoneMessage, ({ vm, incarnation }) => {
+    const isSelf = vm === self.vm && incarnation === self.incarnation;
+    if (!isSelf || expelled) return;
+    expelled = true;
+    options.onExpelled();
+  });
+  links.onPeersChange(tell);
+  membership.onChange(tell);
+  void repeat();
+  return { close: () => stop.abort(new Error("closed")) };
+}
--- a/src/platform/vm_list.ts
+++ b/src/platform/vm_list.ts
@@ -1,6 +1,7 @@
 import { type Static, Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
 import { request } from "undici";
+import type { Clock } from "../support/clock.ts";
 
 /// One machine as the platform's list shows it. The list lags.
 export const ListedVm = Type.Object({
@@ -9,6 +10,11 @@
   /// `host:port` of its link port.
   linkAddress: Type.String(),
   state: Type.Union([Type.Literal("live"), Type.Literal("leaving")]),
+  /// What runs on it; an entry VM if absent. The name of an upstream is that
+  /// of the sheet.
+  kind: Type.Optional(
+    Type.Union([Type.Literal("entry"), Type.Literal("upstream")]),
+  ),
 });
 export type ListedVm = Static<typeof ListedVm>;
 
@@ -44,3 +50,22 @@
     },
   };
 }
+
+const CACHE_MILLISECONDS = 900;
+
+/// A list that its readers share: reads that come together or shortly after
+/// each other make one call.
+export function createSharedVmList(vmList: VmList, clock: Clock): VmList {
+  let latest: Promise<readonly ListedVm[]> | undefined;
+  let readAt = 0;
+  return {
+    read() {
+      const now = clock.now();
+      if (!latest || now - readAt >= CACHE_MILLISECONDS) {
+        readAt = now;
+        latest = vmList.read();
+      }
+      return latest;
+    },
+  };
+}
--- a/src/upstreams/engine_directory.ts
+++ b/src/upstreams/engine_directory.ts
@@ -47,8 +47,6 @@
   recordSend(name: string, uncachedTokens: number): SendRecord;
   /// Notes that the engine failed; it rests for a while.
   recordFailure(name: string): void;
-  /// Marks an engine as leaving: it gets no new work.
-  setLeaving(name: string, leaving: boolean): void;
   close(): void;
 }
 
@@ -56,6 +54,8 @@
   readonly clock: Clock;
   readonly book: ContractBook;
   readonly createClient: (upstream: Upstream) => EngineClient;
+  /// Engines that leave get no new work.
+  readonly isLeaving?: (upstream: Upstream) => boolean;
 }
 
 interface EngineState {
@@ -68,7 +68,6 @@
   outstandingRequests: number;
   outstandingTokens: number;
   restUntil: Milliseconds;
-  leaving: boolean;
 }
 
 /// Follows the sheet and polls every engine's load.
@@ -109,7 +108,6 @@
       outstandingRequests: 0,
       outstandingTokens: 0,
       restUntil: 0,
-      leaving: false,
     };
     engines.set(upstream.name, state);
     void poll(state);
@@ -138,7 +136,7 @@
 
   const isUsable = (state: EngineState) => {
     const now = clock.now();
-    return !state.leaving && now >= state.restUntil &&
+    return !options.isLeaving?.(state.upstream) && now >= state.restUntil &&
       state.report !== undefined &&
       now - state.reportTime < REPORT_LIMIT_MILLISECONDS + state.report.age;
   };
@@ -195,10 +193,6 @@
       const state = engines.get(name);
       if (state) state.restUntil = clock.now() + FAILURE_REST_MILLISECONDS;
     },
-    setLeaving(name, leaving) {
-      const state = engines.get(name);
-      if (state) state.leaving = leaving;
-    },
     close() {
       for (const state of [...engines.values()]) remove(state);
     },
--- a/src/upstreams/service_directory.ts
+++ b/src/upstreams/service_directory.ts
@@ -23,6 +23,8 @@
   readonly book: ContractBook;
   readonly random: RandomSource;
   readonly createClient: (upstream: Upstream) => ServiceClient;
+  /// Replicas that leave get no new calls.
+  readonly isLeaving?: (upstream: Upstream) => boolean;
 }
 
 export function createServiceDirectory(
@@ -47,7 +49,9 @@
     choose(service, excluded) {
       const replicas = options.book.current()
         .upstreamsOf("service", service)
-        .filter((upstream) => !excluded.has(upstream.name));
+        .filter((upstream) =>
+          !excluded.has(upstream.name) && !options.isLeaving?.(upstream)
+        );
       if (replicas.length === 0) return undefined;
       const first = replicas[randomInteger(options.random, replicas.length)]!;
       const second = replicas[randomInteger(options.random, replicas.length)]!;
--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -18,6 +18,7 @@
 } from "./engine_model.ts";
 import { createFakeClock, type FakeClock } from "./fake_clock.ts";
 import { createLocalNetwork, type LocalNetwork } from "./local_links.ts";
+import { createLocalVmList, type LocalVmList } from "./local_vm_list.ts";
 import { createMemoryStore, type MemoryStore } from "./memory_store.ts";
 import { createServiceModel, type ServiceModel } from "./service_model.ts";
 
@@ -31,6 +32,8 @@
   readonly engine?: Partial<EngineModelOptions>;
   /// Data centres that the entries are spread over.
   readonly dataCentres?: readonly string[];
+  /// Age of what the platform's VM list shows.
+  readonly vmListLagMilliseconds?: number;
 }
 
 /// What a caller had received when its request ended.
@@ -59,6 +62,9 @@
   readonly clock: FakeClock;
   readonly network: LocalNetwork;
   readonly store: MemoryStore;
+  readonly vmList: LocalVmList;
+  /// VMs that were told that their peers have given them up.
+  readonly expelled: readonly string[];
   readonly engines: ReadonlyMap<string, EngineModel>;
   /// By service name.
   readonly services: ReadonlyMap<string, ServiceModel>;
@@ -89,10 +95,12 @@
   const clock = createFakeClock();
   const network = createLocalNetwork(clock);
   const store = createMemoryStore(clock);
+  const vmList = createLocalVmList(clock, options.vmListLagMilliseconds);
   const engines = new Map<string, EngineModel>();
   const services = new Map<string, ServiceModel>();
   const entries = new Map<string, Entry>();
   const stops = new Map<string, AbortController>();
+  const expelled: string[] = [];
   const dataCentres = options.dataCentres ?? ["muttrah"];
   let started = 0;
   let nextRequest = 0;
@@ -123,12 +131,20 @@
       dataCentre: dataCentres[number % dataCentres.length]!,
     };
     const stop = new AbortController();
+    vmList.set({
+      name: vm,
+      dataCentre: identity.dataCentre,
+      linkAddress: "127.0.0.1:1",
+      state: "live",
+    });
     const entry = createEntry({
       clock,
       random,
       logFor: createSilentLogger,
       links: network.join(identity),
       store: untilStopped(store.connect(), stop.signal),
+      vmList,
+      onExpelled: () => void expelled.push(vm),
       createEngineClient: ({ name }) =>
         untilStopped(engines.get(name)!, stop.signal),
       createServiceClient: ({ serves }) =>
@@ -166,12 +182,15 @@
     clock,
     network,
     store,
+    vmList,
+    expelled,
     engines,
     services,
     entries,
     start,
     kill(vm) {
       network.remove(vm);
+      vmList.remove(vm);
       stops.get(vm)?.abort(new Error(`${vm} was killed`));
       entries.get(vm)?.close();
       entries.delete(vm);
