Make links survive one-way loss, rotation, upgrades and size

A link proved only its sender's name and challenge, so a recorded proof could be reflected; it never noticed that its own frames were lost, refused every other protocol version and needed a full mesh. The handshake now covers both hellos and the role, heartbeats acknowledge each other, versions are negotiated and unknown frames skipped, queues are bounded in frames and bytes.

--- a/src/links/frame.ts
+++ b/src/links/frame.ts
@@ -1,14 +1,24 @@
 import { type Static, Type } from "@sinclair/typebox";
-import { Value } from "@sinclair/typebox/value";
+import { TypeCompiler } from "@sinclair/typebox/compiler";
 import { Packr } from "msgpackr";
 import { VmIdentity } from "../vms/identity.ts";
 
-/// Version of the frames below. A peer with another version is refused.
-export const LINK_PROTOCOL_VERSION = 1;
+/// What crosses a link, and its encoding.
+
+/// The protocol versions that a VM speaks, both ends included.
+export const VersionRange = Type.Object({
+  oldest: Type.Integer(),
+  newest: Type.Integer(),
+});
+export type VersionRange = Static<typeof VersionRange>;
+
+/// Versions of this program. The newest grows with each change that an older
+/// peer would misread; the oldest follows once no such peer is left.
+export const LINK_PROTOCOL_VERSIONS: VersionRange = { oldest: 1, newest: 1 };
 
 const HelloFrame = Type.Object({
   kind: Type.Literal("hello"),
-  protocolVersion: Type.Number(),
+  versions: VersionRange,
   identity: VmIdentity,
   nonce: Type.String(),
 });
@@ -17,7 +27,13 @@
   /// One keyed digest for each accepted secret.
   digests: Type.Array(Type.String()),
 });
-const HeartbeatFrame = Type.Object({ kind: Type.Literal("heartbeat") });
+const HeartbeatFrame = Type.Object({
+  kind: Type.Literal("heartbeat"),
+  sequence: Type.Integer(),
+  /// Largest sequence received from the other side.
+  heard: Type.Integer(),
+});
+
 const MessageFrame = Type.Object({
   kind: Type.Literal("message"),
   name: Type.String(),
@@ -32,28 +48,74 @@
 const ReplyFrame = Type.Object({
   kind: Type.Literal("reply"),
   id: Type.Number(),
+  /// Incarnation that asked; a later one numbers its calls anew.
+  to: Type.String(),
   value: Type.Optional(Type.Unknown()),
   error: Type.Optional(Type.String()),
 });
+const PayloadFrame = Type.Union([MessageFrame, CallFrame, ReplyFrame]);
+/// What one VM tells another, directly or over others.
+export type PayloadFrame = Static<typeof PayloadFrame>;
+
+const RelayFrame = Type.Object({
+  kind: Type.Literal("relay"),
+  origin: VmIdentity,
+  /// The VM it is for, or undefined for every VM.
+  target: Type.Optional(Type.String()),
+  /// Unique for each broadcast of an origin.
+  id: Type.Integer(),
+  /// Links that it may still cross.
+  hopsLeft: Type.Integer(),
+  payload: PayloadFrame,
+});
+/// A payload that crosses more than one link.
+export type RelayFrame = Static<typeof RelayFrame>;
+
+const PresenceFrame = Type.Object({
+  kind: Type.Literal("presence"),
+  dataCentre: Type.String(),
+  /// VMs of the data centre that the sender reaches.
+  members: Type.Array(VmIdentity),
+});
+/// Which VMs of a data centre can be reached over the sender.
+export type PresenceFrame = Static<typeof PresenceFrame>;
 
 const Frame = Type.Union([
   HelloFrame,
   ProofFrame,
   HeartbeatFrame,
-  MessageFrame,
-  CallFrame,
-  ReplyFrame,
+  PayloadFrame,
+  RelayFrame,
+  PresenceFrame,
 ]);
-/// Everything that crosses a link.
 export type Frame = Static<typeof Frame>;
 
+const frameCheck = TypeCompiler.Compile(Frame);
+const KINDS = new Set<string>(
+  [
+    "hello",
+    "proof",
+    "heartbeat",
+    "message",
+    "call",
+    "reply",
+    "relay",
+    "presence",
+  ] satisfies Frame["kind"][],
+);
 const packr = new Packr({ useRecords: false });
 
 export function encodeFrame(frame: Frame): Buffer {
   return packr.pack(frame);
 }
 
-/// Throws when the bytes are no frame.
-export function decodeFrame(bytes: Buffer): Frame {
-  return Value.Parse(Frame, packr.unpack(bytes));
+/// Reads a frame. Undefined for a kind that this version doesn't know; throws
+/// when the bytes are no frame.
+export function decodeFrame(bytes: Buffer): Frame | undefined {
+  const value = packr.unpack(bytes) as { kind?: unknown } | null;
+  if (frameCheck.Check(value)) return value;
+  if (typeof value?.kind === "string" && !KINDS.has(value.kind)) {
+    return undefined;
+  }
+  throw new TypeError("not a link frame");
 }
--- a/src/links/link_connection.ts
+++ b/src/links/link_connection.ts
@@ -1,4 +1,3 @@
-import { createHmac, timingSafeEqual } from "node:crypto";
 import type { WebSocket } from "ws";
 import type { Clock, Timer } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
@@ -7,47 +6,47 @@
   decodeFrame,
   encodeFrame,
   type Frame,
-  LINK_PROTOCOL_VERSION,
+  type VersionRange,
 } from "./frame.ts";
+import {
+  isProven,
+  type LinkEnd,
+  type LinkRole,
+  negotiateVersion,
+  proveLink,
+} from "./handshake.ts";
+import {
+  createHeartbeatMonitor,
+  SILENCE_LIMIT_MILLISECONDS,
+} from "./heartbeat_monitor.ts";
+import { createSendQueue } from "./send_queue.ts";
 
-const HEARTBEAT_INTERVAL_MILLISECONDS = 500;
-/// Silence after which a connection counts as lost.
-const SILENCE_LIMIT_MILLISECONDS = 2_500;
+/// One connection to one VM: its handshake, its heartbeats and its queue.
+
+const HEARTBEAT_INTERVAL_MILLISECONDS = 1_000;
 const NONCE_BYTES = 16;
-/// Bytes that may wait in the socket before messages queue here instead.
+/// Bytes that may wait in the socket before frames queue here instead.
 const SOCKET_BUFFER_BYTES = 262_144;
-/// Messages that may queue here; beyond it the oldest is dropped.
-const QUEUE_LIMIT = 4_096;
 const DRAIN_RETRY_MILLISECONDS = 20;
 
 export interface LinkConnectionOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly identity: VmIdentity;
+  readonly role: LinkRole;
+  readonly versions: VersionRange;
   /// Shared secrets that are valid now, the current one first.
   readonly secrets: readonly string[];
   readonly onReady: (peer: VmIdentity) => void;
   readonly onFrame: (frame: Frame) => void;
-  readonly onClosed: () => void;
+  readonly onClosed: (reason: string) => void;
 }
 
-/// One authenticated connection to one VM.
 export interface LinkConnection {
+  readonly role: LinkRole;
   /// Queues a frame; one with the same key that still waits is replaced.
   send(frame: Frame, replaceKey?: string): void;
-  close(): void;
-}
-
-function proofOf(secret: string, nonce: string, identity: VmIdentity): string {
-  return createHmac("sha256", secret)
-    .update(`${nonce}\n${identity.vm}\n${identity.incarnation}`)
-    .digest("hex");
-}
-
-function matches(left: string, right: string): boolean {
-  const first = Buffer.from(left);
-  const second = Buffer.from(right);
-  return first.length === second.length && timingSafeEqual(first, second);
+  close(reason: string): void;
 }
 
 /// Runs the handshake and the heartbeats on an open socket.
@@ -55,14 +54,15 @@
   socket: WebSocket,
   options: LinkConnectionOptions,
 ): LinkConnection {
-  const { clock, identity } = options;
+  const { clock, role } = options;
+  const startedAt = clock.now();
   const nonce = options.random.hex(NONCE_BYTES);
-  const queue = new Map<string, Frame>();
-  let queueOrder = 0;
-  let peer: VmIdentity | undefined;
+  const own: LinkEnd = { ...options, nonce };
+  const queue = createSendQueue();
+  const monitor = createHeartbeatMonitor(startedAt);
+  let other: LinkEnd | undefined;
   let ready = false;
   let closed = false;
-  let lastHeard = clock.now();
   let heartbeat: Timer | undefined;
   let drain: Timer | undefined;
 
@@ -70,85 +70,82 @@
     if (socket.readyState === socket.OPEN) socket.send(encodeFrame(frame));
   };
 
-  const close = () => {
+  const close = (reason: string) => {
     if (closed) return;
     closed = true;
     heartbeat?.cancel();
     drain?.cancel();
     socket.terminate();
-    options.onClosed();
+    options.onClosed(reason);
   };
 
   const beat = () => {
-    if (clock.now() - lastHeard > SILENCE_LIMIT_MILLISECONDS) return close();
-    if (ready) write({ kind: "heartbeat" });
+    const now = clock.now();
+    const isLate = !ready && now - startedAt > SILENCE_LIMIT_MILLISECONDS;
+    if (isLate || monitor.isSilent(now)) return close("silent");
+    if (ready) write({ kind: "heartbeat", ...monitor.next(now) });
     heartbeat = clock.schedule(HEARTBEAT_INTERVAL_MILLISECONDS, beat);
   };
 
   const flush = () => {
     drain = undefined;
-    for (const [key, frame] of queue) {
-      if (socket.bufferedAmount > SOCKET_BUFFER_BYTES) {
-        drain = clock.schedule(DRAIN_RETRY_MILLISECONDS, flush);
-        return;
-      }
-      queue.delete(key);
-      write(frame);
+    while (socket.bufferedAmount <= SOCKET_BUFFER_BYTES) {
+      const bytes = queue.shift();
+      if (!bytes) return;
+      if (socket.readyState === socket.OPEN) socket.send(bytes);
     }
+    drain = clock.schedule(DRAIN_RETRY_MILLISECONDS, flush);
+  };
+
+  const receiveHello = (frame: Frame & { kind: "hello" }) => {
+    if (other) return close("second hello");
+    if (frame.identity.vm === own.identity.vm) return close("own name");
+    const version = negotiateVersion(own.versions, frame.versions);
+    if (version === undefined) return close("no common protocol version");
+    const otherRole = role === "dialler" ? "acceptor" : "dialler";
+    other = { ...frame, role: otherRole };
+    const ends = { sender: own, receiver: other };
+    write({ kind: "proof", digests: proveLink(options.secrets, ends) });
+  };
+
+  const receiveProof = (frame: Frame & { kind: "proof" }) => {
+    if (!other || ready) return close("proof out of turn");
+    const ends = { sender: other, receiver: own };
+    const expected = proveLink(options.secrets, ends);
+    if (!isProven(frame.digests, expected)) return close("wrong secret");
+    ready = true;
+    options.onReady(other.identity);
   };
 
   const receive = (frame: Frame) => {
-    if (frame.kind === "hello") {
-      if (frame.protocolVersion !== LINK_PROTOCOL_VERSION) return close();
-      if (frame.nonce === nonce) return close();
-      peer = frame.identity;
-      const digests = options.secrets.map((secret) =>
-        proofOf(secret, frame.nonce, identity)
-      );
-      return write({ kind: "proof", digests });
-    }
-    if (frame.kind === "proof") {
-      const from = peer;
-      if (!from) return close();
-      const expected = options.secrets.map((secret) =>
-        proofOf(secret, nonce, from)
-      );
-      const proven = frame.digests.some((digest) =>
-        expected.some((other) => matches(digest, other))
-      );
-      if (!proven) return close();
-      ready = true;
-      return options.onReady(from);
-    }
-    if (!ready) return close();
-    if (frame.kind !== "heartbeat") options.onFrame(frame);
+    if (frame.kind === "hello") return receiveHello(frame);
+    if (frame.kind === "proof") return receiveProof(frame);
+    if (!ready) return close("no handshake");
+    if (frame.kind === "heartbeat") return monitor.noteHeartbeat(frame);
+    options.onFrame(frame);
   };
 
   socket.on("message", (data: Buffer) => {
-    lastHeard = clock.now();
+    if (closed) return;
+    monitor.noteFrame(clock.now());
     try {
-      receive(decodeFrame(data));
+      const frame = decodeFrame(data);
+      if (frame) receive(frame);
     } catch {
-      close();
+      close("malformed frame");
     }
   });
-  socket.on("close", close);
-  socket.on("error", close);
-  write({
-    kind: "hello",
-    protocolVersion: LINK_PROTOCOL_VERSION,
-    identity,
-    nonce,
-  });
+  socket.on("close", () => close("closed by peer"));
+  socket.on("error", (error) => close(error.message));
+  const { identity, versions } = options;
+  write({ kind: "hello", versions, identity, nonce });
   beat();
 
   return {
+    role,
     send(frame, replaceKey) {
-      const key = replaceKey ?? `#${queueOrder++}`;
-      queue.set(key, frame);
-      if (queue.size > QUEUE_LIMIT) {
-        queue.delete(queue.keys().next().value!);
-      }
+      if (closed) return;
+      queue.push(encodeFrame(frame), replaceKey);
       if (!drain) flush();
     },
     close,
--- a/src/links/link_mesh.ts
+++ b/src/links/link_mesh.ts
@@ -1,20 +1,31 @@
 import type { Server } from "node:http";
-import { WebSocket, WebSocketServer } from "ws";
+import { type WebSocket, WebSocketServer } from "ws";
 import type { VmList } from "../platform/vm_list.ts";
-import type { Clock, Timer } from "../support/clock.ts";
+import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
 import type { VmIdentity } from "../vms/identity.ts";
-import type { Frame } from "./frame.ts";
-import { type LinkConnection, startLinkConnection } from "./link_connection.ts";
+import { SOCKET_OPTIONS, startDialler } from "./dialler.ts";
+import { createDirectPeers, type DirectPeer } from "./direct_peers.ts";
 import {
-  type Links,
-  LinkUnansweredError,
-  LinkUnreachableError,
-} from "./links.ts";
+  type Frame,
+  LINK_PROTOCOL_VERSIONS,
+  type PayloadFrame,
+  type VersionRange,
+} from "./frame.ts";
+import type { LinkRole } from "./handshake.ts";
+import { type LinkConnection, startLinkConnection } from "./link_connection.ts";
+import { type Links, LinkUnreachableError } from "./links.ts";
+import type { MessageType } from "./message.ts";
 import { createMessageRouter } from "./message_router.ts";
+import { createPendingCalls } from "./pending_calls.ts";
+import { createPresenceAnnouncer } from "./presence_announcer.ts";
+import { createPresenceTable } from "./presence_table.ts";
+import { createRelay } from "./relay.ts";
+import { FULL_MESH_LIMIT } from "./topology.ts";
+
+/// This VM's links: direct connections, and relaying to the VMs beyond them.
 
-const DIAL_INTERVAL_MILLISECONDS = 500;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 
 export interface LinkMeshOptions {
@@ -26,177 +37,183 @@
   readonly vmList: VmList;
   /// The HTTP server whose port accepts links.
   readonly server: Server;
+  /// Protocol versions to offer; those of this program if absent.
+  readonly versions?: VersionRange;
+  /// Up to this many VMs, all connect to each other.
+  readonly fullMeshLimit?: number;
 }
 
 export interface LinkMesh extends Links {
   close(): void;
 }
 
-interface PendingCall {
-  readonly resolve: (value: unknown) => void;
-  readonly reject: (error: Error) => void;
-  readonly timer: Timer;
-  readonly vm: string;
+function replaceKeyOf(type: MessageType<never>, value: unknown) {
+  const key = type.replaceKey?.(value as never);
+  return key === undefined ? undefined : `${type.name} ${key}`;
 }
 
-interface ConnectedPeer {
-  readonly identity: VmIdentity;
-  readonly connection: LinkConnection;
-}
-
-/// Keeps one connection to every listed VM. Of each pair, the VM with the
-/// smaller name dials.
 export function createLinkMesh(options: LinkMeshOptions): LinkMesh {
   const { clock, identity, log } = options;
   const router = createMessageRouter();
-  const peers = new Map<string, ConnectedPeer>();
-  const dialling = new Set<string>();
-  const pendingCalls = new Map<number, PendingCall>();
+  const direct = createDirectPeers(identity);
+  const presence = createPresenceTable();
+  const calls = createPendingCalls(clock);
+  const connections = new Set<LinkConnection>();
   const listeners: (() => void)[] = [];
-  const stop = new AbortController();
-  const webSockets = new WebSocketServer({ server: options.server });
-  let nextCall = 0;
-
-  const notify = () => listeners.forEach((listener) => listener());
+  const webSockets = new WebSocketServer({
+    server: options.server,
+    ...SOCKET_OPTIONS,
+  });
+  let reachable = new Map<string, VmIdentity>();
 
   const answerCall = async (
-    frame: Frame & { kind: "call" },
-    peer: ConnectedPeer,
+    { id, name, value }: PayloadFrame & { kind: "call" },
+    from: VmIdentity,
   ) => {
-    const { id } = frame;
+    const to = from.incarnation;
     try {
-      const value = await router.answer(
-        frame.name,
-        frame.value,
-        peer.identity,
-      );
-      peer.connection.send({ kind: "reply", id, value });
+      const answer = await router.answer(name, value, from);
+      relay.send(from.vm, { kind: "reply", id, to, value: answer });
     } catch (error) {
       const text = error instanceof Error ? error.message : String(error);
-      peer.connection.send({ kind: "reply", id, error: text });
+      relay.send(from.vm, { kind: "reply", id, to, error: text });
     }
   };
 
-  const settleCall = (frame: Frame & { kind: "reply" }) => {
-    const pending = pendingCalls.get(frame.id);
-    if (!pending) return;
-    pendingCalls.delete(frame.id);
-    pending.timer.cancel();
-    if (frame.error === undefined) return pending.resolve(frame.value);
-    pending.reject(new LinkUnansweredError(frame.error));
+  const deliver = (payload: PayloadFrame, from: VmIdentity) => {
+    if (payload.kind === "call") return void answerCall(payload, from);
+    if (payload.kind === "reply") {
+      if (payload.to === identity.incarnation) calls.settle(payload);
+      return;
+    }
+    router.deliver(payload.name, payload.value, from);
   };
 
-  const failCalls = (vm: string) => {
-    for (const [id, pending] of pendingCalls) {
-      if (pending.vm !== vm) continue;
-      pendingCalls.delete(id);
-      pending.timer.cancel();
-      pending.reject(new LinkUnansweredError(`lost the link to ${vm}`));
+  const relay = createRelay({
+    self: identity,
+    peers: direct,
+    presence,
+    deliver,
+  });
+
+  /// Takes note of VMs that have become reachable or are no more.
+  const refresh = () => {
+    const earlier = reachable;
+    reachable = new Map();
+    const peers = direct.all().map((peer) => peer.identity);
+    for (const peer of [...presence.members(), ...peers]) {
+      if (peer.vm !== identity.vm) reachable.set(peer.vm, peer);
+    }
+    announcer.schedule();
+    const isSame = earlier.size === reachable.size &&
+      [...reachable.values()].every((peer) =>
+        earlier.get(peer.vm)?.incarnation === peer.incarnation
+      );
+    if (isSame) return;
+    for (const vm of earlier.keys()) if (!reachable.has(vm)) calls.fail(vm);
+    listeners.forEach((listener) => listener());
+  };
+
+  const receive = (frame: Frame, from: VmIdentity) => {
+    if (frame.kind === "relay") return relay.receive(frame, from);
+    if (frame.kind === "presence") {
+      presence.set(from, frame.dataCentre, frame.members);
+      return refresh();
     }
+    const isPayload = frame.kind === "message" || frame.kind === "call" ||
+      frame.kind === "reply";
+    if (isPayload) deliver(frame, from);
+  };
+
+  const lose = (peer: DirectPeer, reason: string) => {
+    if (!direct.remove(peer)) return;
+    log.warn("link lost", { peer: peer.identity.vm, reason });
+    presence.drop(peer.identity.vm);
+    calls.fail(peer.identity.vm);
+    refresh();
   };
 
-  const attach = (socket: WebSocket, dialled?: string) => {
-    let peer: ConnectedPeer | undefined;
+  const attach = (
+    socket: WebSocket,
+    role: LinkRole,
+    dialled?: { readonly vm: string; readonly closed: () => void },
+  ) => {
+    let peer: DirectPeer | undefined;
     const connection = startLinkConnection(socket, {
       clock,
       random: options.random,
       identity,
+      role,
+      versions: options.versions ?? LINK_PROTOCOL_VERSIONS,
       secrets: options.secrets,
       onReady: (from) => {
-        peer = { identity: from, connection };
-        const previous = peers.get(from.vm);
-        peers.set(from.vm, peer);
-        previous?.connection.close();
-        log.info("link up", { peer: from.vm });
-        notify();
-      },
-      onFrame: (frame) => {
-        if (!peer) return;
-        if (frame.kind === "message") {
-          router.deliver(frame.name, frame.value, peer.identity);
+        if (dialled && dialled.vm !== from.vm) {
+          return connection.close("another VM has the address");
         }
-        if (frame.kind === "call") void answerCall(frame, peer);
-        if (frame.kind === "reply") settleCall(frame);
+        const candidate = { identity: from, connection, since: clock.now() };
+        if (!direct.add(candidate)) return connection.close("superfluous");
+        peer = candidate;
+        log.info("link up", { peer: from.vm });
+        refresh();
       },
-      onClosed: () => {
-        if (dialled) dialling.delete(dialled);
-        if (!peer || peers.get(peer.identity.vm) !== peer) return;
-        peers.delete(peer.identity.vm);
-        failCalls(peer.identity.vm);
-        log.warn("link lost", { peer: peer.identity.vm });
-        notify();
+      onFrame: (frame) => peer && receive(frame, peer.identity),
+      onClosed: (reason) => {
+        connections.delete(connection);
+        dialled?.closed();
+        if (peer) lose(peer, reason);
+        else log.info("link not made", { reason, vm: dialled?.vm });
       },
     });
+    connections.add(connection);
   };
 
-  const dial = (name: string, address: string) => {
-    dialling.add(name);
-    const socket = new WebSocket(`ws://${address}`, {
-      perMessageDeflate: false,
-    });
-    socket.once("error", () => dialling.delete(name));
-    socket.once("open", () => attach(socket, name));
-  };
-
-  const dialMissing = async () => {
-    const listed = await options.vmList.read();
-    for (const vm of listed) {
-      const wanted = vm.name > identity.vm && vm.state === "live";
-      if (!wanted || peers.has(vm.name) || dialling.has(vm.name)) continue;
-      dial(vm.name, vm.linkAddress);
-    }
-  };
-
-  const keepDialling = async () => {
-    while (!stop.signal.aborted) {
-      await dialMissing().catch((error: Error) =>
-        log.warn("VM list unreadable", { reason: error.message })
-      );
-      await clock.sleep(DIAL_INTERVAL_MILLISECONDS, stop.signal).catch(
-        () => {},
-      );
-    }
-  };
-
-  webSockets.on("connection", (socket) => attach(socket));
-  void keepDialling();
+  const dialler = startDialler({
+    clock,
+    log,
+    self: identity,
+    vmList: options.vmList,
+    peers: direct,
+    fullMeshLimit: options.fullMeshLimit ?? FULL_MESH_LIMIT,
+    onOpen: (socket, vm, closed) => attach(socket, "dialler", { vm, closed }),
+  });
+  const announcer = createPresenceAnnouncer({
+    clock,
+    self: identity,
+    peers: direct,
+    presence,
+    isSparse: dialler.isSparse,
+  });
+  webSockets.on("connection", (socket) => attach(socket, "acceptor"));
 
   return {
     self: identity,
-    peers: () => [...peers.values()].map((peer) => peer.identity),
+    peers: () => [...reachable.values()],
     send(vm, type, value) {
-      const peer = peers.get(vm);
-      if (!peer) return false;
-      const key = type.replaceKey && `${type.name} ${type.replaceKey(value)}`;
-      peer.connection.send({ kind: "message", name: type.name, value }, key);
-      return true;
+      const payload = { kind: "message" as const, name: type.name, value };
+      return relay.send(vm, payload, replaceKeyOf(type as never, value));
     },
     broadcast(type, value) {
-      for (const vm of peers.keys()) this.send(vm, type, value);
+      const payload = { kind: "message" as const, name: type.name, value };
+      const key = replaceKeyOf(type as never, value);
+      if (dialler.isSparse()) return relay.flood(payload, key);
+      for (const vm of reachable.keys()) relay.send(vm, payload, key);
     },
     call(vm, type, value, limits) {
-      const peer = peers.get(vm);
-      if (!peer) {
+      if (!reachable.has(vm)) {
         return Promise.reject(new LinkUnreachableError(`no link to ${vm}`));
       }
-      const id = nextCall++;
       const limit = limits?.timeoutMilliseconds ?? CALL_TIMEOUT_MILLISECONDS;
-      return new Promise((resolve, reject) => {
-        const timer = clock.schedule(limit, () => {
-          pendingCalls.delete(id);
-          reject(new LinkUnansweredError(`${vm} did not answer`));
-        });
-        const settle = resolve as (value: unknown) => void;
-        pendingCalls.set(id, { resolve: settle, reject, timer, vm });
-        peer.connection.send({ kind: "call", id, name: type.name, value });
-      });
+      return calls.open(vm, limit, (id) => {
+        relay.send(vm, { kind: "call", id, name: type.name, value });
+      }) as Promise<never>;
     },
     onMessage: router.onMessage,
     onCall: router.onCall,
     onPeersChange: (listener) => void listeners.push(listener),
     close() {
-      stop.abort(new Error("closed"));
-      for (const peer of [...peers.values()]) peer.connection.close();
+      dialler.close();
+      announcer.close();
+      for (const connection of [...connections]) connection.close("closed");
       webSockets.close();
     },
   };
--- /dev/null
+++ b/src/links/relay.ts
@@ -0,0 +1,114 @@
+import type { VmIdentity } from "../vms/identity.ts";
+import type { PayloadFrame, RelayFrame } from "./frame.ts";
+import type { DirectPeer, DirectPeers } from "./direct_peers.ts";
+import type { PresenceTable } from "./presence_table.ts";
+
+/// Carries payloads to VMs without a direct link: a payload for one VM goes
+/// over a VM that reaches it, a broadcast floods and each VM takes it once.
+
+/// Links that a relayed payload may cross: to a bridge, over it, through one
+/// more data centre, and on to the target.
+const HOP_LIMIT = 6;
+/// Broadcasts that are remembered to tell repeated ones.
+const REMEMBERED_BROADCASTS = 8_192;
+
+export interface RelayOptions {
+  readonly self: VmIdentity;
+  readonly peers: DirectPeers;
+  readonly presence: PresenceTable;
+  readonly deliver: (payload: PayloadFrame, origin: VmIdentity) => void;
+}
+
+export interface Relay {
+  /// Sends towards `target`, directly if it can. Returns false without a way.
+  send(target: string, payload: PayloadFrame, replaceKey?: string): boolean;
+  /// Sends to every VM over all links.
+  flood(payload: PayloadFrame, replaceKey?: string): void;
+  /// Takes a frame from a peer: delivers it or passes it on.
+  receive(frame: RelayFrame, from: VmIdentity): void;
+}
+
+export function createRelay(options: RelayOptions): Relay {
+  const { self, peers, presence } = options;
+  const seen = new Set<string>();
+  let nextBroadcast = 0;
+
+  /// Whether this broadcast is new here.
+  const remember = ({ origin, id }: RelayFrame): boolean => {
+    const key = `${origin.incarnation} ${id}`;
+    if (seen.has(key)) return false;
+    seen.add(key);
+    if (seen.size > REMEMBERED_BROADCASTS) {
+      seen.delete(seen.values().next().value!);
+    }
+    return true;
+  };
+
+  const keyOf = (frame: RelayFrame, replaceKey?: string) =>
+    replaceKey && `${frame.origin.incarnation} ${replaceKey}`;
+
+  const pass = (frame: RelayFrame, target: string) => {
+    const next = peers.get(target) ??
+      peers.get(presence.routeTo(target) ?? "");
+    next?.connection.send(frame);
+  };
+
+  /// A broadcast from this data centre goes on over the bridges; one from
+  /// outside goes to everyone.
+  const nextOf = (from: VmIdentity): readonly DirectPeer[] => {
+    const isLocal = from.dataCentre === self.dataCentre;
+    return peers.all().filter(({ identity }) =>
+      identity.vm !== from.vm &&
+      (!isLocal || identity.dataCentre !== self.dataCentre)
+    );
+  };
+
+  return {
+    send(target, payload, replaceKey) {
+      const direct = peers.get(target);
+      if (direct) {
+        direct.connection.send(payload, replaceKey);
+        return true;
+      }
+      const via = peers.get(presence.routeTo(target) ?? "");
+      if (!via) return false;
+      const frame: RelayFrame = {
+        kind: "relay",
+        origin: self,
+        target,
+        id: 0,
+        hopsLeft: HOP_LIMIT,
+        payload,
+      };
+      const key = replaceKey && `${target} ${replaceKey}`;
+      via.connection.send(frame, keyOf(frame, key));
+      return true;
+    },
+    flood(payload, replaceKey) {
+      const frame: RelayFrame = {
+        kind: "relay",
+        origin: self,
+        id: nextBroadcast++,
+        hopsLeft: HOP_LIMIT,
+        payload,
+      };
+      remember(frame);
+      for (const peer of peers.all()) {
+        peer.connection.send(frame, keyOf(frame, replaceKey));
+      }
+    },
+    receive(frame, from) {
+      const { target, origin, payload, hopsLeft } = frame;
+      if (target === self.vm) return options.deliver(payload, origin);
+      const onward = { ...frame, hopsLeft: hopsLeft - 1 };
+      if (target !== undefined) {
+        if (hopsLeft > 1) pass(onward, target);
+        return;
+      }
+      if (!remember(frame)) return;
+      options.deliver(payload, origin);
+      if (hopsLeft <= 1) return;
+      for (const peer of nextOf(from)) peer.connection.send(onward);
+    },
+  };
+}
--- /dev/null
+++ b/test/links/link_parts_test.ts
@@ -0,0 +1,82 @@
+import test from "ava";
+import { decodeFrame } from "../../src/links/frame.ts";
+import { createHeartbeatMonitor } from "../../src/links/heartbeat_monitor.ts";
+import { createSendQueue } from "../../src/links/send_queue.ts";
+import { sparsePeers } from "../../src/links/topology.ts";
+import { Packr } from "msgpackr";
+
+const bytes = (text: string) => Buffer.from(text);
+
+test("a waiting frame is replaced by a newer one with its key", (t) => {
+  const queue = createSendQueue();
+  queue.push(bytes("old"), "head");
+  queue.push(bytes("other"));
+  queue.push(bytes("new"), "head");
+  t.deepEqual([queue.shift(), queue.shift(), queue.shift()], [
+    bytes("other"),
+    bytes("new"),
+    undefined,
+  ]);
+  t.is(queue.dropped(), 0);
+});
+
+test("the queue drops the oldest past its bounds", (t) => {
+  const many = createSendQueue();
+  for (let index = 0; index < 5_000; index++) many.push(bytes(`${index}`));
+  t.is(many.dropped(), 5_000 - 4_096);
+  t.deepEqual(many.shift(), bytes(`${5_000 - 4_096}`));
+  const large = createSendQueue();
+  for (let index = 0; index < 20; index++) large.push(Buffer.alloc(1_048_576));
+  t.is(large.dropped(), 4);
+});
+
+const MUTE = [
+  { name: "both ways work", hears: true, isHeard: true, silent: false },
+  { name: "nothing comes in", hears: false, isHeard: false, silent: true },
+  {
+    name: "only its own frames are lost",
+    hears: true,
+    isHeard: false,
+    silent: true,
+  },
+];
+
+for (const { name, hears, isHeard, silent } of MUTE) {
+  test(`when ${name} the link is ${silent ? "silent" : "alive"}`, (t) => {
+    const monitor = createHeartbeatMonitor(0);
+    for (let now = 0; now <= 10_000; now += 1_000) {
+      const { sequence } = monitor.next(now);
+      if (hears) monitor.noteFrame(now);
+      const heard = isHeard ? sequence : 0;
+      if (hears) monitor.noteHeartbeat({ sequence, heard });
+    }
+    t.is(monitor.isSilent(10_000), silent);
+  });
+}
+
+test("frames of a kind that only a newer version knows are skipped", (t) => {
+  const pack = (value: unknown) => new Packr().pack(value);
+  t.is(decodeFrame(pack({ kind: "invented", value: 1 })), undefined);
+  t.throws(() => decodeFrame(pack({ kind: "message" })));
+  t.throws(() => decodeFrame(pack(7)));
+});
+
+test("a large mesh stays connected with few links", (t) => {
+  const vms = Array.from({ length: 360 }, (_, index) => ({
+    name: `vm-${index}`,
+    dataCentre: `dc-${index % 8}`,
+  }));
+  const links = new Map(
+    vms.map((vm) => [vm.name, sparsePeers(vm, vms)] as const),
+  );
+  let bridges = 0;
+  for (const { name, dataCentre } of vms) {
+    const far = [...links.get(name)!].filter((peer) =>
+      vms.find((vm) => vm.name === peer)!.dataCentre !== dataCentre
+    );
+    bridges += far.length;
+    for (const peer of far) t.true(links.get(peer)!.has(name));
+    t.is(links.get(name)!.size - far.length, 44);
+  }
+  t.is(bridges, 2 * 28 * 3);
+});
--- a/test/links/links_test.ts
+++ b/test/links/links_test.ts
@@ -1,80 +1,25 @@
-import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { Type } from "@sinclair/typebox";
 import test from "ava";
-import { createLinkMesh } from "../../src/links/link_mesh.ts";
 import {
-  type Links,
   LinkUnansweredError,
   LinkUnreachableError,
 } from "../../src/links/links.ts";
 import { defineCall, defineMessage } from "../../src/links/message.ts";
-import type { ListedVm } from "../../src/platform/vm_list.ts";
 import { createSystemClock } from "../../src/support/clock.ts";
-import { createSilentLogger } from "../../src/support/log.ts";
-import { createSystemRandom } from "../../src/support/random.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import { createLocalNetwork } from "../../stand_ins/local_links.ts";
+import { type MeshVm, startMeshes, untilPeers } from "./mesh_network.ts";
 
 const Greeting = defineMessage("test.greeting", Type.String());
 const Double = defineCall("test.double", {
   request: Type.Number(),
   reply: Type.Number(),
 });
-
-const identityOf = (vm: string) => ({
-  vm,
-  incarnation: `${vm}-1`,
-  dataCentre: "muttrah",
-});
-
-async function startMesh(secrets: Readonly<Record<string, string>>) {
-  const listed: ListedVm[] = [];
-  const meshes = await Promise.all(
-    Object.entries(secrets).map(async ([vm, secret]) => {
-      const server = createServer();
-      await new Promise<void>((resolve) =>
-        server.listen(0, "127.0.0.1", resolve)
-      );
-      const { port } = server.address() as AddressInfo;
-      const linkAddress = `127.0.0.1:${port}`;
-      listed.push({
-        name: vm,
-        dataCentre: "muttrah",
-        linkAddress,
-        state: "live",
-      });
-      const mesh = createLinkMesh({
-        clock: createSystemClock(),
-        random: createSystemRandom(),
-        log: createSilentLogger(),
-        identity: identityOf(vm),
-        secrets: [secret],
-        vmList: { read: () => Promise.resolve(listed) },
-        server,
-      });
-      return { mesh, server };
-    }),
-  );
-  const close = () => {
-    for (const { mesh, server } of meshes) {
-      mesh.close();
-      server.close();
-    }
-  };
-  return { links: meshes.map(({ mesh }) => mesh), close };
-}
-
-const untilPeers = (links: Links, count: number) =>
-  new Promise<void>((resolve) => {
-    const check = () => links.peers().length === count && resolve();
-    links.onPeersChange(check);
-    check();
-  });
+const PAIR: readonly MeshVm[] = [{ vm: "a" }, { vm: "b" }];
 
 test("messages and calls cross a real connection", async (t) => {
-  const { links, close } = await startMesh({ a: "secret", b: "secret" });
-  const [first, second] = links;
+  const network = await startMeshes(PAIR);
+  const [first, second] = [...network.meshes.values()];
   await Promise.all([untilPeers(first!, 1), untilPeers(second!, 1)]);
   const heard = new Promise<string>((resolve) =>
     second!.onMessage(Greeting, (text, from) => resolve(`${from.vm} ${text}`))
@@ -86,12 +31,93 @@
   await t.throwsAsync(first!.call("c", Double, 1), {
     instanceOf: LinkUnreachableError,
   });
-  close();
+  network.close();
+});
+
+const MIXES = [
+  {
+    name: "old and new secrets while they rotate",
+    second: { vm: "b", secrets: ["rotated", "secret"] },
+    third: { vm: "c", secrets: ["rotated"] },
+    reached: ["b"],
+  },
+  {
+    name: "a wrong secret",
+    second: { vm: "b" },
+    third: { vm: "c", secrets: ["wrong"] },
+    reached: ["b"],
+  },
+  {
+    name: "protocol versions that overlap or don't",
+    second: { vm: "b", versions: { oldest: 1, newest: 2 } },
+    third: { vm: "c", versions: { oldest: 2, newest: 3 } },
+    reached: ["b"],
+  },
+];
+
+for (const { name, second, third, reached } of MIXES) {
+  test(`links with ${name}`, async (t) => {
+    const network = await startMeshes([{ vm: "a" }, second, third]);
+    const [a, b] = [...network.meshes.values()];
+    const bReaches = third.vm === "c" && name !== "a wrong secret" ? 2 : 1;
+    await Promise.all([untilPeers(a!, 1), untilPeers(b!, bReaches)]);
+    await createSystemClock().sleep(1_200);
+    t.deepEqual(a!.peers().map((peer) => peer.vm), reached);
+    t.is(b!.peers().length, bReaches);
+    network.close();
+  });
+}
+
+test("both sides give up a link that works one way only", async (t) => {
+  const network = await startMeshes(PAIR);
+  const [first, second] = [...network.meshes.values()];
+  await Promise.all([untilPeers(first!, 1), untilPeers(second!, 1)]);
+  network.mute.add("b");
+  await Promise.all([untilPeers(first!, 0), untilPeers(second!, 0)]);
+  network.mute.clear();
+  await Promise.all([untilPeers(first!, 1), untilPeers(second!, 1)]);
+  t.pass();
+  network.close();
+});
+
+test("a sparse mesh relays calls and broadcasts over its bridges", async (t) => {
+  const dataCentres = ["muttrah", "seeb", "qurum"];
+  const vms = Array.from({ length: 15 }, (_, index) => ({
+    vm: `vm-${index}`,
+    dataCentre: dataCentres[index % 3]!,
+  }));
+  const network = await startMeshes(vms, 5);
+  const meshes = [...network.meshes.values()];
+  await Promise.all(meshes.map((mesh) => untilPeers(mesh, 14)));
+  const heard = new Map<string, number>();
+  for (const mesh of meshes) {
+    mesh.onCall(Double, (value) => Promise.resolve(value * 2));
+    mesh.onMessage(Greeting, (text, from) => {
+      const key = `${mesh.self.vm} ${text} ${from.vm}`;
+      heard.set(key, (heard.get(key) ?? 0) + 1);
+    });
+  }
+  for (const { vm } of vms.slice(1)) {
+    t.is(await meshes[0]!.call(vm, Double, 4), 8);
+  }
+  meshes[0]!.broadcast(Greeting, "to all");
+  await createSystemClock().sleep(300);
+  t.is(heard.size, 14);
+  t.deepEqual([...new Set(heard.values())], [1]);
+  network.stop("vm-1");
+  await untilPeers(meshes[0]!, 13);
+  t.is(await meshes[0]!.call("vm-4", Double, 4), 8);
+  network.close();
 });
 
 test("local links lose what is cut on its way", async (t) => {
   const clock = createFakeClock();
   const network = createLocalNetwork(clock);
+  const identityOf = (vm: string) => ({
+    vm,
+    incarnation: `${vm}-1`,
+    dataCentre: "muttrah",
+  });
   const first = network.join(identityOf("a"));
   const second = network.join(identityOf("b"));
   second.onCall(Double, (value) => Promise.resolve(value * 2));
