Keep the sheet in small chunks and follow it over links

The sheet was stored in runs of 256 rows, so that an added row moved every later chunk; a lost answer could stay open although the store answered, and a starting VM took the store's word alone.

The head is one small value with the last 64 acceptances: an apply is decided by who holds the revision after its base, also when it is repeated under later ones. Old chunks are swept a part at a time, guarded against an apply that uses them again. Two VMs of each data centre watch the store, the others pull heads and chunks from peers.

Conclusion: under the fake clock nine VMs have an accepted sheet within 7 s with the store down, with stale reads, with a VM cut off and with the accepting VM dead, and none goes back.

--- a/src/administration/administration_api.ts
+++ b/src/administration/administration_api.ts
@@ -135,11 +135,12 @@
       const message = faults.map((fault) => `${fault.path}: ${fault.message}`);
       return reply.code(400).send({ code: "invalid", message });
     }
-    const head = await entry.sheets.apply(body);
+    const applied = await entry.sheets.apply(body);
+    const { revision } = applied;
     const { author, applyId } = body;
-    log.info("sheet accepted", { author, applyId, revision: head.revision });
-    await follower.accept(head);
-    return { revision: head.revision };
+    log.info("sheet accepted", { author, applyId, revision });
+    await follower.accept(applied);
+    return { revision };
   });
 
   application.post("/v1/drain", (request) => {
--- a/src/contracts/sheet.ts
+++ b/src/contracts/sheet.ts
@@ -5,7 +5,7 @@
 
 const Name = Type.String({ pattern: "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$" });
 const Rate = Type.Number({ exclusiveMinimum: 0 });
-const Duration = Type.Integer({ minimum: 1 });
+const Duration = Type.Integer({ minimum: 0, default: 0 });
 
 export const PRIORITIES = ["urgent", "normal", "background"] as const;
 export const Priority = Type.Union(
--- a/src/contracts/sheet_store.ts
+++ b/src/contracts/sheet_store.ts
@@ -1,31 +1,30 @@
-import { createHash } from "node:crypto";
-import { type Static, Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
 import {
   type KeyValueStore,
+  type StoredValue,
   StoreOutcomeUnknownError,
   StoreUnavailableError,
 } from "../platform/key_value_store.ts";
-import { type AcceptedSheet, Sheet } from "./sheet.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Sheet } from "./sheet.ts";
+import { readIndex, readRoot, splitSheet } from "./sheet_chunks.ts";
+import { outcomeOf, SheetHead, succeedHead } from "./sheet_head.ts";
 
-/// Where the accepted sheet lives in the platform's key-value service: a head
-/// that names content-addressed chunks.
+/// The accepted sheet in the platform's key-value service: one head, and the
+/// chunks that it names.
 
 const HEAD_KEY = "sequoiaturn/sheet/head";
-const CHUNK_PREFIX = "sequoiaturn/sheet/chunks/";
-/// Rows of a section that share a chunk.
-const ROWS_PER_CHUNK = 256;
-
-export const SheetHead = Type.Object({
-  revision: Type.Integer(),
-  base: Type.Integer(),
-  applyId: Type.String(),
-  author: Type.String(),
-  chunks: Type.Array(
-    Type.Object({ section: Type.String(), hash: Type.String() }),
-  ),
-});
-export type SheetHead = Static<typeof SheetHead>;
+export const CHUNK_PREFIX = "sequoiaturn/sheet/chunks/";
+/// Changes with every collection of chunks. An apply compares it, so that no
+/// chunk that it counts on can go before its head is written.
+const COLLECTION_KEY = "sequoiaturn/sheet/collection";
+
+/// Chunks and bytes that one write carries at most.
+const CHUNKS_PER_WRITE = 16;
+const BYTES_PER_WRITE = 393_216;
+/// Tries to get one apply decided, and the pause between them.
+const MAXIMUM_TRIES = 6;
+const RETRY_MILLISECONDS = 250;
 
 /// A request to put a sheet in force in place of revision `base`.
 export interface SheetProposal {
@@ -36,156 +35,249 @@
   readonly author: string;
 }
 
+/// The outcome of an apply.
+export interface AppliedSheet {
+  readonly revision: number;
+  /// The head that said so; a later one if the apply was a repetition.
+  readonly head: SheetHead;
+  /// Chunks of the sheet, empty if the apply was a repetition.
+  readonly chunks: ReadonlyMap<string, Uint8Array>;
+}
+
 /// Another sheet was accepted since the proposal's base.
 export class SheetConflictError extends Error {
   override readonly name = "SheetConflictError";
+  /// The head in force now.
   readonly winner: SheetHead;
-  constructor(winner: SheetHead) {
-    super(`revision ${winner.revision} by ${winner.author} came first`);
+  constructor(winner: SheetHead, detail?: string) {
+    super(detail ?? `revision ${winner.revision} by ${winner.author} is newer`);
     this.winner = winner;
   }
 }
 
-/// The store can't be asked now whether the proposal was accepted. Repeat it
-/// with the same apply id.
+/// Whether the proposal was accepted can't be told now. Repeat it with the
+/// same apply id.
 export class SheetUndecidedError extends Error {
   override readonly name = "SheetUndecidedError";
 }
 
+/// A read of the store that came after all others says more than this one.
+export class StaleReadError extends StoreUnavailableError {
+  override readonly name = "StaleReadError";
+}
+
 export interface SheetStore {
-  /// The newest accepted head, or undefined before the first.
+  /// The newest accepted head, or undefined before the first. A read that is
+  /// older than an earlier one is ignored.
   readHead(): Promise<SheetHead | undefined>;
-  readSheet(head: SheetHead): Promise<AcceptedSheet>;
+  /// A chunk's bytes, or undefined when the store lacks it.
+  readChunk(hash: string): Promise<Uint8Array | undefined>;
   /// Resolves once the proposal is accepted. Throws `SheetConflictError`,
-  /// `SheetUndecidedError` or `StoreUnavailableError`.
-  apply(proposal: SheetProposal): Promise<SheetHead>;
+  /// `SheetUndecidedError`, or `StoreUnavailableError` if it was certainly
+  /// not accepted.
+  apply(proposal: SheetProposal): Promise<AppliedSheet>;
   /// Yields heads as they are accepted, until the signal aborts.
   watchHeads(signal: AbortSignal): AsyncIterable<SheetHead>;
+  /// Deletes `chunks`, all or none, if `head` is still the newest and no
+  /// chunk was written again. Resolves to whether it did.
+  deleteChunks(
+    head: SheetHead,
+    chunks: readonly StoredValue[],
+  ): Promise<boolean>;
+  /// Stored chunks whose hash starts with `prefix`.
+  listChunks(prefix: string): Promise<readonly StoredValue[]>;
 }
 
-interface Chunk {
-  readonly section: string;
-  readonly hash: string;
-  readonly bytes: Buffer;
+interface StoredHead {
+  readonly head: SheetHead;
+  readonly modifiedRevision: number;
 }
 
-function splitIntoChunks(sheet: Sheet): Chunk[] {
-  const chunks: Chunk[] = [];
-  const add = (section: string, rows: readonly unknown[]) => {
-    const bytes = Buffer.from(JSON.stringify(rows));
-    const hash = createHash("sha256").update(bytes).digest("hex");
-    chunks.push({ section, hash, bytes });
-  };
-  for (const [section, value] of Object.entries(sheet)) {
-    const rows = Array.isArray(value) ? value : [value];
-    for (let start = 0; start < rows.length; start += ROWS_PER_CHUNK) {
-      add(section, rows.slice(start, start + ROWS_PER_CHUNK));
-    }
-  }
-  return chunks;
+function parseHead(stored: StoredValue): StoredHead {
+  const text = Buffer.from(stored.value).toString();
+  const head = Value.Parse(SheetHead, JSON.parse(text));
+  return { head, modifiedRevision: stored.modifiedRevision };
 }
 
-function joinChunks(parts: readonly { section: string; rows: unknown[] }[]) {
-  const sheet: Record<string, unknown> = {
-    customers: [],
-    models: [],
-    upstreams: [],
-    operations: [],
-  };
-  for (const { section, rows } of parts) {
-    if (section === "options") sheet.options = rows[0];
-    else (sheet[section] as unknown[]).push(...rows);
+function toBatches(chunks: ReadonlyMap<string, Uint8Array>) {
+  const batches: [string, Uint8Array][][] = [];
+  let bytes = Infinity;
+  for (const chunk of chunks) {
+    const last = batches.at(-1);
+    bytes += chunk[1].length;
+    if (last && bytes <= BYTES_PER_WRITE && last.length < CHUNKS_PER_WRITE) {
+      last.push(chunk);
+      continue;
+    }
+    batches.push([chunk]);
+    bytes = chunk[1].length;
   }
-  return Value.Parse(Sheet, sheet);
-}
-
-function parseHead(bytes: Uint8Array): SheetHead {
-  return Value.Parse(SheetHead, JSON.parse(Buffer.from(bytes).toString()));
+  return batches;
 }
 
 /// Creates a view of the sheet in `store`.
-export function createSheetStore(store: KeyValueStore): SheetStore {
-  const readStoredHead = async () => {
+export function createSheetStore(
+  { store, clock }: { store: KeyValueStore; clock: Clock },
+): SheetStore {
+  let newest: StoredHead | undefined;
+
+  /// The newest head read so far; throws when this read is older.
+  const readStoredHead = async (): Promise<StoredHead | undefined> => {
     const stored = await store.get(HEAD_KEY);
-    return stored && { head: parseHead(stored.value), stored };
+    const read = stored && parseHead(stored);
+    if ((read?.head.revision ?? 0) < (newest?.head.revision ?? 0)) {
+      throw new StaleReadError("the store answered with an older head");
+    }
+    if (read) newest = read;
+    return read;
   };
 
-  const writeMissingChunks = async (chunks: readonly Chunk[]) => {
-    for (const chunk of chunks) {
-      const key = CHUNK_PREFIX + chunk.hash;
-      const put = { kind: "put", key, value: chunk.bytes } as const;
-      await store.transact([{ key, modifiedRevision: 0 }], [put]);
+  const readChunk = async (hash: string) =>
+    (await store.get(CHUNK_PREFIX + hash))?.value;
+
+  /// Hashes that `head` names. They can't be collected while it is newest.
+  const hashesOf = async (head: SheetHead | undefined) => {
+    const hashes = new Set<string>();
+    if (!head) return hashes;
+    const root = await readChunk(head.root);
+    if (!root) return hashes;
+    hashes.add(head.root);
+    const items = readRoot(root);
+    const indexes = await Promise.all(
+      items.map(({ index }) => readChunk(index)),
+    );
+    for (const [position, bytes] of indexes.entries()) {
+      if (!bytes) continue;
+      hashes.add(items[position]!.index);
+      for (const hash of readIndex(bytes)) hashes.add(hash);
     }
+    return hashes;
   };
 
-  const writeHead = async (proposal: SheetProposal) => {
-    const current = await readStoredHead();
-    if (current?.head.applyId === proposal.applyId) return current.head;
-    if ((current?.head.revision ?? 0) !== proposal.base) {
-      throw current
-        ? new SheetConflictError(current.head)
-        : new StoreUnavailableError("the store has no sheet");
+  const writeChunks = async (chunks: ReadonlyMap<string, Uint8Array>) => {
+    for (const batch of toBatches(chunks)) {
+      await store.transact(
+        [],
+        batch.map(([hash, value]) => ({
+          kind: "put",
+          key: CHUNK_PREFIX + hash,
+          value,
+        })),
+      );
     }
-    const chunks = splitIntoChunks(proposal.sheet);
-    await writeMissingChunks(chunks);
-    const head: SheetHead = {
-      revision: proposal.base + 1,
-      base: proposal.base,
-      applyId: proposal.applyId,
-      author: proposal.author,
-      chunks: chunks.map(({ section, hash }) => ({ section, hash })),
-    };
+  };
+
+  /// Writes the chunks and then the head. Resolves to undefined when another
+  /// head or a collection came between.
+  const writeHead = async (
+    proposal: SheetProposal,
+    current: StoredHead | undefined,
+  ): Promise<AppliedSheet | undefined> => {
+    const collection = (await store.get(COLLECTION_KEY))?.modifiedRevision ?? 0;
+    const { root, chunks } = splitSheet(proposal.sheet);
+    const present = await hashesOf(current?.head);
+    const missing = [...chunks].filter(([hash]) => !present.has(hash));
+    try {
+      await writeChunks(new Map(missing));
+    } catch (error) {
+      // Chunks alone have no effect, so the outcome is certain.
+      throw new StoreUnavailableError("chunks not written", { cause: error });
+    }
+    const { applyId, author } = proposal;
+    const time = clock.wallTime();
+    const head = succeedHead(current?.head, { root, applyId, author, time });
     const value = Buffer.from(JSON.stringify(head));
-    const guard = {
-      key: HEAD_KEY,
-      modifiedRevision: current?.stored.modifiedRevision ?? 0,
-    };
+    const guards = [
+      { key: HEAD_KEY, modifiedRevision: current?.modifiedRevision ?? 0 },
+      { key: COLLECTION_KEY, modifiedRevision: collection },
+    ];
     const put = { kind: "put", key: HEAD_KEY, value } as const;
-    const result = await store.transact([guard], [put]);
-    return result.succeeded ? head : undefined;
+    const result = await store.transact(guards, [put]);
+    if (!result.succeeded) return undefined;
+    newest = { head, modifiedRevision: result.revision };
+    return { revision: head.revision, head, chunks };
   };
 
-  const settle = async (proposal: SheetProposal) => {
-    const current = await readStoredHead().catch((error: Error) => {
-      throw new SheetUndecidedError("the store can't be asked", {
-        cause: error,
-      });
-    });
-    if (current?.head.applyId === proposal.applyId) return current.head;
-    if (current && current.head.revision > proposal.base) {
-      throw new SheetConflictError(current.head);
+  const judge = (
+    proposal: SheetProposal,
+    current: StoredHead | undefined,
+  ): AppliedSheet | undefined => {
+    const { base } = proposal;
+    const head = current?.head;
+    switch (outcomeOf(head, proposal)) {
+      case "accepted":
+        return { revision: base + 1, head: head!, chunks: new Map() };
+      case "lost":
+        throw new SheetConflictError(head!);
+      case "forgotten":
+        throw new SheetConflictError(
+          head!,
+          `revision ${base + 1} is too old to tell who applied it`,
+        );
+      case "pending":
+        if ((head?.revision ?? 0) === base) return undefined;
+        throw new StaleReadError(`the store has no revision ${base}`);
     }
-    throw new SheetUndecidedError("the write was not answered");
+  };
+
+  /// One try. Undefined means that it must be tried again.
+  const tryOnce = async (proposal: SheetProposal) => {
+    const current = await readStoredHead();
+    return judge(proposal, current) ?? await writeHead(proposal, current);
   };
 
   return {
+    readChunk,
     async readHead() {
       return (await readStoredHead())?.head;
     },
-    async readSheet(head) {
-      const parts = await Promise.all(
-        head.chunks.map(async ({ section, hash }) => {
-          const stored = await store.get(CHUNK_PREFIX + hash);
-          if (!stored) throw new StoreUnavailableError(`no chunk ${hash}`);
-          const text = Buffer.from(stored.value).toString();
-          return { section, rows: JSON.parse(text) as unknown[] };
-        }),
-      );
-      return { revision: head.revision, sheet: joinChunks(parts) };
-    },
     async apply(proposal) {
-      try {
-        return await writeHead(proposal) ?? await settle(proposal);
-      } catch (error) {
-        if (!(error instanceof StoreOutcomeUnknownError)) throw error;
-        return await settle(proposal);
+      // A write whose answer was lost may still be on its way. Writing again
+      // under the same guard decides: one of the two succeeds, or another
+      // apply has won.
+      let unknown = false;
+      let cause: unknown;
+      for (let count = 0; count < MAXIMUM_TRIES; count++) {
+        if (count > 0) await clock.sleep(RETRY_MILLISECONDS as Milliseconds);
+        try {
+          const decided = await tryOnce(proposal);
+          if (decided) return decided;
+        } catch (error) {
+          cause = error;
+          if (error instanceof StoreOutcomeUnknownError) unknown = true;
+          else if (!(error instanceof StoreUnavailableError)) throw error;
+        }
       }
+      if (!unknown && cause instanceof StoreUnavailableError) throw cause;
+      throw new SheetUndecidedError("the store can't be asked", { cause });
     },
     async *watchHeads(signal) {
-      const { revision } = await store.range(HEAD_KEY);
+      const { revision, values } = await store.range(HEAD_KEY);
+      for (const stored of values) yield parseHead(stored).head;
       for await (const event of store.watch(HEAD_KEY, revision, signal)) {
-        if (event.kind === "put") yield parseHead(event.value.value);
+        if (event.kind === "put") yield parseHead(event.value).head;
       }
     },
+    async deleteChunks(head, chunks) {
+      const current = await readStoredHead();
+      if (!current || current.head.revision !== head.revision) return false;
+      const guards = [
+        { key: HEAD_KEY, modifiedRevision: current.modifiedRevision },
+        ...chunks.map(({ key, modifiedRevision }) => ({
+          key,
+          modifiedRevision,
+        })),
+      ];
+      const deletes = chunks.map(({ key }) => ({
+        kind: "delete" as const,
+        key,
+      }));
+      const mark = Buffer.from(String(head.revision));
+      const put = { kind: "put", key: COLLECTION_KEY, value: mark } as const;
+      return (await store.transact(guards, [put, ...deletes])).succeeded;
+    },
+    async listChunks(prefix) {
+      return (await store.range(CHUNK_PREFIX + prefix)).values;
+    },
   };
 }
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -2,6 +2,10 @@
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import {
+  type SheetCollector,
+  startSheetCollector,
+} from "./contracts/sheet_collector.ts";
 import {
   type SheetFollower,
   startSheetFollower,
@@ -54,6 +58,7 @@
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
+  readonly collector: SheetCollector;
   readonly engines: EngineDirectory;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
@@ -69,14 +74,22 @@
 export function createEntry(options: EntryOptions): Entry {
   const { clock, random, links, store, logFor } = options;
   const book = createContractBook();
-  const sheets = createSheetStore(store);
+  const sheets = createSheetStore({ store, clock });
   const follower = startSheetFollower({
     clock,
+    random,
     log: logFor("contracts"),
     links,
     sheets,
     book,
   });
+  const collector = startSheetCollector({
+    clock,
+    random,
+    log: logFor("contracts"),
+    links,
+    sheets,
+  });
   const engines = createEngineDirectory({
     clock,
     book,
@@ -108,6 +121,7 @@
     book,
     sheets,
     follower,
+    collector,
     engines,
     registry,
     handler,
@@ -119,6 +133,7 @@
     },
     close() {
       follower.close();
+      collector.close();
       engines.close();
     },
   };
--- a/stand_ins/memory_store.ts
+++ b/stand_ins/memory_store.ts
@@ -33,6 +33,8 @@
   refuseWrites(count: number): void;
   /// Writes allowed in each second; more are refused.
   setWriteLimit(writesPerSecond: number): void;
+  /// While on, reads answer with what the store held when it was turned on.
+  setStaleReads(stale: boolean): void;
   /// Current value of a key, without going through a client.
   peek(key: string): StoredValue | undefined;
 }
@@ -64,6 +66,7 @@
     largestValueBytes: 0,
   };
   let revision = 0;
+  let staleReads: ReadonlyMap<string, StoredValue> | undefined;
   let nextLease = 1;
   let down = false;
   let latency = 0;
@@ -205,11 +208,11 @@
   const connect = (): KeyValueStore => ({
     async get(key) {
       await read();
-      return values.get(key);
+      return (staleReads ?? values).get(key);
     },
     async range(prefix) {
       await read();
-      const found = [...values.values()]
+      const found = [...(staleReads ?? values).values()]
         .filter((value) => value.key.startsWith(prefix))
         .sort((left, right) => left.key < right.key ? -1 : 1);
       return { values: found, revision };
@@ -258,6 +261,8 @@
     loseAnswers: (count) => void (answersToLose = count),
     refuseWrites: (count) => void (writesToRefuse = count),
     setWriteLimit: (writes) => void (writeLimit = writes),
+    setStaleReads: (stale) =>
+      void (staleReads = stale ? new Map(values) : undefined),
     peek: (key) => values.get(key),
   };
 }
--- /dev/null
+++ b/test/contracts/sheet_follower_test.ts
@@ -0,0 +1,186 @@
+import test from "ava";
+import type { Sheet } from "../../src/contracts/sheet.ts";
+import { type Fleet, startFleet } from "../../stand_ins/fleet.ts";
+import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
+
+/// An accepted sheet comes into force everywhere and never goes back.
+
+const EVERYWHERE_MILLISECONDS = 7_000;
+const DATA_CENTRES = ["muttrah", "seeb", "qurum"];
+const VMS = 9;
+
+const sheetOf = (longPromptTokens: number): Sheet => ({
+  ...sampleSheet(),
+  options: { objective: "slowdown", longPromptTokens },
+});
+
+const start = () =>
+  startFleet({
+    sheet: sampleSheet(),
+    entries: VMS,
+    seed: 3,
+    dataCentres: DATA_CENTRES,
+  });
+
+async function apply(fleet: Fleet, base: number, vm = "vm-1") {
+  const entry = fleet.entries.get(vm)!;
+  const proposal = {
+    sheet: sheetOf(base + 1),
+    base,
+    applyId: `apply-${base}`,
+    author: "operator",
+  };
+  const applied = await fleet.clock.advanceUntil(entry.sheets.apply(proposal));
+  return { applied, entry };
+}
+
+const revisionOf = (fleet: Fleet, vm: string) =>
+  fleet.entries.get(vm)!.book.current().revision;
+
+const revisionsOf = (fleet: Fleet) =>
+  [...fleet.entries.keys()].map((vm) => revisionOf(fleet, vm));
+
+/// Cuts or restores every way between a VM and the others.
+function isolate(fleet: Fleet, vm: string, cut: boolean) {
+  for (const other of fleet.entries.keys()) {
+    if (other === vm) continue;
+    fleet.network.setCut(vm, other, cut);
+    fleet.network.setCut(other, vm, cut);
+  }
+}
+
+interface Fault {
+  /// Runs right after the head was written; its VM knows of it.
+  readonly cause: (fleet: Fleet) => void;
+}
+
+const FAULTS: Readonly<Record<string, Fault>> = {
+  "no fault": { cause: () => {} },
+  "a store outage after acceptance": {
+    cause: (fleet) => fleet.store.setDown(true),
+  },
+  "stale reads of the store": {
+    cause: (fleet) => fleet.store.setStaleReads(true),
+  },
+  "a VM that no link reaches": {
+    cause: (fleet) => isolate(fleet, "vm-5", true),
+  },
+  "one-way links to a VM": {
+    cause: (fleet) => {
+      for (const vm of fleet.entries.keys()) {
+        if (vm !== "vm-5") fleet.network.setCut(vm, "vm-5", true);
+      }
+    },
+  },
+};
+
+for (const [name, { cause }] of Object.entries(FAULTS)) {
+  test(`in force everywhere in time with ${name}`, async (t) => {
+    const fleet = await start();
+    const { entry, applied } = await apply(fleet, 1);
+    cause(fleet);
+    void entry.follower.accept(applied);
+    await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+    t.deepEqual(revisionsOf(fleet), Array(VMS).fill(2));
+  });
+}
+
+test("in force everywhere though the accepting VM dies", async (t) => {
+  const fleet = await start();
+  await apply(fleet, 1);
+  fleet.kill("vm-1");
+  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+  t.deepEqual(revisionsOf(fleet), Array(VMS - 1).fill(2));
+});
+
+test("a partition that heals leaves nobody behind", async (t) => {
+  const fleet = await start();
+  isolate(fleet, "vm-5", true);
+  const { entry, applied } = await apply(fleet, 1, "vm-2");
+  fleet.store.setDown(true);
+  await fleet.clock.advanceUntil(entry.follower.accept(applied));
+  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+  isolate(fleet, "vm-5", false);
+  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+  t.deepEqual(revisionsOf(fleet), Array(VMS).fill(2));
+});
+
+test("no VM ever goes back, and a sheet changes whole", async (t) => {
+  const fleet = await start();
+  const { clock } = fleet;
+  const seen = new Map<string, number>();
+  const watch = () => {
+    for (const [vm, entry] of fleet.entries) {
+      const { revision, options } = entry.book.current();
+      t.true(revision >= (seen.get(vm) ?? 0));
+      if (revision > 1) t.is(options.longPromptTokens, revision);
+      seen.set(vm, revision);
+    }
+    clock.schedule(10, watch);
+  };
+  watch();
+  for (let base = 1; base <= 4; base++) {
+    const { entry, applied } = await apply(fleet, base, `vm-${base}`);
+    void entry.follower.accept(applied);
+    await clock.advance(300);
+    fleet.store.setStaleReads(true);
+    await clock.advance(2_500);
+    fleet.store.setStaleReads(false);
+    isolate(fleet, `vm-${base + 4}`, base % 2 === 1);
+  }
+  await clock.advance(2 * EVERYWHERE_MILLISECONDS);
+  t.deepEqual(revisionsOf(fleet), Array(VMS).fill(5));
+});
+
+test("a starting VM takes the peers' sheet during a store outage", async (t) => {
+  const fleet = await start();
+  fleet.kill("vm-4");
+  const { entry, applied } = await apply(fleet, 1);
+  await fleet.clock.advanceUntil(entry.follower.accept(applied));
+  fleet.store.setDown(true);
+  const started = fleet.start("vm-4");
+  t.false(started.isReady());
+  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+  t.true(started.isReady());
+  t.is(revisionOf(fleet, "vm-4"), 2);
+});
+
+test("a starting VM believes the greatest head that it can hear of", async (t) => {
+  const fleet = await start();
+  fleet.store.setStaleReads(true);
+  const { entry, applied } = await apply(fleet, 1);
+  await fleet.clock.advanceUntil(entry.follower.accept(applied));
+  fleet.kill("vm-4");
+  const started = fleet.start("vm-4");
+  while (!started.isReady()) {
+    t.true(fleet.clock.now() < 60_000);
+    await fleet.clock.advance(10);
+  }
+  t.is(revisionOf(fleet, "vm-4"), 2);
+});
+
+test("a starting VM is not ready without store and peers", async (t) => {
+  const fleet = await start();
+  fleet.store.setDown(true);
+  for (const vm of [...fleet.entries.keys()]) fleet.kill(vm);
+  const [first, second] = [fleet.start("vm-1"), fleet.start("vm-2")];
+  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+  t.false(first.isReady() || second.isReady());
+  fleet.store.setDown(false);
+  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+  t.true(first.isReady() && second.isReady());
+  t.deepEqual(revisionsOf(fleet), [1, 1]);
+});
+
+test("two VMs of each data centre watch the store", async (t) => {
+  const fleet = await start();
+  const watchers = 2 * DATA_CENTRES.length;
+  // Every VM may watch for a moment until it knows its peers.
+  t.true(fleet.store.counters.watches <= watchers + VMS);
+  const before = fleet.store.counters.watches;
+  fleet.store.setDown(true);
+  await fleet.clock.advance(100);
+  fleet.store.setDown(false);
+  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+  t.is(fleet.store.counters.watches - before, watchers);
+});
