Check a sheet's references and let callers give deadlines

A sheet with a customer or a key hash twice, or with a share of a customer who is not in it, was accepted, because only the types of columns were checked.

Names that stand twice or nowhere are now faults, reported together with wrong types, with row and column for CSV and with the path for JSON. A model that no engine serves is a warning. A customer's deadline may be 0 or empty: then a request without X-Deadline-Milliseconds is refused with 400 deadline_missing before it is admitted. The sample sheet names the owner of its second model.

--- a/src/bin/sequoiaturn.ts
+++ b/src/bin/sequoiaturn.ts
@@ -3,7 +3,8 @@
 import { readFile } from "node:fs/promises";
 import meow from "meow";
 import { createAdministrationClient } from "../administration/administration_client.ts";
-import { parseSheetCsv, SheetFaultsError } from "../contracts/sheet_csv.ts";
+import { SheetFaultsError } from "../contracts/sheet_check.ts";
+import { parseSheetCsv } from "../contracts/sheet_csv.ts";
 
 /// Exit codes of the tool.
 const EXIT = { failed: 1, usage: 2, invalidSheet: 3 } as const;
--- a/src/contracts/sheet.ts
+++ b/src/contracts/sheet.ts
@@ -26,9 +26,10 @@
   tokensPerSecond: Rate,
   /// Long requests that may run at once.
   concurrentLongRequests: Type.Integer({ minimum: 0 }),
-  /// Longest time a short request may take, in milliseconds.
+  /// Longest time a short request may take, in milliseconds. With 0, each
+  /// request has to give its own deadline.
   shortDeadlineMilliseconds: Duration,
-  /// Longest time a long request may take, in milliseconds.
+  /// The same for a long request.
   longDeadlineMilliseconds: Duration,
 }, { additionalProperties: false });
 export type Customer = Static<typeof Customer>;
--- a/src/contracts/sheet_csv.ts
+++ b/src/contracts/sheet_csv.ts
@@ -1,6 +1,6 @@
 import type { TObject, TSchema } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
-import { parse } from "csv-parse/sync";
+import { CsvError, parse } from "csv-parse/sync";
 import {
   Customer,
   EMPTY_SHEET,
@@ -10,24 +10,12 @@
   SheetOptions,
   Upstream,
 } from "./sheet.ts";
-
-/// Something wrong in a sheet, with its place in the file. Rows and columns
-/// count from one.
-export interface SheetFault {
-  readonly row: number;
-  readonly column: number;
-  readonly message: string;
-}
-
-/// The file is not a valid sheet. Carries every fault found.
-export class SheetFaultsError extends Error {
-  override readonly name = "SheetFaultsError";
-  readonly faults: readonly SheetFault[];
-  constructor(faults: readonly SheetFault[]) {
-    super(`the sheet has ${faults.length} faults`);
-    this.faults = faults;
-  }
-}
+import {
+  checkReferences,
+  type LooseSheet,
+  type SheetFault,
+  SheetFaultsError,
+} from "./sheet_check.ts";
 
 const SECTIONS = {
   options: SheetOptions,
@@ -51,32 +39,54 @@
 export function parseSheetCsv(text: string): Sheet {
   const faults: SheetFault[] = [];
   const sections = readSections(text, faults);
-  const sheet: Record<string, unknown> = { ...EMPTY_SHEET };
+  const rows: Record<string, Record<string, unknown>[]> = {};
   for (const [name, records] of sections) {
-    const values = records.map((record) =>
+    rows[name] = records.map((record) =>
       readRecord(SECTIONS[name], record, faults)
     );
-    sheet[name] = name === "options"
-      ? values[0] ?? EMPTY_SHEET.options
-      : values;
   }
-  if (faults.length > 0) throw new SheetFaultsError(faults);
-  return sheet as Sheet;
+  for (const record of sections.get("options")?.slice(1) ?? []) {
+    const { row } = record.get("")!;
+    faults.push({ row, column: 1, message: "expected one row of options" });
+  }
+  for (const fault of checkReferences(rows as LooseSheet)) {
+    const record = sections.get(fault.section)![fault.index]!;
+    const { row, column } = record.get(fault.column) ?? record.get("")!;
+    faults.push({ row, column, message: fault.message });
+  }
+  if (faults.length > 0) throw new SheetFaultsError(inFileOrder(faults));
+  const options = rows.options?.[0] ?? EMPTY_SHEET.options;
+  return { ...EMPTY_SHEET, ...rows, options } as Sheet;
+}
+
+function inFileOrder(faults: readonly SheetFault[]): SheetFault[] {
+  return faults.toSorted((left, right) =>
+    left.row! - right.row! || left.column! - right.column!
+  );
 }
 
 type SheetRecord = ReadonlyMap<string, Cell>;
 
-function readRows(text: string): string[][] {
+/// Lines that decide which delimiter a file uses.
+const DELIMITER_LINES = 8;
+
+function readRows(text: string, faults: SheetFault[]): string[][] {
   const body = text.replace(/^\uFEFF/, "");
-  const firstLine = body.slice(0, body.indexOf("\n"));
-  const header = body.split("\n", 2)[1] ?? firstLine;
-  const delimiter = header.includes(";") ? ";" : ",";
-  return parse(body, {
-    delimiter,
-    relax_column_count: true,
-    skip_empty_lines: false,
-    trim: true,
-  }) as string[][];
+  const start = body.split("\n", DELIMITER_LINES).join("\n");
+  const countOf = (delimiter: string) => start.split(delimiter).length;
+  try {
+    return parse(body, {
+      delimiter: countOf(";") > countOf(",") ? ";" : ",",
+      relax_column_count: true,
+      skip_empty_lines: false,
+      trim: true,
+    }) as string[][];
+  } catch (error) {
+    if (!(error instanceof CsvError)) throw error;
+    const row = Number(error.lines ?? 1);
+    faults.push({ row, column: 1, message: error.message });
+    return [];
+  }
 }
 
 function readSections(
@@ -86,7 +96,7 @@
   const sections = new Map<SectionName, SheetRecord[]>();
   let records: SheetRecord[] | undefined;
   let columns: string[] | undefined;
-  for (const [index, cells] of readRows(text).entries()) {
+  for (const [index, cells] of readRows(text, faults).entries()) {
     const row = index + 1;
     if (cells.every((cell) => cell === "")) continue;
     const title = /^\[(.*)\]$/.exec(cells[0] ?? "")?.[1];
@@ -97,6 +107,13 @@
       faults.push({ row, column: 1, message: "expected a [section]" });
     } else if (!columns) {
       columns = cells;
+      const twice = cells.findIndex((name, position) =>
+        name !== "" && cells.indexOf(name) < position
+      );
+      if (twice >= 0) {
+        const message = `column ${cells[twice]} stands twice`;
+        faults.push({ row, column: twice + 1, message });
+      }
     } else {
       records.push(toRecord(cells, columns, row));
     }
@@ -139,11 +156,15 @@
   schema: TObject,
   record: SheetRecord,
   faults: SheetFault[],
-): unknown {
+): Record<string, unknown> {
   const value: Record<string, unknown> = {};
   const { row } = record.get("")!;
   for (const [name, property] of Object.entries(schema.properties)) {
     const cell = record.get(name);
+    if (!cell && property.default !== undefined) {
+      value[name] = property.default;
+      continue;
+    }
     if (!cell) {
       faults.push({ row, column: 1, message: `column ${name} is missing` });
       continue;
@@ -169,6 +190,7 @@
   if (schema.type === "array") {
     return text === "" ? [] : text.split(LIST_SEPARATOR);
   }
+  if (text === "" && schema.default !== undefined) return schema.default;
   if (schema.type === "number" || schema.type === "integer") {
     return text === "" ? text : Number(text);
   }
@@ -186,5 +208,10 @@
   }
   if (schema.type === "boolean") return "yes or no";
   if (schema.pattern) return `text that matches ${schema.pattern}`;
+  if (schema.type === "integer") {
+    return `a whole number of at least ${schema.minimum}`;
+  }
+  if (schema.type === "number") return "a number above 0";
+  if (schema.type === "array") return `a list of ${describe(schema.items)}`;
   return `a valid ${schema.type}`;
 }
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -5,7 +5,7 @@
   PRIORITIES,
   type Priority,
 } from "../contracts/sheet.ts";
-import type { Clock } from "../support/clock.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
 import type { EngineChunk } from "../upstreams/engine_client.ts";
@@ -91,6 +91,8 @@
   readonly caller: Authenticated;
   readonly tokens: number;
   readonly isLong: boolean;
+  /// Time until its deadline.
+  readonly limit: Milliseconds;
 }
 
 /// The less urgent of the customer's priority and the one asked for.
@@ -111,11 +113,15 @@
 }
 
 /// Time the request may take: the smaller of the caller's and the contract's.
+/// A contract may leave it to the caller.
 function deadlineOf({ customer, received }: Authenticated, isLong: boolean) {
   const limit = isLong
     ? customer.longDeadlineMilliseconds
     : customer.shortDeadlineMilliseconds;
-  return Math.min(received.headers.deadline ?? limit, limit);
+  const { deadline } = received.headers;
+  if (limit > 0) return Math.min(deadline ?? limit, limit);
+  if (deadline === undefined) throw new RequestError("deadline_missing");
+  return deadline;
 }
 
 export function createRequestHandler(
@@ -137,7 +143,7 @@
     action: (context: RunContext) => Promise<Result>,
   ): Promise<Result> => {
     const { open, caller } = work;
-    const deadline = startDeadline(clock, deadlineOf(caller, work.isLong));
+    const deadline = startDeadline(clock, work.limit);
     const signal = AbortSignal.any([deadline.signal, caller.received.gone]);
     let release = () => {};
     try {
@@ -205,6 +211,7 @@
       const plan = planCompletion(caller, completion);
       const { customer, isLong } = plan;
       const promptTokens = plan.prompt.tokens;
+      const limit = deadlineOf(caller, isLong);
       const open = registry.open({
         id: received.id,
         kind: "completion",
@@ -214,7 +221,8 @@
         isLong,
       });
       const tokens = promptTokens + plan.maximumTokens;
-      await carryOut({ open, caller, tokens, isLong }, async (context) => {
+      const work = { open, caller, tokens, isLong, limit };
+      await carryOut(work, async (context) => {
         const answer = options.completions.run(plan, context);
         await sink(learnUsage(answer, plan), context.signal);
       });
@@ -225,6 +233,7 @@
       if (contracts.upstreamsOf("service", service).length === 0) {
         throw new RequestError("service_unknown");
       }
+      const limit = deadlineOf(caller, false);
       const customer = caller.customer.name;
       const open = registry.open({
         id: received.id,
@@ -235,7 +244,7 @@
         isLong: false,
       });
       const { idempotencyKey } = received.headers;
-      const work = { open, caller, tokens: 0, isLong: false };
+      const work = { open, caller, tokens: 0, isLong: false, limit };
       return await carryOut(work, (context) => {
         const keyed = { ...call, idempotencyKey };
         const plan = { customer, service, call: keyed, contracts };
--- a/stand_ins/sample_sheet.ts
+++ b/stand_ins/sample_sheet.ts
@@ -16,6 +16,7 @@
     options;
   const numbers = (count: number) =>
     Array.from({ length: count }, (_, index) => index + 1);
+  let nextPort = 1;
   const upstream = (
     kind: "engine" | "service",
     serves: string,
@@ -25,14 +26,16 @@
     kind,
     serves,
     dataCentre: "muttrah",
-    address: "127.0.0.1:1",
+    address: `127.0.0.1:${nextPort++}`,
     checksFencing: true,
   });
   return {
     options: { objective: "slowdown", longPromptTokens: 100_000 },
-    customers: Object.entries(keys).map(([name, key]) => ({
+    customers: Object.entries({ ...keys, nobody: "" }).map(([name, key]) => ({
       name,
-      keyHashes: [createHash("sha256").update(key).digest("hex")],
+      keyHashes: key === ""
+        ? []
+        : [createHash("sha256").update(key).digest("hex")],
       priority: "normal",
       weight: 1,
       requestsPerSecond: 1_000,
--- a/test/contracts/sheet_csv_test.ts
+++ b/test/contracts/sheet_csv_test.ts
@@ -1,9 +1,12 @@
 import { readFile } from "node:fs/promises";
 import test from "ava";
 import {
-  parseSheetCsv,
+  checkSheet,
   SheetFaultsError,
-} from "../../src/contracts/sheet_csv.ts";
+  warningsOf,
+} from "../../src/contracts/sheet_check.ts";
+import { parseSheetCsv } from "../../src/contracts/sheet_csv.ts";
+import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
 
 const MINIMAL = [
   "[options]",
@@ -12,6 +15,9 @@
   "[models]",
   "customer,model,version,share",
   "a,text,1,1",
+  "[customers]",
+  "name,keyHashes,priority,weight,requestsPerSecond,tokensPerSecond,concurrentLongRequests,shortDeadlineMilliseconds",
+  `a,${"0".repeat(64)},normal,1,1,1,1,`,
 ].join("\n");
 
 for (const file of ["samples/muscat.csv", "samples/thar.csv"]) {
@@ -36,11 +42,71 @@
 }
 
 test("reports every fault with its row and column", (t) => {
-  const text = MINIMAL.replace("a,text,1,1", "a b,text,1,many")
+  const text = MINIMAL.replace("a,text,1,1", "a b,text,1,many\nb,text,1,1")
     .replace("slowdown", "speed") + "\n[nothing]\n";
   const error = t.throws(() => parseSheetCsv(text), {
     instanceOf: SheetFaultsError,
   });
   const places = error?.faults.map(({ row, column }) => [row, column]);
-  t.deepEqual(places, [[7, 1], [3, 1], [6, 1], [6, 4]]);
+  // The options, an unreadable customer, who is unknown as well, and a share,
+  // an unknown customer, and the section.
+  t.deepEqual(places, [[3, 1], [6, 1], [6, 1], [6, 4], [7, 1], [11, 1]]);
+});
+
+test("a customer's deadline may be left to its callers", (t) => {
+  const [customer] = parseSheetCsv(MINIMAL).customers;
+  t.is(customer?.shortDeadlineMilliseconds, 0);
+  t.is(customer?.longDeadlineMilliseconds, 0);
+});
+
+test("an unclosed quotation is a fault with its row", (t) => {
+  const error = t.throws(() => parseSheetCsv(MINIMAL + '\n"'), {
+    instanceOf: SheetFaultsError,
+  });
+  t.is(error?.faults[0]?.row, 10);
+});
+
+const twice = <Item>(items: readonly Item[]) => [...items, items[0]!];
+const VALID = sampleSheet();
+const { customers, models, upstreams, operations } = VALID;
+
+const WRONG: readonly [string, object, string[]][] = [
+  ["customer twice", { customers: twice(customers) }, [
+    `/customers/${customers.length}/name`,
+    `/customers/${customers.length}/keyHashes`,
+  ]],
+  ["share twice", { models: twice(models) }, [
+    `/models/${models.length}/customer`,
+  ]],
+  ["unknown customer", { models: [{ ...models[0]!, customer: "x" }] }, [
+    "/models/0/customer",
+  ]],
+  ["upstream twice", { upstreams: twice(upstreams) }, [
+    `/upstreams/${upstreams.length}/name`,
+    `/upstreams/${upstreams.length}/address`,
+  ]],
+  ["unknown service", { operations: [{ ...operations[0]!, service: "x" }] }, [
+    "/operations/0/service",
+  ]],
+  ["unknown status path", { operations: [operations[1]!] }, [
+    "/operations/0/statusPath",
+  ]],
+  ["wrong type beside an unknown name", {
+    models: [{ ...models[0]!, customer: "x", share: "much" }],
+  }, ["/models/0/share", "/models/0/customer"]],
+  ["no sections", { customers: undefined }, ["/customers"]],
+];
+
+for (const [name, change, paths] of WRONG) {
+  test(`refuses a sheet with ${name}`, (t) => {
+    const error = t.throws(() => checkSheet({ ...VALID, ...change }), {
+      instanceOf: SheetFaultsError,
+    });
+    t.deepEqual(error?.faults.map(({ path }) => path), paths);
+  });
+}
+
+test("a valid sheet may have warnings", (t) => {
+  t.is(checkSheet(VALID), VALID);
+  t.deepEqual(warningsOf(VALID), ['no engine serves model "other" yet']);
 });
--- a/test/requests/caller_api_test.ts
+++ b/test/requests/caller_api_test.ts
@@ -15,12 +15,14 @@
 let deployment: Deployment;
 
 test.before(async () => {
-  const sheet: Sheet = sampleSheet({ keys: { caller: KEY, slow: "slow-key" } });
-  const limited = sheet.customers.map((customer) =>
-    customer.name === "slow"
-      ? { ...customer, requestsPerSecond: 0.01 }
-      : customer
-  );
+  const sheet: Sheet = sampleSheet({
+    keys: { caller: KEY, slow: "slow-key", free: "free-key" },
+  });
+  const limited = sheet.customers.map((customer) => ({
+    ...customer,
+    ...(customer.name === "slow" && { requestsPerSecond: 0.01 }),
+    ...(customer.name === "free" && { shortDeadlineMilliseconds: 0 }),
+  }));
   deployment = await startDeployment({
     sheet: { ...sheet, customers: limited },
     vms: 1,
@@ -89,6 +91,21 @@
     400,
     "malformed_request",
   ],
+  [
+    "a missing deadline where the contract has none",
+    { headers: { authorization: "Bearer free-key" } },
+    400,
+    "deadline_missing",
+  ],
+  [
+    "an action with a missing deadline",
+    {
+      path: "/v1/services/desk/orders",
+      headers: { authorization: "Bearer free-key" },
+    },
+    400,
+    "deadline_missing",
+  ],
   [
     "an unknown priority",
     { headers: { "x-priority": "highest" } },
@@ -125,6 +142,18 @@
   });
 }
 
+test("takes the caller's deadline where the contract has none", async (t) => {
+  const caller = createCaller(address(), "free-key");
+  const answer = await caller.complete({
+    model: "text",
+    prompt: "hello",
+    maximumTokens: 1,
+    headers: { "x-deadline-milliseconds": "20000" },
+  });
+  t.is(answer.status, 200);
+  await caller.close();
+});
+
 test("refuses a customer whose limit is spent", async (t) => {
   const headers = { authorization: "Bearer slow-key" };
   await post({ headers });
