--- a/src/entry.ts
+++ b/src/entry.ts
@@ -2,6 +2,10 @@
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import {
+  type SheetCollector,
+  startSheetCollector,
+} from "./contracts/sheet_collector.ts";
 import {
   type SheetFollower,
   startSheetFollower,
@@ -66,6 +70,7 @@
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
+  readonly collector: SheetCollector;
   readonly engines: EngineDirectory;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
@@ -94,9 +99,10 @@
     onExpelled: options.onExpelled,
   });
   const book = createContractBook();
-  const sheets = createSheetStore(store);
+  const sheets = createSheetStore({ store, clock });
   const follower = startSheetFollower({
     clock,
+    random,
     log: logFor("contracts"),
     links,
     sheets,
@@ -109,6 +115,13 @@
     book,
     vmList,
   });
+  const collector = startSheetCollector({
+    clock,
+    random,
+    log: logFor("contracts"),
+    links,
+    sheets,
+  });
   const engines = createEngineDirectory({
     clock,
     book,
@@ -144,6 +157,7 @@
     book,
     sheets,
     follower,
+    collector,
     engines,
     registry,
     handler,
@@ -159,6 +173,7 @@
       membership.close();
       leavingUpstreams.close();
       follower.close();
+      collector.close();
       engines.close();
     },
   };
