End a stream's answer only after its memory is released

Cause: since the end marker is written with the last event, the answer ended before the spans' reservations were released; the test of the prompt of 44,000 tokens saw 14,675 tokens still held. Change: the last event is kept until the run has ended, then written with the end marker in one write. Conclusion: a caller that has the end marker knows its memory is free.

--- a/src/requests/answer_writer.ts
+++ b/src/requests/answer_writer.ts
@@ -68,6 +68,7 @@
   answer: AsyncIterable<EngineChunk>,
   options: { identity: AnswerIdentity; signal: AbortSignal },
 ): Promise<void> {
+  let last = "";
   for await (const chunk of answer) {
     if (!response.headersSent) {
       response.writeHead(200, {
@@ -82,11 +83,12 @@
       whole: false,
     });
     const event = `data: ${JSON.stringify(document)}\n\n`;
-    if (end) return void response.end(event + END_OF_STREAM);
-    if (!response.write(event)) {
+    if (end) last = event;
+    else if (!response.write(event)) {
       await raceAbort(untilDrained(response), options.signal);
     }
   }
+  response.end(last + END_OF_STREAM);
 }
 
 /// Collects the answer and writes it as one document.
