Commit claims of one-time actions in groups

Cause: each claim cost one write, records were kept for ever, a withdrawal deleted a record that a delayed write could bring back, and a duplicate of a running action was told that its outcome was unknown. Duplicates follow the running claim at its own entry. Keys issued by an entry live in its memory and cost no write. Streams share the shards.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -12,7 +12,9 @@
 import type { KeyValueStore } from "./platform/key_value_store.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
+import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
+import { createLedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -90,7 +92,9 @@
   const registry = createRequestRegistry(clock);
   const admission = createAdmission(clock);
   const placement = new ShortestWaitPlacement(random);
-  const ledger = createLedger(store);
+  const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const issuedKeys = createIssuedKeys({ clock, random, links });
+  const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
     clock,
     random,
@@ -101,6 +105,7 @@
     completions: createCompletionRunner({ clock, engines, placement }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
+    issuedKeys,
   });
   let draining = false;
 
@@ -115,7 +120,8 @@
     async drain(limit) {
       draining = true;
       admission.stop();
-      await Promise.race([registry.whenIdle(), clock.sleep(limit)]);
+      const idle = registry.whenIdle().then(() => ledger.whenIdle());
+      await Promise.race([idle, clock.sleep(limit)]);
     },
     close() {
       follower.close();
--- a/src/requests/caller_api.ts
+++ b/src/requests/caller_api.ts
@@ -146,6 +146,14 @@
     "/v1/chat/completions",
     (request, reply) => complete(request, reply, readChatBody(request.body)),
   );
+  application.post("/v1/idempotency-keys", (request, reply) => {
+    const received = receive(request, reply);
+    const idempotencyKey = handler.issueKey(received);
+    return reply
+      .code(201)
+      .header("x-request-id", received.id)
+      .send({ idempotencyKey });
+  });
   application.register((scope, _options, done) => {
     scope.removeAllContentTypeParsers();
     const parseAs = "buffer" as const;
--- a/src/requests/idempotency_key.ts
+++ b/src/requests/idempotency_key.ts
@@ -1,17 +1,55 @@
+import type { Milliseconds } from "../support/clock.ts";
+
 /// Keys that callers give to requests that must run at most once: UUIDs of
-/// version 7, which carry their time of creation.
+/// version 7, which carry their time of creation, or keys that an entry issued.
+
+export type IdempotencyKey =
+  | { readonly kind: "caller"; readonly time: Milliseconds }
+  | {
+    readonly kind: "issued";
+    readonly vm: string;
+    readonly incarnation: string;
+    /// Time of issue on the monotonic clock of that incarnation.
+    readonly time: Milliseconds;
+  };
+
+export interface IssuedKeyParts {
+  readonly vm: string;
+  readonly incarnation: string;
+  readonly time: Milliseconds;
+  readonly randomHex: string;
+}
 
 const UUID_7 =
   /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/;
+const ISSUED =
+  /^issued\.([A-Za-z0-9._-]+)\.([0-9a-f]+)\.([0-9]{1,15})\.[0-9a-f]+$/;
+const MAXIMUM_KEY_LENGTH = 160;
+
+/// Undefined when it is neither a UUID of version 7 in lower case nor an
+/// issued key.
+export function parseKey(key: string): IdempotencyKey | undefined {
+  if (key.length > MAXIMUM_KEY_LENGTH) return undefined;
+  const uuid = UUID_7.exec(key);
+  if (uuid) return { kind: "caller", time: parseInt(uuid[1]! + uuid[2]!, 16) };
+  const issued = ISSUED.exec(key);
+  if (!issued) return undefined;
+  const [, vm, incarnation, time] = issued;
+  return {
+    kind: "issued",
+    vm: vm!,
+    incarnation: incarnation!,
+    time: Number(time),
+  };
+}
 
-/// Time in the key in milliseconds since the Unix epoch, or undefined when it
-/// is no UUID of version 7 in lower case.
-export function timeOfKey(key: string): number | undefined {
-  const match = UUID_7.exec(key);
-  return match ? parseInt(match[1]! + match[2]!, 16) : undefined;
+/// Builds a key that names the incarnation that issues it.
+export function formatIssuedKey(parts: IssuedKeyParts): string {
+  const { vm, incarnation, time, randomHex } = parts;
+  return `issued.${vm}.${incarnation}.${Math.floor(time)}.${randomHex}`;
 }
 
-/// Builds a key from a time and 10 random bytes in hexadecimal.
+/// Builds a UUID of version 7 from a time and 10 random bytes in hexadecimal.
 export function createKey(wallTime: number, randomHex: string): string {
   const time = Math.floor(wallTime).toString(16).padStart(12, "0");
   const variant = "89ab"[parseInt(randomHex[3]!, 16) & 3];
--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -1,141 +1,169 @@
-import { createHash } from "node:crypto";
-import { type Static, Type } from "@sinclair/typebox";
-import { Value } from "@sinclair/typebox/value";
-import {
-  type KeyValueStore,
-  StoreOutcomeUnknownError,
-} from "../platform/key_value_store.ts";
+import { raceAbort } from "../support/abort.ts";
+import type { Clock } from "../support/clock.ts";
+import type { Links } from "../links/links.ts";
+import { withTimeout } from "../support/timeout.ts";
+import { createClaimFollower } from "./claim_follower.ts";
+import { type ClaimState, createClaimRegister } from "./claim_register.ts";
+import type { Claim, ClaimResult } from "./claim.ts";
+import { type IssuedKeys, IssuerLostError } from "./issued_keys.ts";
+import { type LedgerHome, LedgerUnavailableError } from "./ledger_home.ts";
+import type {
+  ClaimOperation,
+  LedgerOperation,
+  LedgerReply,
+} from "./ledger_operation.ts";
+import type { RecordedOutcome } from "./ledger_state.ts";
 
-/// The record of one-time actions in the key-value service. A key is claimed
-/// before its request is sent and is never claimed twice.
-
-const SHARD_PREFIX = "sequoiaturn/ledger/";
-const SHARDS = 64;
-/// Conflicting writes that one claim tries again after.
-const MAXIMUM_CONFLICTS = 32;
-
-export const RecordedOutcome = Type.Object({
-  status: Type.Integer(),
-  contentType: Type.String(),
-  /// Start of the body in base 64.
-  body: Type.String(),
-});
-export type RecordedOutcome = Static<typeof RecordedOutcome>;
-
-const LedgerRecord = Type.Object({
-  /// Names the one try that may send the request.
-  claimId: Type.String(),
-  fingerprint: Type.String(),
-  outcome: Type.Optional(RecordedOutcome),
-});
-type LedgerRecord = Static<typeof LedgerRecord>;
-
-const LedgerShard = Type.Object({
-  records: Type.Record(Type.String(), LedgerRecord),
-});
-type LedgerShard = Static<typeof LedgerShard>;
-
-/// What the ledger says of a key.
-export type ClaimResult =
-  | { readonly kind: "claimed" }
-  | { readonly kind: "recorded"; readonly outcome: RecordedOutcome }
-  | { readonly kind: "claimedByOther" }
-  | { readonly kind: "differentRequest" };
-
-export interface Claim {
-  readonly key: string;
-  readonly claimId: string;
-  /// Digest of the request, so that a key can't be used for another one.
-  readonly fingerprint: string;
-}
+/// The record of one-time actions. A key is claimed before its request is
+/// sent; only a confirmed claim is sent, and a key is never run twice.
 
 export interface Ledger {
-  /// Claims the key, unless it has been. Throws the store's errors; then
-  /// nothing may be sent.
-  claim(claim: Claim): Promise<ClaimResult>;
-  /// Records how the claimed request ended.
-  record(claim: Claim, outcome: RecordedOutcome): Promise<void>;
-  /// Takes back a claim of which nothing was sent.
-  withdraw(claim: Claim): Promise<void>;
+  /// Claims the key, or follows the claim that is running until its end or
+  /// the signal. Throws `LedgerUnavailableError` and the signal's reason;
+  /// then the claim is abandoned and nothing may be sent.
+  claim(claim: Claim, signal: AbortSignal): Promise<ClaimResult>;
+  /// To be called before the first byte is sent. Returns false when the claim
+  /// may not be sent.
+  markSent(claim: Claim): boolean;
+  /// Takes `markSent` back after no byte went out.
+  markNotReached(claim: Claim): void;
+  /// Gives back a claim of which nothing was sent.
+  abandon(claim: Claim): void;
+  /// Records how the request ended, or that this can't be known.
+  finish(claim: Claim, outcome: RecordedOutcome | undefined): void;
+  /// Resolves when every outcome is recorded.
+  whenIdle(): Promise<void>;
 }
 
-function shardOf(key: string): string {
-  const digest = createHash("sha256").update(key).digest();
-  return SHARD_PREFIX + (digest[0]! % SHARDS);
+export interface LedgerOptions {
+  readonly clock: Clock;
+  readonly links: Links;
+  readonly home: LedgerHome;
+  readonly issuedKeys: IssuedKeys;
 }
 
-type Change = (records: LedgerShard["records"]) => boolean;
+const CLAIM_TIMEOUT_MILLISECONDS = 2_500;
+/// Delays between tries to record an outcome.
+const RECORD_RETRY_MILLISECONDS = [500, 2_000, 10_000];
+const RECORD_TRIES = 60;
+const RELEASE_TRIES = 3;
+
+export function createLedger(options: LedgerOptions): Ledger {
+  const { clock, links, home, issuedKeys } = options;
+  const { self } = links;
+  const register = createClaimRegister(clock);
+  let backgroundWrites = 0;
+  let idleWaiters: (() => void)[] = [];
+
+  const submit = ({ parsedKey }: Claim, operation: LedgerOperation) =>
+    parsedKey.kind === "issued"
+      ? issuedKeys.submit(parsedKey, operation)
+      : home.submit(operation);
 
-/// Creates a ledger in `store`.
-export function createLedger(store: KeyValueStore): Ledger {
-  const readShard = async (shardKey: string) => {
-    const stored = await store.get(shardKey);
-    const shard: LedgerShard = stored
-      ? Value.Parse(
-        LedgerShard,
-        JSON.parse(Buffer.from(stored.value).toString()),
-      )
-      : { records: {} };
-    return { shard, revision: stored?.modifiedRevision ?? 0 };
+  /// Submits an operation that somebody waits for.
+  const submitNow = (
+    claim: Claim,
+    operation: LedgerOperation,
+    signal: AbortSignal,
+  ): Promise<LedgerReply> => {
+    const bounded = withTimeout(submit(claim, operation), {
+      clock,
+      limit: CLAIM_TIMEOUT_MILLISECONDS,
+      onTimeout: () => new LedgerUnavailableError("no confirmation in time"),
+    });
+    return raceAbort(bounded, signal);
   };
 
-  /// Applies `change` and writes the shard until no other write comes
-  /// between. `change` returns false when there is nothing to write.
-  const changeShard = async (key: string, change: Change) => {
-    const shardKey = shardOf(key);
-    for (let tries = 0; tries < MAXIMUM_CONFLICTS; tries++) {
-      const { shard, revision } = await readShard(shardKey);
-      if (!change(shard.records)) return;
-      const value = Buffer.from(JSON.stringify(shard));
-      const guard = { key: shardKey, modifiedRevision: revision };
-      const put = { kind: "put", key: shardKey, value } as const;
+  const submitInBackground = async (
+    claim: Claim,
+    operation: LedgerOperation,
+    limit: number,
+  ) => {
+    backgroundWrites++;
+    for (let tries = 0; tries < limit; tries++) {
       try {
-        const result = await store.transact([guard], [put]);
-        if (result.succeeded) return;
+        await submit(claim, operation);
+        break;
       } catch (error) {
-        if (!(error instanceof StoreOutcomeUnknownError)) throw error;
+        if (!(error instanceof LedgerUnavailableError)) break;
+        const delays = RECORD_RETRY_MILLISECONDS;
+        await clock.sleep(delays[Math.min(tries, delays.length - 1)]!);
       }
     }
-    throw new StoreOutcomeUnknownError("too many conflicting writes");
+    if (--backgroundWrites > 0) return;
+    idleWaiters.forEach((resolve) => resolve());
+    idleWaiters = [];
+  };
+
+  const toOperation = (claim: Claim): ClaimOperation => {
+    const { key, claimId, fingerprint, parsedKey } = claim;
+    const { vm, incarnation } = self;
+    const holder = { claimId, vm, incarnation };
+    return { kind: "claim", key, keyTime: parsedKey.time, fingerprint, holder };
+  };
+
+  const follower = createClaimFollower({ clock, links, register, submitNow });
+
+  const claimOnce = async (claim: Claim, signal: AbortSignal) => {
+    const operation = toOperation(claim);
+    const reply = await submitNow(claim, operation, signal);
+    return await follower.follow({ claim, operation, signal }, reply);
+  };
+
+  /// What this VM knows by itself while the record can't be read.
+  const recall = (claim: Claim): ClaimResult | undefined => {
+    const sent = register.sentFor(claim.key);
+    if (!sent) return undefined;
+    if (sent.fingerprint !== claim.fingerprint) {
+      return { kind: "differentRequest" };
+    }
+    return toRecalled(sent.state);
+  };
+
+  const abandon = (claim: Claim) => {
+    register.abandon(claim.claimId);
+    const { key, claimId } = claim;
+    const operation = { kind: "release", key, claimId } as const;
+    void submitInBackground(claim, operation, RELEASE_TRIES);
   };
 
   return {
-    async claim({ key, claimId, fingerprint }) {
-      let result: ClaimResult = { kind: "claimed" };
-      await changeShard(key, (records) => {
-        const found = records[key];
-        if (!found) {
-          records[key] = { claimId, fingerprint };
-          return true;
-        }
-        result = judge(found, { key, claimId, fingerprint });
-        return false;
-      });
-      return result;
-    },
-    async record({ key, claimId }, outcome) {
-      await changeShard(key, (records) => {
-        const found = records[key];
-        if (found?.claimId !== claimId || found.outcome) return false;
-        records[key] = { ...found, outcome };
-        return true;
-      });
+    async claim(claim, signal) {
+      register.open(claim);
+      try {
+        const result = await claimOnce(claim, signal);
+        if (result.kind !== "claimed") register.abandon(claim.claimId);
+        else signal.throwIfAborted();
+        return result;
+      } catch (error) {
+        abandon(claim);
+        if (error instanceof IssuerLostError) return { kind: "unknown" };
+        const recalled = error instanceof LedgerUnavailableError
+          ? recall(claim)
+          : undefined;
+        if (recalled) return recalled;
+        throw error;
+      }
     },
-    async withdraw({ key, claimId }) {
-      await changeShard(key, (records) => {
-        if (records[key]?.claimId !== claimId) return false;
-        delete records[key];
-        return true;
-      });
+    markSent: ({ claimId }) => register.markSent(claimId),
+    markNotReached: ({ claimId }) => register.markNotReached(claimId),
+    abandon,
+    finish(claim, outcome) {
+      const { key, claimId } = claim;
+      register.end(claimId, outcome);
+      if (!outcome) return;
+      const operation = { kind: "record", key, claimId, outcome } as const;
+      void submitInBackground(claim, operation, RECORD_TRIES);
     },
+    whenIdle: () =>
+      backgroundWrites === 0
+        ? Promise.resolve()
+        : new Promise((resolve) => idleWaiters.push(resolve)),
   };
 }
 
-function judge(found: LedgerRecord, claim: Claim): ClaimResult {
-  if (found.fingerprint !== claim.fingerprint) {
-    return { kind: "differentRequest" };
-  }
-  if (found.outcome) return { kind: "recorded", outcome: found.outcome };
-  if (found.claimId === claim.claimId) return { kind: "claimed" };
-  return { kind: "claimedByOther" };
+function toRecalled(state: ClaimState): ClaimResult {
+  return state.kind === "finished"
+    ? { kind: "recorded", outcome: state.outcome }
+    : { kind: "unknown" };
 }
--- a/src/requests/request_error.ts
+++ b/src/requests/request_error.ts
@@ -24,6 +24,7 @@
   no_upstream: [503, "No upstream is available"],
   draining: [503, "This entry is stopping"],
   store_unavailable: [503, "The key-value service is unavailable"],
+  ledger_full: [503, "The record of one-time actions has no room"],
   outcome_unknown: [409, "The outcome of this key is unknown"],
   still_running: [409, "A request with this key is running"],
   upstream_lost: [502, "The upstream was lost"],
@@ -43,12 +44,15 @@
   readonly code: ProblemCode;
   readonly executed: Executed;
   readonly requestId: string;
+  /// Path that tells what became of the key, where there is one.
+  readonly statusPath?: string;
 }
 
 export interface RequestErrorOptions extends ErrorOptions {
   readonly executed?: Executed;
   readonly retryAfterSeconds?: number;
   readonly detail?: string;
+  readonly statusPath?: string;
 }
 
 /// The end of a request that did not finish. `executed` is "no" unless said
@@ -58,12 +62,14 @@
   readonly code: ProblemCode;
   readonly executed: Executed;
   readonly retryAfterSeconds: number | undefined;
+  readonly statusPath: string | undefined;
 
   constructor(code: ProblemCode, options: RequestErrorOptions = {}) {
     super(options.detail ?? PROBLEMS[code][1], options);
     this.code = code;
     this.executed = options.executed ?? "no";
     this.retryAfterSeconds = options.retryAfterSeconds;
+    this.statusPath = options.statusPath;
   }
 
   get status(): number {
@@ -80,6 +86,7 @@
       code: this.code,
       executed: this.executed,
       requestId,
+      ...(this.statusPath ? { statusPath: this.statusPath } : {}),
     };
   }
 }
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -24,6 +24,7 @@
   RunContext,
 } from "./completion_run.ts";
 import { startDeadline } from "./deadline.ts";
+import type { IssuedKeys } from "./issued_keys.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
 import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
 import type { ServiceRunner } from "./service_run.ts";
@@ -41,6 +42,7 @@
   readonly completions: CompletionRunner;
   readonly services: ServiceRunner;
   readonly estimator: TokenEstimator;
+  readonly issuedKeys: IssuedKeys;
 }
 
 /// A request as it came in.
@@ -74,6 +76,8 @@
     received: ReceivedRequest,
     call: ReceivedServiceCall,
   ): Promise<ServiceAnswer>;
+  /// Issues an idempotency key. Throws `RequestError`.
+  issueKey(received: ReceivedRequest): string;
 }
 
 const PRIORITY_STEP = 10;
@@ -242,5 +246,10 @@
         return options.services.run(plan, context);
       });
     },
+    issueKey(received) {
+      const { customer } = authenticate(received);
+      admission.admit({ customer, tokens: 0, isLong: false }).release();
+      return options.issuedKeys.issue();
+    },
   };
 }
--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -1,9 +1,5 @@
 import { createHash } from "node:crypto";
 import type { Contracts } from "../contracts/contract_book.ts";
-import {
-  StoreOutcomeUnknownError,
-  StoreUnavailableError,
-} from "../platform/key_value_store.ts";
 import { raceAbort } from "../support/abort.ts";
 import type { Clock } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
@@ -15,9 +11,16 @@
 } from "../upstreams/service_client.ts";
 import type { ServiceDirectory } from "../upstreams/service_directory.ts";
 import type { RunContext } from "./completion_run.ts";
-import { timeOfKey } from "./idempotency_key.ts";
-import type { Claim, Ledger, RecordedOutcome } from "./ledger.ts";
-import { RequestError, toRequestError } from "./request_error.ts";
+import type { Claim } from "./claim.ts";
+import { parseKey } from "./idempotency_key.ts";
+import type { Ledger } from "./ledger.ts";
+import { LedgerUnavailableError } from "./ledger_home.ts";
+import { RECORDED_BODY_BYTES, type RecordedOutcome } from "./ledger_state.ts";
+import {
+  type ProblemCode,
+  RequestError,
+  toRequestError,
+} from "./request_error.ts";
 
 /// Runs one admitted call of a plain service. Idempotent operations are
 /// retried; the others are claimed in the ledger and sent at most once.
@@ -43,11 +46,14 @@
 
 const MAXIMUM_ATTEMPTS = 3;
 const RETRY_DELAY_MILLISECONDS = 50;
-/// Bytes of an answer that the ledger keeps.
-const RECORDED_BODY_BYTES = 2_048;
 const CLAIM_ID_BYTES = 12;
+const CONTENT_TYPE_CHARACTERS = 200;
 /// How far ahead of this VM's clock a key's time may be.
 const KEY_SKEW_MILLISECONDS = 60_000;
+/// How long after the deadline an answer is still awaited for the record.
+const LATE_ANSWER_MILLISECONDS = 30_000;
+const RETRY_AFTER_SECONDS = 1;
+const FULL_RETRY_AFTER_SECONDS = 60;
 
 function fingerprintOf(request: ServiceRequest): string {
   const { call } = request;
@@ -62,7 +68,7 @@
 function toOutcome(answer: ServiceAnswer): RecordedOutcome {
   return {
     status: answer.status,
-    contentType: answer.contentType,
+    contentType: answer.contentType.slice(0, CONTENT_TYPE_CHARACTERS),
     body: answer.body.subarray(0, RECORDED_BODY_BYTES).toString("base64"),
   };
 }
@@ -72,6 +78,22 @@
   return { status: outcome.status, contentType: outcome.contentType, body };
 }
 
+function statusPathOf(request: ServiceRequest): string | undefined {
+  const { contracts, service, call } = request;
+  const operation = contracts.operation(service, call.method, call.path);
+  if (!operation?.statusPath) return undefined;
+  return `/v1/services/${service}${operation.statusPath}`;
+}
+
+function unknownOutcome(
+  request: ServiceRequest,
+  code: ProblemCode,
+  cause?: unknown,
+): RequestError {
+  const statusPath = statusPathOf(request);
+  return new RequestError(code, { executed: "unknown", statusPath, cause });
+}
+
 export function createServiceRunner(
   options: ServiceRunnerOptions,
 ): ServiceRunner {
@@ -80,18 +102,21 @@
   const sendOnce = async (
     request: ServiceRequest,
     excluded: Set<string>,
-    context: RunContext,
+    options: { open: RunContext["open"]; signal: AbortSignal },
   ) => {
     const replica = services.choose(request.service, excluded);
-    if (!replica) throw new RequestError("no_upstream");
+    if (!replica) {
+      const retryAfterSeconds = RETRY_AFTER_SECONDS;
+      throw new RequestError("no_upstream", { retryAfterSeconds });
+    }
     const { name } = replica.upstream;
     excluded.add(name);
     const attempt = excluded.size;
-    context.open.update({ state: "sent", attempt, upstream: name });
+    options.open.update({ state: "sent", attempt, upstream: name });
     const done = services.recordCall(name);
     try {
-      const sent = replica.client.send(request.call, context.signal);
-      return await raceAbort(sent, context.signal);
+      const sent = replica.client.send(request.call, options.signal);
+      return await raceAbort(sent, options.signal);
     } finally {
       done();
     }
@@ -102,99 +127,131 @@
     context: RunContext,
   ): Promise<ServiceAnswer> => {
     const excluded = new Set<string>();
+    let lost = false;
     while (true) {
       try {
         return await sendOnce(request, excluded, context);
       } catch (error) {
         if (context.signal.aborted) throw context.signal.reason;
-        const lost = error instanceof ServiceLostError ||
+        lost ||= error instanceof ServiceLostError;
+        const retried = error instanceof ServiceLostError ||
           error instanceof ServiceNotReachedError;
-        if (!lost) throw toRequestError(error);
-        if (excluded.size >= MAXIMUM_ATTEMPTS) {
-          throw new RequestError("upstream_lost", { executed: "unknown" });
+        const spent = excluded.size >= MAXIMUM_ATTEMPTS;
+        if (lost && (spent || !retried)) {
+          throw unknownOutcome(request, "upstream_lost", error);
         }
+        if (!retried) throw toRequestError(error);
+        if (spent) throw new RequestError("no_upstream", { cause: error });
         await clock.sleep(RETRY_DELAY_MILLISECONDS, context.signal);
       }
     }
   };
 
-  const claimKey = async (claim: Claim) => {
-    try {
-      return await ledger.claim(claim);
-    } catch (error) {
-      const storeFault = error instanceof StoreUnavailableError ||
-        error instanceof StoreOutcomeUnknownError;
-      if (!storeFault) throw error;
-      const retryAfterSeconds = 1;
-      const problem = { retryAfterSeconds, cause: error };
-      throw new RequestError("store_unavailable", problem);
-    }
-  };
-
   /// Sends a claimed call, moving on to another replica only while nothing
-  /// has gone out.
+  /// has gone out. Settles when the call has ended, also after the caller
+  /// was told that the outcome is unknown.
   const sendClaimed = async (
     request: ServiceRequest,
     claim: Claim,
     context: RunContext,
   ): Promise<ServiceAnswer> => {
     const excluded = new Set<string>();
-    while (true) {
-      try {
-        const answer = await sendOnce(request, excluded, context);
-        await ledger.record(claim, toOutcome(answer)).catch(() => {});
-        return answer;
-      } catch (error) {
-        if (error instanceof ServiceNotReachedError) continue;
-        if (error instanceof RequestError && error.code === "no_upstream") {
-          await ledger.withdraw(claim).catch(() => {});
+    const late = new AbortController();
+    const limit = context.deadline.remaining() + LATE_ANSWER_MILLISECONDS;
+    const timer = clock.schedule(
+      limit,
+      () => late.abort(new RequestError("deadline_exceeded")),
+    );
+    const { open } = context;
+    try {
+      while (true) {
+        if (context.signal.aborted || !ledger.markSent(claim)) {
+          ledger.abandon(claim);
+          const { code } = toRequestError(context.signal.reason);
+          throw new RequestError(code);
+        }
+        try {
+          const signal = late.signal;
+          const answer = await sendOnce(request, excluded, { open, signal });
+          ledger.finish(claim, toOutcome(answer));
+          return answer;
+        } catch (error) {
+          const notSent = error instanceof ServiceNotReachedError ||
+            error instanceof RequestError && error.code === "no_upstream";
+          if (!notSent) {
+            ledger.finish(claim, undefined);
+            throw unknownOutcome(request, "upstream_lost", error);
+          }
+          ledger.markNotReached(claim);
+          if (error instanceof ServiceNotReachedError) continue;
+          ledger.abandon(claim);
           throw error;
         }
-        const reason = context.signal.aborted
-          ? toRequestError(context.signal.reason).code
-          : "upstream_lost";
-        const problem = { executed: "unknown", cause: error } as const;
-        throw new RequestError(reason, problem);
       }
+    } finally {
+      timer.cancel();
     }
   };
 
-  const runOnce = async (
-    request: ServiceRequest,
-    context: RunContext,
-  ): Promise<ServiceAnswer> => {
+  const claimKey = async (claim: Claim, context: RunContext) => {
+    try {
+      return await ledger.claim(claim, context.signal);
+    } catch (error) {
+      if (!(error instanceof LedgerUnavailableError)) throw error;
+      const retryAfterSeconds = RETRY_AFTER_SECONDS;
+      const problem = { retryAfterSeconds, cause: error };
+      throw new RequestError("store_unavailable", problem);
+    }
+  };
+
+  const readClaim = (request: ServiceRequest): Claim => {
     const key = request.call.idempotencyKey;
     if (!key) throw new RequestError("key_missing");
-    const keyTime = timeOfKey(key);
-    const fromFuture = keyTime !== undefined &&
-      keyTime > clock.wallTime() + KEY_SKEW_MILLISECONDS;
-    if (keyTime === undefined || fromFuture) {
-      throw new RequestError("key_invalid");
-    }
-    const claim: Claim = {
+    const parsedKey = parseKey(key);
+    const latest = clock.wallTime() + KEY_SKEW_MILLISECONDS;
+    const fromFuture = parsedKey?.kind === "caller" && parsedKey.time > latest;
+    if (!parsedKey || fromFuture) throw new RequestError("key_invalid");
+    return {
       key: `${request.customer}/${key}`,
+      parsedKey,
       claimId: options.random.hex(CLAIM_ID_BYTES),
       fingerprint: fingerprintOf(request),
     };
-    const result = await claimKey(claim);
-    if (result.kind === "recorded") return toAnswer(result.outcome);
-    if (result.kind === "differentRequest") {
-      throw new RequestError("key_reused");
+  };
+
+  const runOnce = async (
+    request: ServiceRequest,
+    context: RunContext,
+  ): Promise<ServiceAnswer> => {
+    const claim = readClaim(request);
+    const result = await claimKey(claim, context);
+    switch (result.kind) {
+      case "recorded":
+        return toAnswer(result.outcome);
+      case "differentRequest":
+        throw new RequestError("key_reused");
+      case "full": {
+        const retryAfterSeconds = FULL_RETRY_AFTER_SECONDS;
+        throw new RequestError("ledger_full", { retryAfterSeconds });
+      }
+      case "unknown":
+        throw unknownOutcome(request, "outcome_unknown");
     }
-    if (result.kind === "claimedByOther") {
-      throw new RequestError("outcome_unknown", { executed: "unknown" });
+    const sent = sendClaimed(request, claim, context);
+    try {
+      return await raceAbort(sent, context.signal);
+    } catch (error) {
+      if (!context.signal.aborted) throw error;
+      const { code } = toRequestError(context.signal.reason);
+      throw unknownOutcome(request, code, error);
     }
-    return await sendClaimed(request, claim, context);
   };
 
   return {
     async run(request, context) {
       const { method, path } = request.call;
-      const operation = request.contracts.operation(
-        request.service,
-        method,
-        path,
-      );
+      const { contracts, service } = request;
+      const operation = contracts.operation(service, method, path);
       return operation?.idempotent
         ? await runIdempotent(request, context)
         : await runOnce(request, context);
--- a/src/requests/stream_ledger.ts
+++ b/src/requests/stream_ledger.ts
@@ -1,3 +1,8 @@
+import type { Clock } from "../support/clock.ts";
+import type { RandomSource } from "../support/random.ts";
+import { type LedgerHome, LedgerUnavailableError } from "./ledger_home.ts";
+import type { LedgerReply } from "./ledger_operation.ts";
+
 /// The record of where long requests stream, so that a caller that comes back
 /// with its key at another entry resumes its stream there.
 
@@ -37,43 +42,50 @@
   finish(key: string, attempt: number): Promise<void>;
 }
 
-interface StreamRecord {
-  readonly fingerprint: string;
-  readonly attempt: number;
-  readonly running: boolean;
-  readonly placement: StreamPlacement | undefined;
+export interface StreamLedgerOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly home: LedgerHome;
 }
 
-/// A ledger in this VM's memory, which no other VM sees.
-export function createLocalStreamLedger(): StreamLedger {
-  const records = new Map<string, StreamRecord>();
+const CLAIM_ID_BYTES = 12;
+
+function unexpected({ kind }: LedgerReply): LedgerUnavailableError {
+  return new LedgerUnavailableError(`the ledger answered "${kind}"`);
+}
+
+/// Keeps the records in the shards of the ledger. Every method throws
+/// `LedgerUnavailableError` when the ledger can't confirm the change.
+export function createStreamLedger(options: StreamLedgerOptions): StreamLedger {
+  const { clock, random, home } = options;
   return {
-    claim({ key, fingerprint }) {
-      const found = records.get(key);
-      if (found && found.fingerprint !== fingerprint) {
-        return Promise.resolve({ kind: "differentRequest" });
+    async claim({ key, fingerprint }) {
+      const reply = await home.submit({
+        kind: "claimStream",
+        key,
+        fingerprint,
+        claimId: random.hex(CLAIM_ID_BYTES),
+        claimedAt: clock.wallTime(),
+      });
+      switch (reply.kind) {
+        case "started":
+        case "differentRequest":
+          return reply;
+        case "takenOver":
+          return { ...reply, placement: reply.placement };
+        default:
+          throw unexpected(reply);
       }
-      const attempt = (found?.attempt ?? 0) + 1;
-      const placement = found?.placement;
-      records.set(key, { fingerprint, attempt, running: true, placement });
-      return Promise.resolve(
-        found?.running
-          ? { kind: "takenOver", attempt, placement }
-          : { kind: "started", attempt },
-      );
     },
-    place(key, placement) {
-      const found = records.get(key);
-      if (found?.attempt !== placement.attempt) return Promise.resolve(false);
-      records.set(key, { ...found, placement });
-      return Promise.resolve(true);
+    async place(key, placement) {
+      const operation = { kind: "placeStream", key, placement } as const;
+      const reply = await home.submit(operation);
+      if (reply.kind === "done") return true;
+      if (reply.kind === "superseded") return false;
+      throw unexpected(reply);
     },
-    finish(key, attempt) {
-      const found = records.get(key);
-      if (found?.attempt === attempt) {
-        records.set(key, { ...found, running: false, placement: undefined });
-      }
-      return Promise.resolve();
+    async finish(key, attempt) {
+      await home.submit({ kind: "finishStream", key, attempt });
     },
   };
 }
--- /dev/null
+++ b/src/support/timeout.ts
@@ -0,0 +1,20 @@
+import type { Clock, Milliseconds } from "./clock.ts";
+
+/// Settles with `promise`, or rejects with the error of `onTimeout` after
+/// `limit`. The promise itself goes on.
+export function withTimeout<Value>(
+  promise: Promise<Value>,
+  options: {
+    readonly clock: Clock;
+    readonly limit: Milliseconds;
+    readonly onTimeout: () => Error;
+  },
+): Promise<Value> {
+  return new Promise((resolve, reject) => {
+    const timer = options.clock.schedule(
+      options.limit,
+      () => reject(options.onTimeout()),
+    );
+    promise.then(resolve, reject).finally(() => timer.cancel());
+  });
+}
