--- a/stand_ins/fake_clock.ts
+++ b/stand_ins/fake_clock.ts
@@ -8,6 +8,8 @@
   settle(): Promise<void>;
   /// Advances in steps until `promise` settles or `limit` has passed.
   advanceUntil<T>(promise: Promise<T>, limit?: number): Promise<T>;
+  /// When the next timer is due, if one waits.
+  nextDueAt(): number | undefined;
   /// How many timers wait.
   pendingTimers(): number;
 }
@@ -125,6 +127,13 @@
     advance,
     settle,
     advanceUntil,
+    nextDueAt() {
+      while (heap[0]?.cancelled) {
+        pop();
+        cancelledCount--;
+      }
+      return heap[0]?.due;
+    },
     pendingTimers: () => heap.length - cancelledCount,
   };
 }
