--- a/src/entry.ts
+++ b/src/entry.ts
@@ -18,7 +18,9 @@
 import type { VmList } from "./platform/vm_list.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
+import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
+import { createLedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -137,7 +139,9 @@
   const registry = createRequestRegistry(clock);
   const admission = createAdmission(clock);
   const placement = new ShortestWaitPlacement(random);
-  const ledger = createLedger(store);
+  const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const issuedKeys = createIssuedKeys({ clock, random, links });
+  const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
     clock,
     random,
@@ -148,6 +152,7 @@
     completions: createCompletionRunner({ clock, engines, placement }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
+    issuedKeys,
   });
   let draining = false;
 
@@ -166,7 +171,8 @@
       draining = true;
       membership.leave();
       admission.stop();
-      await Promise.race([registry.whenIdle(), clock.sleep(limit)]);
+      const idle = registry.whenIdle().then(() => ledger.whenIdle());
+      await Promise.race([idle, clock.sleep(limit)]);
     },
     close() {
       membershipMessages.close();
