--- a/src/entry.ts
+++ b/src/entry.ts
@@ -2,6 +2,10 @@
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import {
+  type SheetCollector,
+  startSheetCollector,
+} from "./contracts/sheet_collector.ts";
 import {
   type SheetFollower,
   startSheetFollower,
@@ -9,10 +13,14 @@
 import { createSheetStore, type SheetStore } from "./contracts/sheet_store.ts";
 import type { Upstream } from "./contracts/sheet.ts";
 import type { Links } from "./links/links.ts";
+import { startMembershipMessages } from "./links/membership_messages.ts";
 import type { KeyValueStore } from "./platform/key_value_store.ts";
+import type { VmList } from "./platform/vm_list.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
+import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
+import { createLedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -40,9 +48,14 @@
 } from "./upstreams/placement.ts";
 import { createPrefillBook } from "./upstreams/prefill_book.ts";
 import type { describePrompt } from "./upstreams/prompt_blocks.ts";
+import {
+  createLeavingUpstreams,
+  type LeavingUpstreams,
+} from "./upstreams/leaving_upstreams.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
 /// daemon gives it real connections; tests and measurements give it stand-ins
@@ -63,6 +76,9 @@
   readonly logFor: (area: string) => Logger;
   readonly links: Links;
   readonly store: KeyValueStore;
+  readonly vmList: VmList;
+  /// Called when peers have declared this incarnation gone: it has to stop.
+  readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
   readonly createServiceClient: (upstream: Upstream) => ServiceClient;
   /// Replaces the placement, for comparisons.
@@ -72,9 +88,12 @@
 }
 
 export interface Entry {
+  readonly membership: Membership;
+  readonly leavingUpstreams: LeavingUpstreams;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
+  readonly collector: SheetCollector;
   readonly engines: EngineDirectory;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
@@ -88,11 +107,25 @@
 }
 
 export function createEntry(options: EntryOptions): Entry {
-  const { clock, random, links, store, logFor } = options;
+  const { clock, random, links, store, vmList, logFor } = options;
+  const membership = createMembership({
+    clock,
+    log: logFor("vms"),
+    self: links.self,
+    vmList,
+    peers: links,
+  });
+  const membershipMessages = startMembershipMessages({
+    clock,
+    links,
+    membership,
+    onExpelled: options.onExpelled,
+  });
   const book = createContractBook();
-  const sheets = createSheetStore(store);
+  const sheets = createSheetStore({ store, clock });
   const follower = startSheetFollower({
     clock,
+    random,
     log: logFor("contracts"),
     links,
     sheets,
@@ -103,16 +136,32 @@
   const stopDigests = has("announcements")
     ? startLoadDigests({ clock, links, prefills })
     : () => {};
+  const leavingUpstreams = createLeavingUpstreams({
+    clock,
+    log: logFor("upstreams"),
+    links,
+    book,
+    vmList,
+  });
+  const collector = startSheetCollector({
+    clock,
+    random,
+    log: logFor("contracts"),
+    links,
+    sheets,
+  });
   const engines = createEngineDirectory({
     clock,
     book,
     prefills,
     learnsSlowness: has("slowness"),
+    isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
   const services = createServiceDirectory({
     book,
     random,
+    isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
@@ -129,7 +178,9 @@
   );
   const placement = options.createPlacement?.(random) ??
     new ShortestWaitPlacement(random);
-  const ledger = createLedger(store);
+  const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const issuedKeys = createIssuedKeys({ clock, random, links });
+  const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
     clock,
     random,
@@ -142,25 +193,35 @@
     estimator: createTokenEstimator(),
     describePrompt: options.describePrompt,
     ordersByLength: has("lengthPriority"),
+    issuedKeys,
   });
   let draining = false;
 
   return {
+    membership,
+    leavingUpstreams,
     book,
     sheets,
     follower,
+    collector,
     engines,
     registry,
     handler,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
+      membership.leave();
       admission.stop();
-      await Promise.race([registry.whenIdle(), clock.sleep(limit)]);
+      const idle = registry.whenIdle().then(() => ledger.whenIdle());
+      await Promise.race([idle, clock.sleep(limit)]);
     },
     close() {
+      membershipMessages.close();
+      membership.close();
+      leavingUpstreams.close();
       follower.close();
       stopDigests();
+      collector.close();
       engines.close();
     },
   };
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -12,27 +12,20 @@
   readonly tokens: number;
   readonly isLong: boolean;
   /// What a completion needs of the engines; services have none.
-  readonly need?: QueueNeed;
-}
-
-/// How long an admission may take.
-export interface AdmissionLimits {
-  readonly remaining: Milliseconds;
-  readonly signal: AbortSignal;
+  readonly engines?: { need: QueueNeed; remaining: Milliseconds };
 }
 
 /// A place that an admitted request holds until `release`.
 export interface AdmissionTicket {
+  /// Resolves when the engines have room. Throws `RequestError` if `signal`
+  /// aborts before.
+  whenReady(signal: AbortSignal): Promise<void>;
   release(): void;
 }
 
 export interface Admission {
-  /// Resolves when the request may be sent. Throws `RequestError` when it is
-  /// refused, at once, or when `signal` aborts.
-  admit(
-    question: AdmissionQuestion,
-    limits: AdmissionLimits,
-  ): Promise<AdmissionTicket>;
+  /// Throws `RequestError` when the request is refused.
+  admit(question: AdmissionQuestion): AdmissionTicket;
   /// Refuses everything from now on.
   stop(): void;
 }
@@ -100,7 +93,7 @@
   };
 
   return {
-    async admit({ customer, tokens, isLong, need }, limits) {
+    admit({ customer, tokens, isLong, engines }) {
       if (stopped) throw new RequestError("draining", { retryAfterSeconds: 1 });
       if (running >= RUNNING_LIMIT) {
         throw new RequestError("queue_full", { retryAfterSeconds: 1 });
@@ -113,25 +106,23 @@
       if (isLong && use.long >= customer.concurrentLongRequests) {
         throw new RequestError("limit_spent", { retryAfterSeconds: 5 });
       }
-      if (need) queues?.check(need, limits.remaining);
+      if (engines) queues?.check(engines.need, engines.remaining);
       use.requests.level -= 1;
       use.tokens.level -= tokens;
       if (isLong) use.long++;
       running++;
       let released = false;
-      const release = () => {
-        if (released) return;
-        released = true;
-        running--;
-        if (isLong) use.long--;
+      return {
+        async whenReady(signal) {
+          if (engines) await queues?.enter(engines.need, signal);
+        },
+        release() {
+          if (released) return;
+          released = true;
+          running--;
+          if (isLong) use.long--;
+        },
       };
-      try {
-        if (need) await queues?.enter(need, limits.signal);
-      } catch (error) {
-        release();
-        throw error;
-      }
-      return { release };
     },
     stop: () => void (stopped = true),
   };
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -5,7 +5,7 @@
   PRIORITIES,
   type Priority,
 } from "../contracts/sheet.ts";
-import type { Clock } from "../support/clock.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
 import type { EngineChunk } from "../upstreams/engine_client.ts";
@@ -25,6 +25,7 @@
 } from "./completion_run.ts";
 import { startDeadline } from "./deadline.ts";
 import { enginePriority } from "./engine_priority.ts";
+import type { IssuedKeys } from "./issued_keys.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
 import type { QueueNeed } from "./request_queues.ts";
 import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
@@ -47,6 +48,7 @@
   readonly ordersByLength?: boolean;
   /// Measurements give prompts a length without giving them a text.
   readonly describePrompt?: typeof describePrompt;
+  readonly issuedKeys: IssuedKeys;
 }
 
 /// A request as it came in.
@@ -80,6 +82,8 @@
     received: ReceivedRequest,
     call: ReceivedServiceCall,
   ): Promise<ServiceAnswer>;
+  /// Issues an idempotency key. Throws `RequestError`.
+  issueKey(received: ReceivedRequest): string;
 }
 
 interface Authenticated {
@@ -94,6 +98,8 @@
   readonly tokens: number;
   readonly isLong: boolean;
   readonly need?: QueueNeed;
+  /// Time until its deadline.
+  readonly limit: Milliseconds;
 }
 
 /// The less urgent of the customer's priority and the one asked for.
@@ -114,11 +120,15 @@
 }
 
 /// Time the request may take: the smaller of the caller's and the contract's.
+/// A contract may leave it to the caller.
 function deadlineOf({ customer, received }: Authenticated, isLong: boolean) {
   const limit = isLong
     ? customer.longDeadlineMilliseconds
     : customer.shortDeadlineMilliseconds;
-  return Math.min(received.headers.deadline ?? limit, limit);
+  const { deadline } = received.headers;
+  if (limit > 0) return Math.min(deadline ?? limit, limit);
+  if (deadline === undefined) throw new RequestError("deadline_missing");
+  return deadline;
 }
 
 export function createRequestHandler(
@@ -141,14 +151,16 @@
     action: (context: RunContext) => Promise<Result>,
   ): Promise<Result> => {
     const { open, caller } = work;
-    const deadline = startDeadline(clock, deadlineOf(caller, work.isLong));
+    const deadline = startDeadline(clock, work.limit);
     const signal = AbortSignal.any([deadline.signal, caller.received.gone]);
     let release = () => {};
     try {
-      const question = { ...work, customer: caller.customer };
-      const remaining = deadline.remaining();
-      const ticket = await admission.admit(question, { remaining, signal });
+      const { tokens, isLong, need, limit } = work;
+      const engines = need && { need, remaining: limit };
+      const { customer } = caller;
+      const ticket = admission.admit({ customer, tokens, isLong, engines });
       release = () => ticket.release();
+      await ticket.whenReady(signal);
       open.update({ state: "admitted" });
       const result = await action({ open, deadline, signal });
       open.end();
@@ -216,6 +228,7 @@
       const plan = planCompletion(caller, completion);
       const { customer, isLong } = plan;
       const promptTokens = plan.prompt.tokens;
+      const limit = deadlineOf(caller, isLong);
       const open = registry.open({
         id: received.id,
         kind: "completion",
@@ -226,7 +239,7 @@
       });
       const tokens = promptTokens + plan.maximumTokens;
       const need = { ...plan, weight: caller.customer.weight };
-      const work = { open, caller, tokens, isLong, need };
+      const work = { open, caller, tokens, isLong, limit, need };
       await carryOut(work, async (context) => {
         const answer = options.completions.run(plan, context);
         await sink(learnUsage(answer, plan), context.signal);
@@ -238,6 +251,7 @@
       if (contracts.upstreamsOf("service", service).length === 0) {
         throw new RequestError("service_unknown");
       }
+      const limit = deadlineOf(caller, false);
       const customer = caller.customer.name;
       const open = registry.open({
         id: received.id,
@@ -248,12 +262,17 @@
         isLong: false,
       });
       const { idempotencyKey } = received.headers;
-      const work = { open, caller, tokens: 0, isLong: false };
+      const work = { open, caller, tokens: 0, isLong: false, limit };
       return await carryOut(work, (context) => {
         const keyed = { ...call, idempotencyKey };
         const plan = { customer, service, call: keyed, contracts };
         return options.services.run(plan, context);
       });
     },
+    issueKey(received) {
+      const { customer } = authenticate(received);
+      admission.admit({ customer, tokens: 0, isLong: false }).release();
+      return options.issuedKeys.issue();
+    },
   };
 }
--- a/src/upstreams/engine_directory.ts
+++ b/src/upstreams/engine_directory.ts
@@ -80,8 +80,6 @@
   ): SendRecord;
   /// Notes that the engine failed; it rests for a while.
   recordFailure(name: string): void;
-  /// Marks an engine as leaving: it gets no new work.
-  setLeaving(name: string, leaving: boolean): void;
   close(): void;
 }
 
@@ -92,6 +90,8 @@
   readonly prefills?: PrefillBook;
   /// Whether engines that answer late are estimated slower; true unless given.
   readonly learnsSlowness?: boolean;
+  /// Engines that leave get no new work.
+  readonly isLeaving?: (upstream: Upstream) => boolean;
 }
 
 interface EngineState {
@@ -104,7 +104,6 @@
   outstandingRequests: number;
   outstandingTokens: number;
   restUntil: Milliseconds;
-  leaving: boolean;
   slowness: number;
   /// Tokens of the known prefills at each poll, oldest first.
   knownTokens: { readonly at: Milliseconds; readonly tokens: number }[];
@@ -169,7 +168,6 @@
       outstandingRequests: 0,
       outstandingTokens: 0,
       restUntil: 0,
-      leaving: false,
       slowness: 1,
       knownTokens: [],
     };
@@ -200,7 +198,7 @@
 
   const isUsable = (state: EngineState) => {
     const now = clock.now();
-    return !state.leaving && now >= state.restUntil &&
+    return !options.isLeaving?.(state.upstream) && now >= state.restUntil &&
       state.report !== undefined &&
       now - state.reportTime < REPORT_LIMIT_MILLISECONDS + state.report.age;
   };
@@ -271,10 +269,6 @@
       const state = engines.get(name);
       if (state) state.restUntil = clock.now() + FAILURE_REST_MILLISECONDS;
     },
-    setLeaving(name, leaving) {
-      const state = engines.get(name);
-      if (state) state.leaving = leaving;
-    },
     close() {
       for (const state of [...engines.values()]) remove(state);
     },
