Keep engines from holding memory for owners that are gone

Cause: an entry that died left its reservations, exported spans and streams at the engines; a reservation whose answer was lost could not be released, and a failed release was never tried again. The fake clock also skipped time when a cancelled timer stood between two real ones.

Change: every claim on engine memory is announced to two keepers before the engine is asked, reservations have ids chosen by their owner and short leases that are renewed, releases go on until the engine confirms, and keepers free what a lost owner had announced or what an engine lists and nobody holds.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -30,6 +30,11 @@
   createEngineDirectory,
   type EngineDirectory,
 } from "./upstreams/engine_directory.ts";
+import {
+  createEngineHoldings,
+  type EngineHoldings,
+} from "./upstreams/engine_holdings.ts";
+import { createEngineKeeper } from "./upstreams/engine_keeper.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
@@ -55,6 +60,7 @@
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
   readonly engines: EngineDirectory;
+  readonly holdings: EngineHoldings;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
   /// Whether it takes new requests.
@@ -82,6 +88,14 @@
     book,
     createClient: options.createEngineClient,
   });
+  const clientOf = (engine: string) => engines.find(engine)?.client;
+  const holdings = createEngineHoldings({ clock, links, clientOf });
+  const keeper = createEngineKeeper({
+    clock,
+    links,
+    clientOf,
+    engineNames: () => engines.all().map((engine) => engine.upstream.name),
+  });
   const services = createServiceDirectory({
     book,
     random,
@@ -98,7 +112,12 @@
     book,
     registry,
     admission,
-    completions: createCompletionRunner({ clock, engines, placement }),
+    completions: createCompletionRunner({
+      clock,
+      engines,
+      holdings,
+      placement,
+    }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
   });
@@ -109,16 +128,21 @@
     sheets,
     follower,
     engines,
+    holdings,
     registry,
     handler,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
       admission.stop();
+      const end = clock.now() + limit;
       await Promise.race([registry.whenIdle(), clock.sleep(limit)]);
+      await holdings.whenReleased(Math.max(0, end - clock.now()));
     },
     close() {
       follower.close();
+      keeper.close();
+      holdings.close();
       engines.close();
     },
   };
--- /dev/null
+++ b/src/requests/completion_request.ts
@@ -0,0 +1,24 @@
+import type { Prompt } from "../upstreams/engine_client.ts";
+import type { Deadline } from "./deadline.ts";
+import type { OpenRequest } from "./request_registry.ts";
+
+/// A completion as it is run, and what bounds the run.
+
+export interface CompletionRequest {
+  readonly customer: string;
+  readonly model: string;
+  readonly version: string;
+  readonly prompt: Prompt;
+  readonly maximumTokens: number;
+  /// Smaller is more urgent.
+  readonly priority: number;
+  readonly isLong: boolean;
+}
+
+/// Where a running request takes its limits from and reports to.
+export interface RunContext {
+  readonly open: OpenRequest;
+  readonly deadline: Deadline;
+  /// Aborts at the deadline and when the caller is gone.
+  readonly signal: AbortSignal;
+}
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -1,53 +1,34 @@
-import { untilAborted } from "../support/abort.ts";
 import type { Clock } from "../support/clock.ts";
 import {
-  type CacheReference,
-  type CompletionCall,
   type EngineChunk,
   EngineLostError,
   EngineNotReachedError,
   EngineRefusedError,
-  type Prompt,
 } from "../upstreams/engine_client.ts";
 import type {
   EngineDirectory,
   EngineView,
 } from "../upstreams/engine_directory.ts";
+import type { EngineHoldings } from "../upstreams/engine_holdings.ts";
 import type { PlacementPolicy } from "../upstreams/placement.ts";
-import { checkedChunks } from "./attempt.ts";
-import type { Deadline } from "./deadline.ts";
+import {
+  type AttemptRuntime,
+  createAttemptRunner,
+  MAXIMUM_ATTEMPTS,
+  type RunState,
+} from "./completion_attempt.ts";
+import type { CompletionRequest, RunContext } from "./completion_request.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
-import type { OpenRequest } from "./request_registry.ts";
-import { prefillSpans } from "./span_prefill.ts";
-
-/// Runs one admitted completion: places it, retries where that is safe, and
-/// resumes its stream where it was cut.
 
-export interface CompletionRequest {
-  readonly customer: string;
-  readonly model: string;
-  readonly version: string;
-  readonly prompt: Prompt;
-  readonly maximumTokens: number;
-  /// Smaller is more urgent.
-  readonly priority: number;
-  readonly isLong: boolean;
-}
+/// Runs one admitted completion: places it and retries where that is safe.
 
 export interface CompletionRunnerOptions {
   readonly clock: Clock;
   readonly engines: EngineDirectory;
+  readonly holdings: EngineHoldings;
   readonly placement: PlacementPolicy;
 }
 
-/// Where a running request takes its limits from and reports to.
-export interface RunContext {
-  readonly open: OpenRequest;
-  readonly deadline: Deadline;
-  /// Aborts at the deadline and when the caller is gone.
-  readonly signal: AbortSignal;
-}
-
 export interface CompletionRunner {
   /// Yields the answer in order, ending with a chunk that carries `end`.
   /// Throws `RequestError`.
@@ -57,27 +38,19 @@
   ): AsyncIterable<EngineChunk>;
 }
 
-const MAXIMUM_ATTEMPTS = 4;
 const NO_ENGINE_RETRY_MILLISECONDS = 50;
 
-interface RunState {
-  readonly streamId: string;
-  readonly excluded: Set<string>;
-  attempt: number;
-  offset: number;
-  sent: boolean;
-}
-
 export function createCompletionRunner(
   options: CompletionRunnerOptions,
 ): CompletionRunner {
   const { clock, engines, placement } = options;
+  const attempts = createAttemptRunner(options);
 
   const hasRoom = (engine: EngineView, request: CompletionRequest) =>
     request.prompt.tokens + request.maximumTokens <=
       (engine.report?.memoryTokens ?? 0);
 
-  const choose = (request: CompletionRequest, state: RunState) => {
+  const choose = ({ request, state }: AttemptRuntime) => {
     const usable = engines.enginesOf(request.model, request.version)
       .filter((engine) => engine.usable);
     const fresh = usable.filter((engine) =>
@@ -91,116 +64,11 @@
     };
   };
 
-  const toCall = (
-    request: CompletionRequest,
-    state: RunState,
-    extra: {
-      prompt?: Prompt;
-      context?: readonly CacheReference[];
-      reservation?: string;
-    } = {},
-  ): CompletionCall => ({
-    streamId: state.streamId,
-    attempt: state.attempt,
-    model: request.model,
-    prompt: extra.prompt ?? request.prompt,
-    maximumTokens: request.maximumTokens,
-    priority: request.priority,
-    context: extra.context ?? [],
-    reservation: extra.reservation,
-  });
-
-  async function* deliver(
-    source: AsyncIterable<EngineChunk>,
-    state: RunState,
-    context: RunContext,
-  ): AsyncIterable<EngineChunk> {
-    const { streamId, attempt, offset } = state;
-    const checked = checkedChunks(source, { streamId, attempt, offset });
-    for await (const chunk of untilAborted(checked, context.signal)) {
-      if (state.offset === 0 && chunk.tokens > 0) {
-        context.open.update({ state: "streaming", firstTokenAt: clock.now() });
-      }
-      state.sent = true;
-      state.offset += chunk.tokens;
-      yield chunk;
-    }
-  }
-
-  async function* runOnEngine(
-    engine: EngineView,
-    request: CompletionRequest,
-    runtime: { state: RunState; context: RunContext },
-  ): AsyncIterable<EngineChunk> {
-    const { state, context } = runtime;
-    const { name } = engine.upstream;
-    const send = engines.recordSend(name, request.prompt.tokens);
-    let ended = false;
-    try {
-      let source = engine.client.complete(
-        toCall(request, state),
-        context.signal,
-      );
-      while (true) {
-        try {
-          yield* deliver(source, state, context);
-          ended = true;
-          return;
-        } catch (error) {
-          if (!canResume(error, state)) throw error;
-          state.attempt++;
-          context.open.update({ attempt: state.attempt });
-          const { offset, attempt } = state;
-          const position = { offset, attempt };
-          source = engine.client.resume(
-            state.streamId,
-            position,
-            context.signal,
-          );
-        }
-      }
-    } finally {
-      send.end();
-      if (!ended) engine.client.cancel(state.streamId).catch(() => {});
-    }
-  }
-
-  const canResume = (error: unknown, state: RunState) =>
-    error instanceof EngineLostError && state.offset > 0 &&
-    state.attempt < MAXIMUM_ATTEMPTS;
-
-  async function* runOverSpans(
-    request: CompletionRequest,
-    usable: readonly EngineView[],
-    runtime: { state: RunState; context: RunContext },
+  async function* attemptOnce(
+    runtime: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
-    const { state, context } = runtime;
-    const spans = await prefillSpans(request, {
-      clock,
-      engines: usable,
-      streamId: state.streamId,
-      attempt: state.attempt,
-      deadline: context.deadline,
-      signal: context.signal,
-    });
-    let ended = false;
-    try {
-      const call = toCall(request, state, spans);
-      const source = spans.engine.client.complete(call, context.signal);
-      yield* deliver(source, state, context);
-      ended = true;
-    } finally {
-      if (!ended) spans.engine.client.cancel(state.streamId).catch(() => {});
-      await spans.release();
-    }
-  }
-
-  const attemptOnce = async function* (
-    request: CompletionRequest,
-    runtime: { state: RunState; context: RunContext },
-  ): AsyncIterable<EngineChunk> {
-    const { state, context } = runtime;
-    const { usable, engine } = choose(request, state);
+    const { request, state, context } = runtime;
+    const { usable, engine } = choose(runtime);
     if (usable.length === 0) throw new RequestError("no_upstream");
     const largest = Math.max(
       ...usable.map((view) => view.report?.memoryTokens ?? 0),
@@ -209,9 +77,9 @@
     if (!engine && needed <= largest) throw new RequestError("no_upstream");
     const upstream = engine?.upstream.name ?? "several";
     context.open.update({ state: "sent", attempt: state.attempt, upstream });
-    if (!engine) return yield* runOverSpans(request, usable, runtime);
+    if (!engine) return yield* attempts.runOverSpans(usable, runtime);
     try {
-      yield* runOnEngine(engine, request, runtime);
+      yield* attempts.runOnEngine(engine, runtime);
     } catch (error) {
       state.excluded.add(engine.upstream.name);
       const refused = error instanceof EngineRefusedError;
@@ -220,22 +88,17 @@
       }
       throw error;
     }
-  };
+  }
 
   const mayRetry = (error: unknown, state: RunState) => {
     if (state.offset > 0 || state.attempt >= MAXIMUM_ATTEMPTS) return false;
-    return error instanceof EngineNotReachedError ||
-      error instanceof EngineRefusedError ||
-      error instanceof EngineLostError ||
+    return isEngineError(error) ||
       (error instanceof RequestError && error.code === "no_upstream");
   };
 
   const toFailure = (error: unknown, state: RunState) => {
     if (error instanceof RequestError) return error;
-    const lost = error instanceof EngineLostError ||
-      error instanceof EngineNotReachedError ||
-      error instanceof EngineRefusedError;
-    if (!lost) return toRequestError(error);
+    if (!isEngineError(error)) return toRequestError(error);
     const executed = state.sent ? "unknown" : "no";
     return new RequestError("upstream_lost", { executed, cause: error });
   };
@@ -243,7 +106,7 @@
   return {
     async *run(request, context) {
       const state: RunState = {
-        streamId: context.open.id,
+        name: context.open.id,
         excluded: new Set(),
         attempt: 0,
         offset: 0,
@@ -252,7 +115,7 @@
       while (true) {
         state.attempt++;
         try {
-          return yield* attemptOnce(request, { state, context });
+          return yield* attemptOnce({ request, state, context });
         } catch (error) {
           if (context.signal.aborted) throw context.signal.reason;
           if (error instanceof EngineLostError) state.sent = true;
@@ -264,3 +127,9 @@
     },
   };
 }
+
+function isEngineError(error: unknown): boolean {
+  return error instanceof EngineLostError ||
+    error instanceof EngineNotReachedError ||
+    error instanceof EngineRefusedError;
+}
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -18,11 +18,8 @@
 import type { Admission } from "./admission.ts";
 import type { CallerCompletion } from "./caller_body.ts";
 import type { CallerHeaders } from "./caller_headers.ts";
-import type {
-  CompletionRequest,
-  CompletionRunner,
-  RunContext,
-} from "./completion_run.ts";
+import type { CompletionRequest, RunContext } from "./completion_request.ts";
+import type { CompletionRunner } from "./completion_run.ts";
 import { startDeadline } from "./deadline.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
 import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -14,7 +14,7 @@
   ServiceNotReachedError,
 } from "../upstreams/service_client.ts";
 import type { ServiceDirectory } from "../upstreams/service_directory.ts";
-import type { RunContext } from "./completion_run.ts";
+import type { RunContext } from "./completion_request.ts";
 import { timeOfKey } from "./idempotency_key.ts";
 import type { Claim, Ledger, RecordedOutcome } from "./ledger.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
--- a/src/requests/span_prefill.ts
+++ b/src/requests/span_prefill.ts
@@ -2,13 +2,16 @@
 import type { Clock } from "../support/clock.ts";
 import {
   type CacheReference,
+  EngineLostError,
+  EngineNotReachedError,
   EngineRefusedError,
   type Prompt,
 } from "../upstreams/engine_client.ts";
 import type { EngineView } from "../upstreams/engine_directory.ts";
+import type { EngineHoldings, Holding } from "../upstreams/engine_holdings.ts";
 import { describePrompt } from "../upstreams/prompt_blocks.ts";
-import type { CompletionRequest } from "./completion_run.ts";
-import type { Deadline } from "./deadline.ts";
+import type { CompletionRequest } from "./completion_request.ts";
+import { type EngineReservation, reserveMemory } from "./engine_reservation.ts";
 import { RequestError } from "./request_error.ts";
 
 /// Prompts larger than one engine's memory: spans of the prompt are prefilled
@@ -18,14 +21,17 @@
 /// Share of an engine's memory that spans may take.
 const SPAN_MEMORY_SHARE = 0.9;
 const RESERVATION_RETRY_MILLISECONDS = 250;
+/// Time that the end of a request waits for its memory to be freed.
+const RELEASE_WAIT_MILLISECONDS = 200;
 
 export interface SpanPrefillOptions {
   readonly clock: Clock;
+  readonly holdings: EngineHoldings;
   /// Usable engines of the model.
   readonly engines: readonly EngineView[];
-  readonly streamId: string;
+  /// Names the try; unique on this VM.
+  readonly name: string;
   readonly attempt: number;
-  readonly deadline: Deadline;
   readonly signal: AbortSignal;
 }
 
@@ -36,15 +42,11 @@
   readonly prompt: Prompt;
   readonly context: readonly CacheReference[];
   readonly reservation: string;
-  /// Frees all exports and reservations.
+  /// Frees all exports and reservations in the background. Resolves when the
+  /// engines have confirmed, or after a short time.
   release(): Promise<void>;
 }
 
-interface HeldReservation {
-  readonly engine: EngineView;
-  readonly id: string;
-}
-
 /// Cuts a prompt into spans of about the same size that fit `spanTokens`.
 export function splitPrompt(prompt: Prompt, spanTokens: number): Prompt[] {
   const count = Math.ceil(prompt.tokens / spanTokens);
@@ -67,36 +69,36 @@
     .sort((left, right) => left.upstream.name < right.upstream.name ? -1 : 1);
 }
 
-async function releaseAll(reservations: readonly HeldReservation[]) {
-  await Promise.allSettled(
-    reservations.map(({ engine, id }) => engine.client.release(id)),
-  );
-}
-
-/// Reserves memory on every engine or on none.
+/// Reserves memory on every engine or on none. Undefined when an engine
+/// refused or did not answer.
 async function reserveAll(
   engines: readonly EngineView[],
-  tokens: number,
+  plan: { tokens: number; round: number },
   options: SpanPrefillOptions,
-): Promise<HeldReservation[] | undefined> {
-  const held: HeldReservation[] = [];
+): Promise<EngineReservation[] | undefined> {
+  const held: EngineReservation[] = [];
+  const { clock, holdings, signal } = options;
+  const { tokens, round } = plan;
   try {
-    for (const engine of engines) {
-      const leaseMilliseconds = Math.ceil(options.deadline.remaining());
-      const owner = options.streamId;
-      const call = { owner, tokens, leaseMilliseconds };
-      const id = await engine.client.reserve(call);
-      held.push({ engine, id });
-      options.signal.throwIfAborted();
+    for (const [index, engine] of engines.entries()) {
+      const name = `${options.name}.round${round}.${index}`;
+      const given = { clock, holdings, name, tokens, signal };
+      held.push(await reserveMemory(engine, given));
     }
     return held;
   } catch (error) {
-    await releaseAll(held);
-    if (error instanceof EngineRefusedError) return undefined;
+    held.forEach((reservation) => reservation.release());
+    if (!signal.aborted && isEngineError(error)) return undefined;
     throw error;
   }
 }
 
+function isEngineError(error: unknown): boolean {
+  return error instanceof EngineRefusedError ||
+    error instanceof EngineNotReachedError ||
+    error instanceof EngineLostError;
+}
+
 /// Reserves memory and prefills all spans but the last. Throws
 /// `RequestError` when no set of engines could hold the prompt.
 export async function prefillSpans(
@@ -113,10 +115,10 @@
   }
   const tokens = Math.max(...spans.map((span) => span.tokens)) +
     request.maximumTokens;
-  let held: HeldReservation[] | undefined;
-  while (!held) {
+  let held: EngineReservation[] | undefined;
+  for (let round = 1; !held; round++) {
     const engines = selectEngines(options.engines, spans.length);
-    held = await reserveAll(engines, tokens, options);
+    held = await reserveAll(engines, { tokens, round }, options);
     if (held) break;
     await options.clock.sleep(RESERVATION_RETRY_MILLISECONDS, options.signal);
   }
@@ -125,37 +127,47 @@
 
 async function prefillHeld(
   request: CompletionRequest,
-  plan: { spans: readonly Prompt[]; held: readonly HeldReservation[] },
+  plan: {
+    spans: readonly Prompt[];
+    held: readonly EngineReservation[];
+  },
   options: SpanPrefillOptions,
 ): Promise<PrefilledSpans> {
   const { spans, held } = plan;
+  const { signal } = options;
   const context: CacheReference[] = [];
-  const startedSpans: { engine: EngineView; streamId: string }[] = [];
+  const prefilled: Holding[] = [];
   const release = async () => {
-    await Promise.allSettled(
-      startedSpans.flatMap(({ engine, streamId }) => [
-        engine.client.cancel(streamId),
-        engine.client.dropExport(streamId),
-      ]),
-    );
-    await releaseAll(held);
+    const released = Promise.all([
+      ...prefilled.map((span) => span.release()),
+      ...held.map((reservation) => reservation.release()),
+    ]);
+    const limit = options.clock.sleep(RELEASE_WAIT_MILLISECONDS);
+    await Promise.race([released, limit]);
   };
   try {
     for (const [index, prompt] of spans.slice(0, -1).entries()) {
-      const { engine, id } = held[index]!;
-      const streamId = `${options.streamId}-span${index}`;
-      startedSpans.push({ engine, streamId });
+      const { engine, id: reservation } = held[index]!;
+      const name = `${options.name}.span${index}`;
+      const span = options.holdings.hold(engine.upstream.name, "span", name);
       const call = {
-        streamId,
+        streamId: span.id,
         attempt: options.attempt,
         model: request.model,
         prompt,
         priority: request.priority,
         context: [...context],
-        reservation: id,
+        reservation,
       };
-      const prefilled = engine.client.prefillSpan(call, options.signal);
-      context.push(await raceAbort(prefilled, options.signal));
+      try {
+        await raceAbort(span.announced, signal);
+        const prefill = engine.client.prefillSpan(call, signal);
+        context.push(await raceAbort(prefill, signal));
+        prefilled.push(span);
+      } catch (error) {
+        span.release({ mayStartLate: true });
+        throw error;
+      }
     }
   } catch (error) {
     await release();
--- a/src/upstreams/engine_client.ts
+++ b/src/upstreams/engine_client.ts
@@ -75,7 +75,10 @@
   readonly version: string;
 }
 
+/// A reservation under an id that its owner chooses, so that it can be
+/// released although the answer was lost.
 export interface ReservationCall {
+  readonly id: string;
   readonly owner: string;
   readonly tokens: number;
   readonly leaseMilliseconds: Milliseconds;
@@ -119,10 +122,14 @@
   /// Ends a stream and frees its memory. Cancelling twice is harmless.
   cancel(streamId: string): Promise<void>;
   listStreams(): Promise<readonly ListedStream[]>;
-  reserve(call: ReservationCall): Promise<string>;
+  reserve(call: ReservationCall): Promise<void>;
+  /// Sets the lease of a reservation anew. Refused when it has lapsed.
+  renew(reservation: string, leaseMilliseconds: Milliseconds): Promise<void>;
+  /// Frees a reservation. Releasing twice is harmless.
   release(reservation: string): Promise<void>;
   /// Prefills a span and keeps its cache for other engines to read.
   prefillSpan(call: SpanCall, signal: AbortSignal): Promise<CacheReference>;
+  /// Frees exported cache. Dropping twice is harmless.
   dropExport(exportId: string): Promise<void>;
   order(order: EngineOrder): Promise<void>;
   load(): Promise<LoadReport>;
--- a/src/upstreams/http_engine_client.ts
+++ b/src/upstreams/http_engine_client.ts
@@ -113,6 +113,10 @@
   };
 }
 
+function pathOf(collection: string, id: string): string {
+  return `/v1/${collection}/${encodeURIComponent(id)}`;
+}
+
 /// A client of the engine named `name` at `host:port`.
 export function createHttpEngineClient(
   name: string,
@@ -179,19 +183,22 @@
         max_tokens: call.maximumTokens,
       }, signal),
     resume: (streamId, position, signal) =>
-      stream(`/v1/streams/${streamId}/resume`, position, signal),
+      stream(`${pathOf("streams", streamId)}/resume`, position, signal),
     async cancel(streamId) {
-      await control("DELETE", `/v1/streams/${streamId}`);
+      await control("DELETE", pathOf("streams", streamId));
     },
     async listStreams() {
       return await control("GET", "/v1/streams") as ListedStream[];
     },
     async reserve(call) {
-      const answer = await control("POST", "/v1/reservations", call);
-      return (answer as { id: string }).id;
+      await control("POST", "/v1/reservations", call);
+    },
+    async renew(reservation, leaseMilliseconds) {
+      const path = `${pathOf("reservations", reservation)}/renew`;
+      await control("POST", path, { leaseMilliseconds });
     },
     async release(reservation) {
-      await control("DELETE", `/v1/reservations/${reservation}`);
+      await control("DELETE", pathOf("reservations", reservation));
     },
     async prefillSpan(call, signal) {
       try {
@@ -204,7 +211,7 @@
       }
     },
     async dropExport(exportId) {
-      await control("DELETE", `/v1/exports/${exportId}`);
+      await control("DELETE", pathOf("exports", exportId));
     },
     async order(order) {
       await control("POST", "/v1/orders", order);
--- a/stand_ins/engine_model.ts
+++ b/stand_ins/engine_model.ts
@@ -43,10 +43,20 @@
   readonly listsStreams?: boolean;
   /// Whether running this call crashes the engine.
   readonly crashesOn?: (call: SpanCall) => boolean;
+  /// Whether the answer of this control call is lost after it took effect.
+  readonly losesAnswer?: (operation: ControlOperation) => boolean;
   /// How long an ended stream can still be resumed.
   readonly retainMilliseconds?: number;
 }
 
+/// Calls that carry no stream.
+export type ControlOperation =
+  | "cancel"
+  | "reserve"
+  | "renew"
+  | "release"
+  | "dropExport";
+
 /// Everything the engine counted, for checks of what really happened.
 export interface EngineCounters {
   started: number;
@@ -70,6 +80,8 @@
   restart(): void;
   /// Makes no progress for `duration`.
   stall(duration: number): void;
+  /// Answers no control call for `duration`.
+  hang(duration: number): void;
   /// Multiplies the duration of every step.
   setSlowdown(factor: number): void;
   setReportLag(milliseconds: number): void;
@@ -140,7 +152,7 @@
   const { clock, name } = options;
   const streams = new Map<string, StreamRecord>();
   const reservations = new Map<string, { tokens: number; timer: Timer }>();
-  const exports = new Map<string, number>();
+  const exports = new Map<string, StreamRecord>();
   const cachedBlocks = new Map<string, true>();
   let cacheEvents: (CacheEvent & { readonly time: number })[] = [];
   let snapshots: LoadSnapshot[] = [];
@@ -152,6 +164,7 @@
   let reportLag = options.reportLagMilliseconds;
   let slowdown = 1;
   let stalledUntil = 0;
+  let hangsUntil = 0;
   let down = false;
   let generation = 0;
   let stepping = false;
@@ -177,11 +190,16 @@
   const active = () =>
     [...streams.values()].filter((stream) => !stream.end && !stream.lost);
 
+  /// A reservation pays for the memory of its streams and exports as long as
+  /// it is there.
+  const isPaid = ({ call }: StreamRecord) =>
+    call.reservation !== undefined && reservations.has(call.reservation);
+
   const heldTokens = () => {
-    const held = active().filter((stream) => stream.admitted);
+    const held = [...active(), ...exports.values()]
+      .filter((stream) => stream.admitted && !isPaid(stream));
     return sum(held.map((stream) => stream.heldTokens)) +
-      sum([...reservations.values()].map((entry) => entry.tokens)) +
-      sum(exports.values());
+      sum([...reservations.values()].map((entry) => entry.tokens));
   };
 
   const freeTokens = () => options.memoryTokens - heldTokens();
@@ -257,7 +275,7 @@
     };
     counters.finished++;
     if (stream.exported) {
-      exports.set(stream.call.streamId, stream.heldTokens);
+      exports.set(stream.call.streamId, stream);
     }
     const { streamId } = stream.call;
     clock.schedule(options.retainMilliseconds, () => {
@@ -272,7 +290,7 @@
         left.call.priority - right.call.priority || left.order - right.order
       );
     for (const stream of waiting) {
-      if (stream.heldTokens > freeTokens()) return;
+      if (!isPaid(stream) && stream.heldTokens > freeTokens()) return;
       stream.admitted = true;
     }
   };
@@ -391,7 +409,7 @@
       seed: seedOf(call.prompt.text),
       cachedTokens,
       order: order++,
-      heldTokens: reserved ? 0 : needed,
+      heldTokens: needed,
       exported,
       attempt: call.attempt,
       remainingPrefill: call.prompt.tokens - cachedTokens,
@@ -492,19 +510,38 @@
     return { engine: name, exportId: call.streamId, tokens };
   };
 
-  const reserve = (call: ReservationCall) => {
-    requireUp();
-    if (call.tokens > freeTokens()) {
+  const startLease = (id: string, tokens: number, duration: number) => {
+    reservations.get(id)?.timer.cancel();
+    const timer = clock.schedule(duration, () => reservations.delete(id));
+    reservations.set(id, { tokens, timer });
+    recordSnapshot();
+  };
+
+  const reserve = ({ id, tokens, leaseMilliseconds }: ReservationCall) => {
+    if (reservations.has(id)) throw new EngineRefusedError("id in use");
+    if (tokens > freeTokens()) {
       throw new EngineRefusedError("not enough free memory");
     }
-    const id = `r${order++}`;
-    const timer = clock.schedule(
-      call.leaseMilliseconds,
-      () => reservations.delete(id),
-    );
-    reservations.set(id, { tokens: call.tokens, timer });
-    recordSnapshot();
-    return id;
+    startLease(id, tokens, leaseMilliseconds);
+  };
+
+  const renew = (id: string, leaseMilliseconds: number) => {
+    const entry = reservations.get(id);
+    if (!entry) throw new EngineRefusedError("reservation unknown");
+    startLease(id, entry.tokens, leaseMilliseconds);
+  };
+
+  const control = async (operation: ControlOperation, action: () => void) => {
+    await Promise.resolve();
+    requireUp();
+    const started = generation;
+    const delay = hangsUntil - clock.now();
+    if (delay > 0) await clock.sleep(delay);
+    if (generation !== started) throw new EngineLostError(`${name} crashed`);
+    action();
+    if (options.losesAnswer?.(operation)) {
+      throw new EngineLostError("the answer was lost");
+    }
   };
 
   const obey = (given: EngineOrder) => {
@@ -553,28 +590,28 @@
       recordSnapshot();
     },
     stall: (duration) => void (stalledUntil = clock.now() + duration),
+    hang: (duration) => void (hangsUntil = clock.now() + duration),
     setSlowdown: (factor) => void (slowdown = factor),
     setReportLag: (milliseconds) => void (reportLag = milliseconds),
     complete,
     resume,
     prefillSpan,
-    cancel: async (streamId) => {
-      requireUp();
-      const stream = streams.get(streamId);
-      if (stream) cancelRecord(stream);
-      await Promise.resolve();
-    },
+    cancel: (streamId) =>
+      control("cancel", () => {
+        const stream = streams.get(streamId);
+        if (stream) cancelRecord(stream);
+      }),
     listStreams: async () => await Promise.resolve().then(listStreams),
-    reserve: async (call) => await Promise.resolve().then(() => reserve(call)),
-    release: async (reservation) => {
-      await Promise.resolve().then(requireUp);
-      reservations.get(reservation)?.timer.cancel();
-      reservations.delete(reservation);
-    },
-    dropExport: async (exportId) => {
-      await Promise.resolve().then(requireUp);
-      exports.delete(exportId);
-    },
+    reserve: (call) => control("reserve", () => reserve(call)),
+    renew: (reservation, leaseMilliseconds) =>
+      control("renew", () => renew(reservation, leaseMilliseconds)),
+    release: (reservation) =>
+      control("release", () => {
+        reservations.get(reservation)?.timer.cancel();
+        reservations.delete(reservation);
+      }),
+    dropExport: (exportId) =>
+      control("dropExport", () => void exports.delete(exportId)),
     order: async (given) => await Promise.resolve().then(() => obey(given)),
     load: async () => await Promise.resolve().then(load),
     cacheEvents: async (after) => {
--- a/stand_ins/engine_server.ts
+++ b/stand_ins/engine_server.ts
@@ -152,9 +152,17 @@
     return {};
   });
 
-  application.post("/v1/reservations", async (request) => ({
-    id: await engine.reserve(request.body as ReservationCall),
-  }));
+  application.post("/v1/reservations", async (request) => {
+    await engine.reserve(request.body as ReservationCall);
+    return {};
+  });
+
+  application.post("/v1/reservations/:id/renew", async (request) => {
+    const { id } = request.params as { id: string };
+    const body = request.body as { leaseMilliseconds: number };
+    await engine.renew(id, body.leaseMilliseconds);
+    return {};
+  });
 
   application.delete("/v1/reservations/:id", async (request) => {
     await engine.release((request.params as { id: string }).id);
--- a/stand_ins/fake_clock.ts
+++ b/stand_ins/fake_clock.ts
@@ -86,19 +86,24 @@
     for (let count = 0; count < SETTLE_TURNS; count++) await turn();
   };
 
+  /// When the next timer is due.
+  const nextDue = () => {
+    while (heap[0]?.cancelled) {
+      pop();
+      cancelledCount--;
+    }
+    return heap[0]?.due ?? Infinity;
+  };
+
   const advance = async (duration: number) => {
     const end = time + duration;
     await settle();
-    while (heap[0] && heap[0].due <= end) {
+    while (nextDue() <= end) {
       const timer = pop()!;
-      if (timer.cancelled) {
-        cancelledCount--;
-        continue;
-      }
       time = timer.due;
       timer.cancelled = true;
       timer.callback();
-      if (!heap[0] || heap[0].due > time) await turn();
+      if (nextDue() > time) await turn();
     }
     time = end;
     await settle();
@@ -110,8 +115,7 @@
     const end = time + limit;
     await settle();
     while (!settled && time < end) {
-      const next = heap[0];
-      await advance(next ? Math.max(0, next.due - time) : end - time);
+      await advance(Math.max(0, Math.min(nextDue(), end) - time));
     }
     if (!settled) throw new Error(`not settled after ${limit} ms`);
     return promise;
--- a/test/requests/completion_run_test.ts
+++ b/test/requests/completion_run_test.ts
@@ -1,14 +1,13 @@
 import test from "ava";
 import { createContractBook } from "../../src/contracts/contract_book.ts";
-import {
-  type CompletionRequest,
-  createCompletionRunner,
-} from "../../src/requests/completion_run.ts";
+import type { CompletionRequest } from "../../src/requests/completion_request.ts";
+import { createCompletionRunner } from "../../src/requests/completion_run.ts";
 import { startDeadline } from "../../src/requests/deadline.ts";
 import { RequestError } from "../../src/requests/request_error.ts";
 import { createRequestRegistry } from "../../src/requests/request_registry.ts";
 import { createSeededRandom } from "../../src/support/random.ts";
 import { createEngineDirectory } from "../../src/upstreams/engine_directory.ts";
+import { createEngineHoldings } from "../../src/upstreams/engine_holdings.ts";
 import { ShortestWaitPlacement } from "../../src/upstreams/placement.ts";
 import { describePrompt } from "../../src/upstreams/prompt_blocks.ts";
 import {
@@ -16,6 +15,7 @@
   expectedAnswer,
 } from "../../stand_ins/engine_model.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
+import { createLocalNetwork } from "../../stand_ins/local_links.ts";
 import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
 
 /// Completions under the fake clock, with engines that fail.
@@ -38,7 +38,19 @@
     createClient: ({ name }) => models.find((model) => model.name === name)!,
   });
   const placement = new ShortestWaitPlacement(createSeededRandom(7));
-  const runner = createCompletionRunner({ clock, engines, placement });
+  const links = createLocalNetwork(clock).join({
+    vm: "vm-1",
+    incarnation: "a",
+    dataCentre: "muttrah",
+  });
+  const clientOf = (engine: string) => engines.find(engine)?.client;
+  const holdings = createEngineHoldings({ clock, links, clientOf });
+  const runner = createCompletionRunner({
+    clock,
+    engines,
+    holdings,
+    placement,
+  });
   const registry = createRequestRegistry(clock);
   await clock.advance(300);
   const run = async (deadline = 10_000) => {
