--- a/src/entry.ts
+++ b/src/entry.ts
@@ -39,6 +39,7 @@
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import type { VmIdentity } from "./vms/identity.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
 /// daemon gives it real connections; tests and measurements give it stand-ins
@@ -56,6 +57,7 @@
 }
 
 export interface Entry {
+  readonly identity: VmIdentity;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
@@ -124,6 +126,7 @@
   let draining = false;
 
   return {
+    identity: links.self,
     book,
     sheets,
     follower,
--- a/src/upstreams/engine_holdings.ts
+++ b/src/upstreams/engine_holdings.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { Links } from "../links/links.ts";
 import type { Clock, Milliseconds, Timer } from "../support/clock.ts";
 import type { EngineClient } from "./engine_client.ts";
@@ -64,6 +65,7 @@
   const claims = new Map<string, EngineClaim>();
   const releases = new Set<Promise<void>>();
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   let keeperCache = new Map<string, readonly string[]>();
   let unannounced: { claim: EngineClaim; done: () => void }[] = [];
   let withdrawn: EngineClaim[] = [];
--- a/src/upstreams/engine_keeper.ts
+++ b/src/upstreams/engine_keeper.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { Links } from "../links/links.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { EngineClient } from "./engine_client.ts";
@@ -72,6 +73,7 @@
   const liveness = createOwnerLiveness({ clock, links });
   const stop = new AbortController();
   const { signal } = stop;
+  setMaxListeners(0, signal);
   const releasing = new Set<string>();
   const unknownSince = new Map<string, Milliseconds>();
 
