--- a/src/entry.ts
+++ b/src/entry.ts
@@ -2,6 +2,10 @@
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import {
+  type SheetCollector,
+  startSheetCollector,
+} from "./contracts/sheet_collector.ts";
 import {
   type SheetFollower,
   startSheetFollower,
@@ -9,10 +13,14 @@
 import { createSheetStore, type SheetStore } from "./contracts/sheet_store.ts";
 import type { Upstream } from "./contracts/sheet.ts";
 import type { Links } from "./links/links.ts";
+import { startMembershipMessages } from "./links/membership_messages.ts";
 import type { KeyValueStore } from "./platform/key_value_store.ts";
+import type { VmList } from "./platform/vm_list.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
+import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
+import { createLedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -35,11 +43,16 @@
   type EngineHoldings,
 } from "./upstreams/engine_holdings.ts";
 import { createEngineKeeper } from "./upstreams/engine_keeper.ts";
+import {
+  createLeavingUpstreams,
+  type LeavingUpstreams,
+} from "./upstreams/leaving_upstreams.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
 import type { VmIdentity } from "./vms/identity.ts";
+import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
 /// daemon gives it real connections; tests and measurements give it stand-ins
@@ -52,15 +65,21 @@
   readonly logFor: (area: string) => Logger;
   readonly links: Links;
   readonly store: KeyValueStore;
+  readonly vmList: VmList;
+  /// Called when peers have declared this incarnation gone: it has to stop.
+  readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
   readonly createServiceClient: (upstream: Upstream) => ServiceClient;
 }
 
 export interface Entry {
   readonly identity: VmIdentity;
+  readonly membership: Membership;
+  readonly leavingUpstreams: LeavingUpstreams;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
+  readonly collector: SheetCollector;
   readonly engines: EngineDirectory;
   readonly holdings: EngineHoldings;
   readonly registry: RequestRegistry;
@@ -75,19 +94,48 @@
 }
 
 export function createEntry(options: EntryOptions): Entry {
-  const { clock, random, links, store, logFor } = options;
+  const { clock, random, links, store, vmList, logFor } = options;
+  const membership = createMembership({
+    clock,
+    log: logFor("vms"),
+    self: links.self,
+    vmList,
+    peers: links,
+  });
+  const membershipMessages = startMembershipMessages({
+    clock,
+    links,
+    membership,
+    onExpelled: options.onExpelled,
+  });
   const book = createContractBook();
-  const sheets = createSheetStore(store);
+  const sheets = createSheetStore({ store, clock });
   const follower = startSheetFollower({
     clock,
+    random,
     log: logFor("contracts"),
     links,
     sheets,
     book,
   });
+  const leavingUpstreams = createLeavingUpstreams({
+    clock,
+    log: logFor("upstreams"),
+    links,
+    book,
+    vmList,
+  });
+  const collector = startSheetCollector({
+    clock,
+    random,
+    log: logFor("contracts"),
+    links,
+    sheets,
+  });
   const engines = createEngineDirectory({
     clock,
     book,
+    isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
   const clientOf = (engine: string) => engines.find(engine)?.client;
@@ -101,12 +149,15 @@
   const services = createServiceDirectory({
     book,
     random,
+    isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
   const admission = createAdmission(clock);
   const placement = new ShortestWaitPlacement(random);
-  const ledger = createLedger(store);
+  const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const issuedKeys = createIssuedKeys({ clock, random, links });
+  const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
     clock,
     random,
@@ -122,14 +173,18 @@
     }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
+    issuedKeys,
   });
   let draining = false;
 
   return {
     identity: links.self,
+    membership,
+    leavingUpstreams,
     book,
     sheets,
     follower,
+    collector,
     engines,
     holdings,
     registry,
@@ -137,15 +192,21 @@
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
+      membership.leave();
       admission.stop();
       const end = clock.now() + limit;
-      await Promise.race([registry.whenIdle(), clock.sleep(limit)]);
+      const idle = registry.whenIdle().then(() => ledger.whenIdle());
+      await Promise.race([idle, clock.sleep(limit)]);
       await holdings.whenReleased(Math.max(0, end - clock.now()));
     },
     close() {
+      membershipMessages.close();
+      membership.close();
+      leavingUpstreams.close();
       follower.close();
       keeper.close();
       holdings.close();
+      collector.close();
       engines.close();
     },
   };
