Quarantine requests that crash engines

Cause: a request that crashes each engine that runs it was tried four times by one entry, and again by each entry that its caller sent it to. A stream that fell silent was noticed at its deadline only, retries had no budget, and a deadline that passed before anything was sent said "unknown".

Change: permits from a home VM bound how often one fingerprint runs at once, crashes are announced to all VMs before a retry, suspects run on engines of their own, a second crash quarantines.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -21,6 +21,7 @@
 import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
 import { createLedgerHome } from "./requests/ledger_home.ts";
+import { createQuarantine } from "./requests/quarantine.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -146,6 +147,7 @@
     clientOf,
     engineNames: () => engines.all().map((engine) => engine.upstream.name),
   });
+  const quarantine = createQuarantine({ clock, links });
   const services = createServiceDirectory({
     book,
     random,
@@ -170,6 +172,7 @@
       engines,
       holdings,
       placement,
+      quarantine,
     }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
@@ -204,6 +207,7 @@
       membership.close();
       leavingUpstreams.close();
       follower.close();
+      quarantine.close();
       keeper.close();
       holdings.close();
       collector.close();
--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -15,23 +15,25 @@
 import type { EngineHoldings, Holding } from "../upstreams/engine_holdings.ts";
 import { checkedChunks } from "./attempt.ts";
 import type { CompletionRequest, RunContext } from "./completion_request.ts";
+import { isAnswering, watchSilence } from "./silence_watch.ts";
 import { prefillSpans } from "./span_prefill.ts";
 
 /// One try of a completion at one engine, or at several for a prompt that no
 /// engine can hold.
 
-/// Attempts of one request, resumptions included.
-export const MAXIMUM_ATTEMPTS = 4;
+/// Resumptions of one stream.
+const MAXIMUM_RESUMPTIONS = 4;
 
 /// What a request has come to over all its attempts.
 export interface RunState {
   readonly name: string;
+  /// Engines that have failed the request.
   readonly excluded: Set<string>;
   attempt: number;
   /// Tokens of the answer that the caller has.
   offset: number;
   /// Whether an engine may have begun.
-  sent: boolean;
+  mayHaveRun: boolean;
 }
 
 export interface AttemptRuntime {
@@ -70,40 +72,52 @@
 ): AttemptRunner {
   const { clock, engines, holdings } = options;
 
-  const canResume = (error: unknown, { state, context }: AttemptRuntime) =>
-    error instanceof EngineLostError && state.offset > 0 &&
-    state.attempt < MAXIMUM_ATTEMPTS && !context.signal.aborted;
-
+  /// Yields chunks until the end, the context's abort, or a stall. Silence is
+  /// normal before the first token, as long as the engine answers.
   async function* deliver(
     source: AsyncIterable<EngineChunk>,
-    streamId: string,
+    { client, call: { streamId } }: EngineStream,
     { state, context }: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
     const { attempt, offset } = state;
     const checked = checkedChunks(source, { streamId, attempt, offset });
-    for await (const chunk of untilAborted(checked, context.signal)) {
-      if (state.offset === 0 && chunk.tokens > 0) {
-        context.open.update({ state: "streaming", firstTokenAt: clock.now() });
+    const mayBeSilent = async () =>
+      state.offset === 0 && await isAnswering(client, clock);
+    const watch = watchSilence({ clock, mayBeSilent });
+    const signal = AbortSignal.any([context.signal, watch.signal]);
+    try {
+      for await (const chunk of untilAborted(checked, signal)) {
+        watch.touch();
+        if (state.offset === 0 && chunk.tokens > 0) {
+          const firstTokenAt = clock.now();
+          context.open.update({ state: "streaming", firstTokenAt });
+        }
+        state.offset += chunk.tokens;
+        yield chunk;
       }
-      state.sent = true;
-      state.offset += chunk.tokens;
-      yield chunk;
+    } finally {
+      watch.stop();
     }
   }
 
   /// Reads a stream to its end, resuming it where its connection is lost.
   async function* readStream(
-    { client, call }: EngineStream,
+    stream: EngineStream,
     runtime: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
+    const { client, call } = stream;
     const { state, context } = runtime;
     const { streamId } = call;
     let source = client.complete(call, context.signal);
-    while (true) {
+    let lost: EngineLostError | undefined;
+    for (let resumed = 0;; resumed++) {
       try {
-        return yield* deliver(source, streamId, runtime);
+        return yield* deliver(source, stream, runtime);
       } catch (error) {
-        if (!canResume(error, runtime)) throw error;
+        if (context.signal.aborted) throw error;
+        if (!(error instanceof EngineLostError)) throw lost ?? error;
+        lost = error;
+        if (resumed === MAXIMUM_RESUMPTIONS) throw error;
         state.attempt++;
         context.open.update({ attempt: state.attempt });
         const { offset, attempt } = state;
@@ -120,20 +134,23 @@
   ): AsyncIterable<EngineChunk> {
     const { holding } = stream;
     const { state } = runtime;
-    const offset = state.offset;
-    let asked = false;
-    let mayRun = true;
+    const { offset, mayHaveRun } = state;
+    let isHeld = false;
     try {
       await raceAbort(holding.announced, runtime.context.signal);
-      asked = true;
+      isHeld = true;
+      state.mayHaveRun = true;
       yield* readStream(stream, runtime);
-      mayRun = false;
+      isHeld = false;
     } catch (error) {
-      mayRun = !(state.offset === offset && isCertainlyUnbegun(error));
+      if (isCertainlyUnbegun(error)) {
+        isHeld = false;
+        state.mayHaveRun = mayHaveRun;
+      }
       throw error;
     } finally {
       const mayStartLate = state.offset === offset;
-      if (asked && mayRun) holding.release({ mayStartLate });
+      if (isHeld) holding.release({ mayStartLate });
       else holding.end();
     }
   }
@@ -174,6 +191,7 @@
         engines: usable,
         name,
         attempt: runtime.state.attempt,
+        onSend: () => void (runtime.state.mayHaveRun = true),
         signal: runtime.context.signal,
       });
       try {
--- a/src/requests/completion_request.ts
+++ b/src/requests/completion_request.ts
@@ -6,6 +6,8 @@
 
 export interface CompletionRequest {
   readonly customer: string;
+  /// Names what is asked for, whoever asks.
+  readonly fingerprint: string;
   readonly model: string;
   readonly version: string;
   readonly prompt: Prompt;
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -1,4 +1,5 @@
-import type { Clock } from "../support/clock.ts";
+import { raceAbort } from "../support/abort.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
 import {
   type EngineChunk,
   EngineLostError,
@@ -14,11 +15,14 @@
 import {
   type AttemptRuntime,
   createAttemptRunner,
-  MAXIMUM_ATTEMPTS,
   type RunState,
 } from "./completion_attempt.ts";
+import { createEngineChoice } from "./engine_choice.ts";
 import type { CompletionRequest, RunContext } from "./completion_request.ts";
+import type { Quarantine, WatchedTry } from "./quarantine.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
+import { createRetryBudget } from "./retry_budget.ts";
+import { isAnswering } from "./silence_watch.ts";
 
 /// Runs one admitted completion: places it and retries where that is safe.
 
@@ -27,6 +31,7 @@
   readonly engines: EngineDirectory;
   readonly holdings: EngineHoldings;
   readonly placement: PlacementPolicy;
+  readonly quarantine: Quarantine;
 }
 
 export interface CompletionRunner {
@@ -38,70 +43,83 @@
   ): AsyncIterable<EngineChunk>;
 }
 
-const NO_ENGINE_RETRY_MILLISECONDS = 50;
+/// Times that one request is sent to engines, resumptions left out.
+const MAXIMUM_TRIES = 4;
+const RETRY_DELAY_MILLISECONDS: Milliseconds = 50;
 
 export function createCompletionRunner(
   options: CompletionRunnerOptions,
 ): CompletionRunner {
-  const { clock, engines, placement } = options;
+  const { clock, engines, quarantine } = options;
   const attempts = createAttemptRunner(options);
+  const choice = createEngineChoice(options);
+  const budget = createRetryBudget(clock);
 
-  const hasRoom = (engine: EngineView, request: CompletionRequest) =>
-    request.prompt.tokens + request.maximumTokens <=
-      (engine.report?.memoryTokens ?? 0);
+  const runOnEngine = async function* (
+    engine: EngineView,
+    runtime: AttemptRuntime,
+  ): AsyncIterable<EngineChunk> {
+    const { state, context } = runtime;
+    const { name } = engine.upstream;
+    try {
+      yield* attempts.runOnEngine(engine, runtime);
+    } catch (error) {
+      state.excluded.add(name);
+      const refused = error instanceof EngineRefusedError;
+      if (!context.signal.aborted && !refused) engines.recordFailure(name);
+      throw error;
+    }
+  };
 
-  const choose = ({ request, state }: AttemptRuntime) => {
-    const usable = engines.enginesOf(request.model, request.version)
-      .filter((engine) => engine.usable);
-    const fresh = usable.filter((engine) =>
-      !state.excluded.has(engine.upstream.name)
+  /// Whether one of the engines that the request was on is gone. A lost
+  /// connection alone says nothing about the engine.
+  const hasDied = async (used: readonly EngineView[]) => {
+    const answers = await Promise.all(
+      used.map((engine) => isAnswering(engine.client, clock)),
     );
-    const candidates = fresh.length > 0 ? fresh : usable;
-    const whole = candidates.filter((engine) => hasRoom(engine, request));
-    return {
-      usable,
-      engine: placement.choose({ ...request, candidates: whole }),
-    };
+    return answers.includes(false);
+  };
+
+  /// Ends a failed try: the other VMs learn of a crash before any retry.
+  const noteFailure = async (
+    error: unknown,
+    watched: WatchedTry,
+    used: readonly EngineView[],
+  ) => {
+    const lost = error instanceof EngineLostError;
+    if (lost && await hasDied(used)) await watched.crashed();
+    watched.stop();
   };
 
   async function* attemptOnce(
     runtime: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
     const { request, state, context } = runtime;
-    const { usable, engine } = choose(runtime);
-    if (usable.length === 0) throw new RequestError("no_upstream");
-    const largest = Math.max(
-      ...usable.map((view) => view.report?.memoryTokens ?? 0),
-    );
-    const needed = request.prompt.tokens + request.maximumTokens;
-    if (!engine && needed <= largest) throw new RequestError("no_upstream");
-    const upstream = engine?.upstream.name ?? "several";
-    context.open.update({ state: "sent", attempt: state.attempt, upstream });
-    if (!engine) return yield* attempts.runOverSpans(usable, runtime);
+    const { signal } = context;
+    const watched = await quarantine.enter(request.fingerprint, signal);
+    let used: readonly EngineView[] = [];
     try {
-      yield* attempts.runOnEngine(engine, runtime);
+      const chosen = await choice.choose(runtime, watched);
+      used = chosen.engines;
+      const [engine] = used;
+      const upstream = chosen.isWhole ? engine!.upstream.name : "several";
+      context.open.update({ state: "sent", attempt: state.attempt, upstream });
+      if (chosen.isWhole) yield* runOnEngine(engine!, runtime);
+      else yield* attempts.runOverSpans(used, runtime);
+      watched.completed();
     } catch (error) {
-      state.excluded.add(engine.upstream.name);
-      const refused = error instanceof EngineRefusedError;
-      if (!context.signal.aborted && !refused) {
-        engines.recordFailure(engine.upstream.name);
+      if (!signal.aborted) {
+        await raceAbort(noteFailure(error, watched, used), signal);
       }
       throw error;
+    } finally {
+      watched.stop();
     }
   }
 
-  const mayRetry = (error: unknown, state: RunState) => {
-    if (state.offset > 0 || state.attempt >= MAXIMUM_ATTEMPTS) return false;
-    return isEngineError(error) ||
-      (error instanceof RequestError && error.code === "no_upstream");
-  };
-
-  const toFailure = (error: unknown, state: RunState) => {
-    if (error instanceof RequestError) return error;
-    if (!isEngineError(error)) return toRequestError(error);
-    const executed = state.sent ? "unknown" : "no";
-    return new RequestError("upstream_lost", { executed, cause: error });
-  };
+  const mayRetry = (error: unknown, state: RunState, tries: number) =>
+    state.offset === 0 && tries < MAXIMUM_TRIES && isEngineError(error) &&
+    budget.take();
 
   return {
     async *run(request, context) {
@@ -110,18 +128,22 @@
         excluded: new Set(),
         attempt: 0,
         offset: 0,
-        sent: false,
+        mayHaveRun: false,
       };
-      while (true) {
+      budget.recordRequest();
+      for (let tries = 1;; tries++) {
         state.attempt++;
         try {
           return yield* attemptOnce({ request, state, context });
         } catch (error) {
-          if (context.signal.aborted) throw context.signal.reason;
-          if (error instanceof EngineLostError) state.sent = true;
-          if (!mayRetry(error, state)) throw toFailure(error, state);
+          const { aborted, reason } = context.signal;
+          if (aborted) throw toFailure(reason, state);
+          if (!mayRetry(error, state, tries)) throw toFailure(error, state);
           context.open.update({ state: "waiting" });
-          await clock.sleep(NO_ENGINE_RETRY_MILLISECONDS, context.signal);
+          const delay = clock.sleep(RETRY_DELAY_MILLISECONDS, context.signal);
+          await delay.catch((given) => {
+            throw toFailure(given, state);
+          });
         }
       }
     },
@@ -133,3 +155,21 @@
     error instanceof EngineNotReachedError ||
     error instanceof EngineRefusedError;
 }
+
+/// The end of a request that failed. It was not executed if no engine can
+/// have begun it.
+function toFailure(error: unknown, state: RunState): RequestError {
+  const executed = state.mayHaveRun ? "unknown" : "no";
+  if (isEngineError(error)) {
+    return new RequestError("upstream_lost", { executed, cause: error });
+  }
+  const failure = toRequestError(error);
+  if (failure.code === "internal") return failure;
+  const { code, message: detail, retryAfterSeconds } = failure;
+  return new RequestError(code, {
+    executed,
+    detail,
+    retryAfterSeconds,
+    cause: failure,
+  });
+}
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -22,6 +22,7 @@
 import type { CompletionRunner } from "./completion_run.ts";
 import { startDeadline } from "./deadline.ts";
 import type { IssuedKeys } from "./issued_keys.ts";
+import { fingerprintOf } from "./quarantine.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
 import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
 import type { ServiceRunner } from "./service_run.ts";
@@ -183,6 +184,11 @@
     const level = PRIORITIES.indexOf(effectivePriority(caller));
     return {
       customer: customer.name,
+      fingerprint: fingerprintOf({
+        customer: customer.name,
+        model,
+        body: JSON.stringify([completion.prompt, maximumTokens]),
+      }),
       model,
       version: chooseVersion(shares, random),
       prompt,
--- a/src/requests/span_prefill.ts
+++ b/src/requests/span_prefill.ts
@@ -32,6 +32,8 @@
   /// Names the try; unique on this VM.
   readonly name: string;
   readonly attempt: number;
+  /// Called before a part of the prompt goes out.
+  readonly onSend: () => void;
   readonly signal: AbortSignal;
 }
 
@@ -161,6 +163,7 @@
       };
       try {
         await raceAbort(span.announced, signal);
+        options.onSend();
         const prefill = engine.client.prefillSpan(call, signal);
         context.push(await raceAbort(prefill, signal));
         prefilled.push(span);
--- a/test/requests/completion_run_test.ts
+++ b/test/requests/completion_run_test.ts
@@ -2,6 +2,7 @@
 import { createContractBook } from "../../src/contracts/contract_book.ts";
 import type { CompletionRequest } from "../../src/requests/completion_request.ts";
 import { createCompletionRunner } from "../../src/requests/completion_run.ts";
+import { createQuarantine } from "../../src/requests/quarantine.ts";
 import { startDeadline } from "../../src/requests/deadline.ts";
 import { RequestError } from "../../src/requests/request_error.ts";
 import { createRequestRegistry } from "../../src/requests/request_registry.ts";
@@ -50,6 +51,7 @@
     engines,
     holdings,
     placement,
+    quarantine: createQuarantine({ clock, links }),
   });
   const registry = createRequestRegistry(clock);
   await clock.advance(300);
@@ -65,6 +67,7 @@
     const limit = startDeadline(clock, deadline);
     const request: CompletionRequest = {
       customer: "caller",
+      fingerprint: "fingerprint",
       model: "text",
       version: "1",
       prompt: describePrompt(PROMPT),
--- /dev/null
+++ b/test/requests/quarantine_test.ts
@@ -0,0 +1,167 @@
+import test from "ava";
+import {
+  type EngineModel,
+  expectedAnswer,
+} from "../../stand_ins/engine_model.ts";
+import { type Fleet, startFleet } from "../../stand_ins/fleet.ts";
+import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
+
+/// Requests that crash engines take down two at most, wherever they are sent.
+
+const KEY = "caller-key";
+const POISON = "poison".repeat(100);
+const VMS = ["vm-1", "vm-2", "vm-3", "vm-4"];
+const ANSWER_TOKENS = 12;
+/// Long enough to be prefilled still when the engine dies.
+const INNOCENT_CHARACTERS = 16_000;
+/// More than the time a lost VM's permits are kept.
+const SETTLE_MILLISECONDS = 30_000;
+
+const startPoisonedFleet = (engines = 6) =>
+  startFleet({
+    sheet: sampleSheet({ engines }),
+    entries: VMS.length,
+    seed: 11,
+    engine: { crashesOn: (call) => call.prompt.text.startsWith("poison") },
+  });
+
+const crashes = (fleet: Fleet) =>
+  [...fleet.engines.values()].reduce(
+    (total, engine) => total + engine.counters.crashes,
+    0,
+  );
+
+const send = (fleet: Fleet, vm: string, prompt = POISON) =>
+  fleet.complete({ vm, key: KEY }, { prompt, maximumTokens: ANSWER_TOKENS });
+
+interface SendCase {
+  readonly name: string;
+  /// Entries that get the request, one after the other or at once.
+  readonly rounds: readonly (readonly string[])[];
+}
+
+const CASES: readonly SendCase[] = [
+  { name: "at one entry", rounds: [["vm-1"], ["vm-1"], ["vm-1"]] },
+  { name: "at one entry after the other", rounds: VMS.map((vm) => [vm]) },
+  { name: "at all entries at once", rounds: [VMS, VMS] },
+  { name: "twice at each at once", rounds: [[...VMS, ...VMS]] },
+];
+
+for (const { name, rounds } of CASES) {
+  test(`a request that crashes engines, sent ${name}`, async (t) => {
+    const fleet = await startPoisonedFleet();
+    for (const vms of rounds) {
+      const sent = Promise.all(vms.map((vm) => send(fleet, vm)));
+      for (const { error } of await fleet.clock.advanceUntil(sent)) {
+        t.is(error?.code, "quarantined");
+      }
+    }
+    t.is(crashes(fleet), 2);
+    const late = await fleet.clock.advanceUntil(send(fleet, "vm-3"));
+    t.is(late.error?.executed, "no");
+    t.is(crashes(fleet), 2);
+  });
+}
+
+test("whoever ran it first learns that it may have run", async (t) => {
+  const fleet = await startPoisonedFleet();
+  const { error } = await fleet.clock.advanceUntil(send(fleet, "vm-1"));
+  t.is(error?.code, "quarantined");
+  t.is(error?.executed, "unknown");
+});
+
+test("requests beside it finish", async (t) => {
+  const fleet = await startPoisonedFleet(3);
+  const prompts = Array.from(
+    { length: 16 },
+    (_, index) => `innocent ${index}`.padEnd(INNOCENT_CHARACTERS, "word"),
+  );
+  const answers = Promise.all(
+    prompts.map((prompt, index) =>
+      send(fleet, VMS[index % VMS.length]!, prompt)
+    ),
+  );
+  await fleet.clock.advance(6);
+  const poisoned = send(fleet, "vm-1");
+  const results = await fleet.clock.advanceUntil(answers);
+  t.deepEqual(
+    results.map((result) => result.text),
+    prompts.map((prompt) => expectedAnswer(prompt, ANSWER_TOKENS)),
+  );
+  await fleet.clock.advanceUntil(poisoned);
+  t.is(crashes(fleet), 2);
+});
+
+test("a request that finishes after a crash is no suspect any more", async (t) => {
+  const fleet = await startPoisonedFleet();
+  for (let count = 0; count < 4; count++) {
+    const answer = send(fleet, "vm-1", "innocent");
+    const isBusy = (engine: EngineModel) => engine.runningStreams() > 0;
+    const engines = [...fleet.engines.values()];
+    while (!engines.some(isBusy)) await fleet.clock.advance(1);
+    const busy = engines.find(isBusy)!;
+    busy.crash();
+    const { text } = await fleet.clock.advanceUntil(answer);
+    t.is(text, expectedAnswer("innocent", ANSWER_TOKENS));
+    busy.restart();
+    await fleet.clock.advance(3_000);
+  }
+});
+
+test("an engine that runs a suspect gets no other request", async (t) => {
+  const fleet = await startPoisonedFleet();
+  const engines = [...fleet.engines.values()];
+  const runs = (engine: EngineModel) => engine.runningStreams() > 0;
+  const suspect = send(fleet, "vm-1", "innocent".padEnd(40_000, "word"));
+  while (!engines.some(runs)) await fleet.clock.advance(1);
+  engines.find(runs)!.crash();
+  while (!engines.some(runs)) await fleet.clock.advance(1);
+  const engine = engines.find(runs)!;
+  const others = Array.from({ length: 40 }, (_, index) => {
+    const prompt = `beside ${index}`.padEnd(INNOCENT_CHARACTERS, "word");
+    return send(fleet, VMS[index % VMS.length]!, prompt);
+  });
+  await fleet.clock.advanceUntil(Promise.all([suspect, ...others]));
+  t.is(engine.counters.started, 1);
+});
+
+interface LossCase {
+  readonly name: string;
+  readonly bound: number;
+  readonly cause: (fleet: Fleet) => void;
+}
+
+const cutOff = (vm: string) => (fleet: Fleet) => {
+  for (const other of VMS) {
+    if (other !== vm) fleet.network.setCut(vm, other, true);
+  }
+};
+
+const LOSSES: readonly LossCase[] = [
+  ...VMS.slice(1).map((vm) => ({
+    name: `${vm} dies`,
+    bound: 2,
+    cause: (fleet: Fleet) => fleet.kill(vm),
+  })),
+  {
+    name: "its own entry dies",
+    bound: 3,
+    cause: (fleet) => fleet.kill("vm-1"),
+  },
+  { name: "its own entry loses all links", bound: 4, cause: cutOff("vm-1") },
+  { name: "another entry loses all links", bound: 4, cause: cutOff("vm-2") },
+];
+
+for (const { name, bound, cause } of LOSSES) {
+  test(`a request crashes an engine as ${name}`, async (t) => {
+    const fleet = await startPoisonedFleet(8);
+    void send(fleet, "vm-1");
+    while (crashes(fleet) === 0) await fleet.clock.advance(1);
+    cause(fleet);
+    for (let round = 0; round < 3; round++) {
+      for (const vm of fleet.entries.keys()) void send(fleet, vm);
+      await fleet.clock.advance(SETTLE_MILLISECONDS);
+    }
+    t.true(crashes(fleet) <= bound, `${crashes(fleet)} engines died`);
+  });
+}
