--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -15,8 +15,9 @@
 }
 
 /// Yields the chunks that continue the answer. Chunks of other streams or
-/// attempts and repeated ones are dropped. Throws `EngineLostError` at a gap
-/// or when the stream stops before its end marker.
+/// attempts and repeated ones are dropped. Throws `EngineLostError` at a gap,
+/// at a chunk that repeats a part only, whose text can't be cut by tokens, and
+/// when the stream stops before its end marker.
 export async function* checkedChunks(
   source: AsyncIterable<EngineChunk>,
   position: AttemptPosition,
@@ -28,6 +29,9 @@
     if (foreign) continue;
     if (chunk.offset > offset) throw new EngineLostError("gap in the stream");
     const repeated = chunk.offset < offset;
+    if (repeated && chunk.offset + chunk.tokens > offset) {
+      throw new EngineLostError("overlap in the stream");
+    }
     if (repeated) continue;
     offset += chunk.tokens;
     yield chunk;
--- a/src/requests/retry_budget.ts
+++ b/src/requests/retry_budget.ts
@@ -3,12 +3,12 @@
 /// Bounds retries to a share of recent requests, so that failing upstreams
 /// don't get more work than healthy ones.
 
-/// Retries that each request pays for.
-const RETRY_SHARE = 0.2;
+/// Requests that together pay for one retry.
+const REQUESTS_PER_RETRY = 5;
 /// Retries that may be saved up.
-const CAPACITY = 50;
-/// Retries a second that are allowed however few requests there are.
-const MINIMUM_PER_SECOND = 1;
+const CAPACITY_RETRIES = 50;
+/// Time that pays for one retry however few requests there are.
+const FREE_RETRY_MILLISECONDS: Milliseconds = 1_000;
 
 export interface RetryBudget {
   recordRequest(): void;
@@ -17,21 +17,23 @@
 }
 
 export function createRetryBudget(clock: Clock): RetryBudget {
-  let level = CAPACITY;
+  const capacity = CAPACITY_RETRIES * REQUESTS_PER_RETRY;
+  /// In requests that paid.
+  let level = capacity;
   let filledAt: Milliseconds = clock.now();
 
-  const add = (amount: number) => {
-    level = Math.min(CAPACITY, level + amount);
+  const add = (requests: number) => {
+    level = Math.min(capacity, level + requests);
   };
 
   return {
-    recordRequest: () => add(RETRY_SHARE),
+    recordRequest: () => add(1),
     take() {
       const now = clock.now();
-      add((now - filledAt) * MINIMUM_PER_SECOND / 1_000);
+      add((now - filledAt) * REQUESTS_PER_RETRY / FREE_RETRY_MILLISECONDS);
       filledAt = now;
-      if (level < 1) return false;
-      level--;
+      if (level < REQUESTS_PER_RETRY) return false;
+      level -= REQUESTS_PER_RETRY;
       return true;
     },
   };
