--- a/src/entry.ts
+++ b/src/entry.ts
@@ -21,6 +21,7 @@
 import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
 import { createLedgerHome } from "./requests/ledger_home.ts";
+import { createQuarantine } from "./requests/quarantine.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -38,6 +39,11 @@
   createEngineDirectory,
   type EngineDirectory,
 } from "./upstreams/engine_directory.ts";
+import {
+  createEngineHoldings,
+  type EngineHoldings,
+} from "./upstreams/engine_holdings.ts";
+import { createEngineKeeper } from "./upstreams/engine_keeper.ts";
 import {
   createLeavingUpstreams,
   type LeavingUpstreams,
@@ -46,6 +52,7 @@
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import type { VmIdentity } from "./vms/identity.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
@@ -67,6 +74,7 @@
 }
 
 export interface Entry {
+  readonly identity: VmIdentity;
   readonly membership: Membership;
   readonly leavingUpstreams: LeavingUpstreams;
   readonly book: ContractBook;
@@ -74,6 +82,7 @@
   readonly follower: SheetFollower;
   readonly collector: SheetCollector;
   readonly engines: EngineDirectory;
+  readonly holdings: EngineHoldings;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
   /// Whether it takes new requests.
@@ -130,6 +139,15 @@
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
+  const clientOf = (engine: string) => engines.find(engine)?.client;
+  const holdings = createEngineHoldings({ clock, links, clientOf });
+  const keeper = createEngineKeeper({
+    clock,
+    links,
+    clientOf,
+    engineNames: () => engines.all().map((engine) => engine.upstream.name),
+  });
+  const quarantine = createQuarantine({ clock, links });
   const services = createServiceDirectory({
     book,
     random,
@@ -149,7 +167,13 @@
     book,
     registry,
     admission,
-    completions: createCompletionRunner({ clock, engines, placement }),
+    completions: createCompletionRunner({
+      clock,
+      engines,
+      holdings,
+      placement,
+      quarantine,
+    }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
     issuedKeys,
@@ -157,6 +181,7 @@
   let draining = false;
 
   return {
+    identity: links.self,
     membership,
     leavingUpstreams,
     book,
@@ -164,6 +189,7 @@
     follower,
     collector,
     engines,
+    holdings,
     registry,
     handler,
     isReady: () => !draining && follower.isCurrent(),
@@ -171,14 +197,19 @@
       draining = true;
       membership.leave();
       admission.stop();
+      const end = clock.now() + limit;
       const idle = registry.whenIdle().then(() => ledger.whenIdle());
       await Promise.race([idle, clock.sleep(limit)]);
+      await holdings.whenReleased(Math.max(0, end - clock.now()));
     },
     close() {
       membershipMessages.close();
       membership.close();
       leavingUpstreams.close();
       follower.close();
+      quarantine.close();
+      keeper.close();
+      holdings.close();
       collector.close();
       engines.close();
     },
--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -10,7 +10,7 @@
   ServiceNotReachedError,
 } from "../upstreams/service_client.ts";
 import type { ServiceDirectory } from "../upstreams/service_directory.ts";
-import type { RunContext } from "./completion_run.ts";
+import type { RunContext } from "./completion_request.ts";
 import type { Claim } from "./claim.ts";
 import { parseKey } from "./idempotency_key.ts";
 import type { Ledger } from "./ledger.ts";
