Bound the ledger's writes for each VM and let a claim pass an outcome

Cause: each shard kept its own interval, so the sum over entries without links was bounded only on average, and a claim that came just after an outcome's write waited the whole interval. Change: one write budget for each VM, its share by the shards that it is home of; a claim may go one interval early; a VM that is not the only writer reads a shard before it writes. 64 shards, smaller bounds of a record's size, so that records stay longer.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -20,7 +20,7 @@
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
-import { createLedgerHome } from "./requests/ledger_home.ts";
+import { createLedgerHome, type LedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -76,6 +76,7 @@
   readonly engines: EngineDirectory;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
+  readonly ledgerHome: LedgerHome;
   /// Whether it takes new requests.
   isReady(): boolean;
   /// Refuses new requests and resolves when the running ones have ended, or
@@ -166,6 +167,7 @@
     engines,
     registry,
     handler,
+    ledgerHome,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
--- a/src/requests/ledger_home.ts
+++ b/src/requests/ledger_home.ts
@@ -11,9 +11,9 @@
   StoreOutcomeUnknownError,
   StoreUnavailableError,
 } from "../platform/key_value_store.ts";
-import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Clock } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
-import { chooseByRendezvous } from "../support/rendezvous.ts";
+import { rankByRendezvous } from "../vms/rendezvous.ts";
 import { LedgerOperation, LedgerReply } from "./ledger_operation.ts";
 import {
   createLedgerShard,
@@ -21,6 +21,7 @@
   type LedgerShard,
 } from "./ledger_shard.ts";
 import type { RetentionLimits } from "./ledger_state.ts";
+import { createWriteBudget } from "./write_budget.ts";
 
 /// Takes each operation to the shard's home VM, which commits those of every
 /// VM together. Guards of the store alone keep the shard right; the home only
@@ -56,21 +57,25 @@
 }
 
 export const LEDGER_SHARD_PREFIX = "sequoiaturn/ledger/";
-export const LEDGER_SHARDS = 32;
-/// Writes a second of all VMs together: half by the homes of the shards, half
-/// by VMs that can't reach a home.
-export const LEDGER_WRITES_PER_SECOND = 128;
-
-const SHARD_INTERVAL_MILLISECONDS = 2_000 * LEDGER_SHARDS /
-  LEDGER_WRITES_PER_SECOND;
+export const LEDGER_SHARDS = 64;
+/// Writes of all VMs together in any one second.
+export const LEDGER_WRITES_PER_SECOND = 256;
+
+/// Writes a second for each shard by its home.
+const HOME_WRITES_PER_SECOND = 2;
+/// Writes a second of all VMs together that can't reach a home.
+const FALLBACK_WRITES_PER_SECOND = 64;
+/// Time whose writes may be saved up: the sum of the rates and of what is
+/// saved up stays under the limit of all VMs together.
+const BURST_MILLISECONDS = 1_000 / 3;
 const HOME_CALL_TIMEOUT_MILLISECONDS = 1_500;
 /// How long a VM that has gone still counts when writes are shared out.
 const KNOWN_VMS_MILLISECONDS = 600_000;
 
 const DEFAULT_LIMITS: RetentionLimits = {
   retention: 86_400_000,
-  minimumRetention: 3_600_000,
-  targetBytes: 524_288,
+  minimumRetention: 900_000,
+  targetBytes: 262_144,
   maximumBytes: 917_504,
 };
 
@@ -87,6 +92,11 @@
   reply: SubmitReply,
 });
 
+const SHARD_NUMBERS = Array.from(
+  { length: LEDGER_SHARDS },
+  (_, number) => number,
+);
+
 /// Number of the shard that holds a key.
 export function shardOfKey(key: string): number {
   const digest = createHash("sha256").update(key).digest();
@@ -129,19 +139,26 @@
   const homeOf = (shard: number): string => {
     const known = homes.get(shard);
     if (known !== undefined) return known;
-    const vms = [links.self, ...links.peers()].map(({ vm }) => vm);
-    const home = chooseByRendezvous(`ledger ${shard}`, vms)!;
+    const peers = links.peers().map(({ vm }) => vm);
+    if (peers.length === 0) return links.self.vm;
+    const vms = [links.self.vm, ...peers];
+    const home = rankByRendezvous(`ledger ${shard}`, vms)[0]!;
     homes.set(shard, home);
     return home;
   };
 
-  /// Shares out the writes, so that their sum over all VMs stays under the
-  /// configured rate also while VMs can't reach each other.
-  const intervalOf = (shard: number): Milliseconds => {
+  const isHomeOf = (shard: number) => homeOf(shard) === links.self.vm;
+
+  /// This VM's share of the writes. The sum over all VMs stays under the limit
+  /// also while VMs can't reach each other and each takes itself for the home.
+  const rate = (): number => {
     const live = countVms();
-    const isHome = homeOf(shard) === links.self.vm;
-    return SHARD_INTERVAL_MILLISECONDS * (isHome ? knownVms / live : knownVms);
+    const own = SHARD_NUMBERS.filter(isHomeOf).length;
+    const asHome = own * HOME_WRITES_PER_SECOND * live / knownVms;
+    return asHome + FALLBACK_WRITES_PER_SECOND / knownVms;
   };
+  const burst = BURST_MILLISECONDS;
+  const budget = createWriteBudget({ clock, rate, burst });
 
   const shardOf = (number: number): LedgerShard => {
     let shard = shards.get(number);
@@ -152,7 +169,8 @@
         store,
         key: LEDGER_SHARD_PREFIX + number,
         limits,
-        interval: () => intervalOf(number),
+        budget,
+        isSoleWriter: () => isHomeOf(number) && countVms() === knownVms,
         onConflict: () => void conflicts++,
       });
       shards.set(number, shard);
--- a/src/requests/ledger_operation.ts
+++ b/src/requests/ledger_operation.ts
@@ -153,7 +153,7 @@
 ): Application {
   const { key, keyTime, fingerprint, holder } = operation;
   if (keyTime < state.prunedBefore) return unchanged({ kind: "pruned" });
-  if (!hasRoom(state, key, limits)) return unchanged({ kind: "full" });
+  if (!hasRoom(state, limits)) return unchanged({ kind: "full" });
   state.actions.set(key, { holder, fingerprint, keyTime });
   return changed({ kind: "claimed" });
 }
@@ -194,7 +194,7 @@
       return unchanged({ kind: "differentRequest" });
     }
     if (found?.claimId === claimId) return unchanged(describeStream(found));
-    if (!found && !hasRoom(state, key, limits)) {
+    if (!found && !hasRoom(state, limits)) {
       return unchanged({ kind: "full" });
     }
     const claimed = {
--- a/src/requests/ledger_shard.ts
+++ b/src/requests/ledger_shard.ts
@@ -3,9 +3,10 @@
   StoreOutcomeUnknownError,
   StoreUnavailableError,
 } from "../platform/key_value_store.ts";
-import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Clock } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
 import { withTimeout } from "../support/timeout.ts";
+import type { WriteBudget } from "./write_budget.ts";
 import {
   applyOperation,
   type LedgerOperation,
@@ -32,8 +33,10 @@
   /// Key of the shard's value.
   readonly key: string;
   readonly limits: RetentionLimits;
-  /// Least time between two writes of this VM.
-  readonly interval: () => Milliseconds;
+  readonly budget: WriteBudget;
+  /// Whether no other VM is expected to write, so that the value need not be
+  /// read before each write.
+  readonly isSoleWriter: () => boolean;
   /// Counts a write that lost against another one.
   readonly onConflict: () => void;
 }
@@ -54,7 +57,11 @@
 const QUEUE_LIMIT = 4_096;
 const BATCH_LIMIT = 512;
 const MAXIMUM_TRIES = 6;
+/// Longest pause after a lost write.
+const CONFLICT_DELAY_MILLISECONDS = 200;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
+/// Mean time between two writes.
+const WRITE_INTERVAL_MILLISECONDS = 500;
 /// How long operations that nobody waits for may be held for company.
 const COMPANY_MILLISECONDS = 250;
 /// Age of keys that a shard without a value vouches for.
@@ -76,13 +83,16 @@
 }
 
 export function createLedgerShard(options: LedgerShardOptions): LedgerShard {
-  const { clock, random, store, key, limits, interval } = options;
+  const { clock, random, store, key, limits } = options;
   const queue: Waiting[] = [];
   let writing = 0;
   let running = false;
   /// The value as last confirmed. Guards refuse a write based on an old one.
   let confirmed: ReadState | undefined;
-  let lastWriteAt = -Infinity;
+  /// When the next write is due at the mean rate. One write that somebody
+  /// waits for may be made an interval early.
+  let paceAt = -Infinity;
+  let urgent = 0;
   let nextDueAt = Infinity;
   let wake = () => {};
 
@@ -106,7 +116,7 @@
   /// Returns the revision written, or undefined after a conflict.
   const write = async (state: LedgerState, revision: number) => {
     const put = { kind: "put", key, value: encodeState(state) } as const;
-    lastWriteAt = clock.now();
+    paceAt = Math.max(paceAt, clock.now()) + WRITE_INTERVAL_MILLISECONDS;
     const result = await withTimeout(
       store.transact([{ key, modifiedRevision: revision }], [put], {
         timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
@@ -128,15 +138,18 @@
     return { draft, results, changed: results.some((item) => item.changed) };
   };
 
+  const allowedAt = (isUrgent: boolean) =>
+    isUrgent ? paceAt - WRITE_INTERVAL_MILLISECONDS : paceAt;
+
   const untilAllowed = async () => {
-    const wait = lastWriteAt + interval() - clock.now();
+    const wait = allowedAt(true) - clock.now();
     if (wait > 0) await clock.sleep(wait);
+    await options.budget.take();
   };
 
   const commit = async (batch: readonly Waiting[]): Promise<LedgerReply[]> => {
-    if (batch.some(({ operation }) => operation.kind === "read")) {
-      confirmed = undefined;
-    }
+    const mustRead = batch.some(({ operation }) => operation.kind === "read");
+    if (mustRead || !options.isSoleWriter()) confirmed = undefined;
     for (let tries = 0; tries < MAXIMUM_TRIES; tries++) {
       const base = confirmed ?? await read();
       confirmed = base;
@@ -151,7 +164,7 @@
           return results.map((result) => result.reply);
         }
         options.onConflict();
-        await clock.sleep(random.next() * interval());
+        await clock.sleep(random.next() * CONFLICT_DELAY_MILLISECONDS);
       } catch (error) {
         // The next turn reads the shard back: the write is there, or its
         // guard fails once ours has gone through.
@@ -163,6 +176,7 @@
 
   const commitNext = async () => {
     const batch = queue.splice(0, BATCH_LIMIT);
+    urgent = queue.filter((item) => isUrgent(item.operation)).length;
     nextDueAt = queue.length > 0 ? clock.now() : Infinity;
     writing = batch.length;
     try {
@@ -184,8 +198,8 @@
       let timer = { cancel: () => {} };
       const check = () => {
         timer.cancel();
-        const allowedAt = lastWriteAt + interval();
-        const wait = Math.max(allowedAt, nextDueAt) - clock.now();
+        const dueAt = Math.max(allowedAt(urgent > 0), nextDueAt);
+        const wait = dueAt - clock.now();
         if (wait > 0) timer = clock.schedule(wait, check);
         else {
           wake = () => {};
@@ -211,6 +225,7 @@
         return Promise.reject(new LedgerBusyError("too many wait"));
       }
       const delay = isUrgent(operation) ? 0 : COMPANY_MILLISECONDS;
+      if (isUrgent(operation)) urgent++;
       nextDueAt = Math.min(nextDueAt, clock.now() + delay);
       return new Promise((resolve, reject) => {
         queue.push({ operation, resolve, reject });
--- a/src/requests/ledger_state.ts
+++ b/src/requests/ledger_state.ts
@@ -86,8 +86,11 @@
   override readonly name = "LedgerUnreadableError";
 }
 
-const RECORD_BYTES = 420;
-const OUTCOME_BYTES = RECORDED_BODY_CHARACTERS + 320;
+/// Field names, quotes and numbers of a record and of an outcome.
+const RECORD_BYTES = 160;
+const OUTCOME_BYTES = 80;
+const STREAM_BYTES = 1_200;
+const MAXIMUM_OUTCOME_BYTES = OUTCOME_BYTES + RECORDED_BODY_CHARACTERS + 512;
 
 export function emptyState(prunedBefore: Milliseconds): LedgerState {
   return { prunedBefore, actions: new Map(), streams: new Map() };
@@ -124,27 +127,30 @@
 }
 
 /// Bytes that a record of this key may come to.
-function boundOf(key: string, record: ActionRecord | undefined): number {
-  const base = 2 * key.length + RECORD_BYTES;
-  const outcome = record?.outcome;
-  return base + (outcome ? outcome.body.length + 320 : OUTCOME_BYTES);
+function boundOf(key: string, record: ActionRecord): number {
+  const { holder, fingerprint, outcome } = record;
+  const { claimId, vm, incarnation } = holder;
+  const texts = [key, fingerprint, claimId, vm, incarnation];
+  const base = texts.reduce((sum, text) => sum + text.length, RECORD_BYTES);
+  if (!outcome) return base + MAXIMUM_OUTCOME_BYTES;
+  const { contentType, body } = outcome;
+  const typeBytes = Buffer.byteLength(JSON.stringify(contentType));
+  return base + OUTCOME_BYTES + typeBytes + body.length;
 }
 
 /// An upper bound of the encoded size once every outcome is recorded.
 export function boundSize({ actions, streams }: LedgerState): number {
   let total = 0;
   for (const [key, record] of actions) total += boundOf(key, record);
-  for (const key of streams.keys()) total += 2 * key.length + 2 * RECORD_BYTES;
+  for (const key of streams.keys()) total += key.length + STREAM_BYTES;
   return total;
 }
 
-/// Whether one more claim of `key` keeps the state under its limit.
-export function hasRoom(
-  state: LedgerState,
-  key: string,
-  limits: RetentionLimits,
-): boolean {
-  return boundSize(state) + boundOf(key, undefined) <= limits.maximumBytes;
+/// Whether one more record of the largest size keeps the state under its
+/// limit.
+export function hasRoom(state: LedgerState, limits: RetentionLimits): boolean {
+  const largest = MAXIMUM_OUTCOME_BYTES + STREAM_BYTES;
+  return boundSize(state) + largest <= limits.maximumBytes;
 }
 
 /// Time that records are judged by: never ahead of the newest key, so that one
--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -48,6 +48,7 @@
 const RETRY_DELAY_MILLISECONDS = 50;
 const CLAIM_ID_BYTES = 12;
 const CONTENT_TYPE_CHARACTERS = 200;
+const NOT_PRINTABLE = /[^\x20-\x7e]/g;
 /// How far ahead of this VM's clock a key's time may be.
 const KEY_SKEW_MILLISECONDS = 60_000;
 /// How long after the deadline an answer is still awaited for the record.
@@ -68,7 +69,9 @@
 function toOutcome(answer: ServiceAnswer): RecordedOutcome {
   return {
     status: answer.status,
-    contentType: answer.contentType.slice(0, CONTENT_TYPE_CHARACTERS),
+    contentType: answer.contentType
+      .replace(NOT_PRINTABLE, "")
+      .slice(0, CONTENT_TYPE_CHARACTERS),
     body: answer.body.subarray(0, RECORDED_BODY_BYTES).toString("base64"),
   };
 }
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -3,6 +3,7 @@
 /// Runs one measurement by name and writes its result.
 
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Measurement>>> = {
+  ledger: async () => (await import("./measurements/ledger.ts")).measureLedger,
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
 };
