--- a/src/entry.ts
+++ b/src/entry.ts
@@ -20,8 +20,8 @@
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
-import { createLedgerHome } from "./requests/ledger_home.ts";
 import { createQuarantine } from "./requests/quarantine.ts";
+import { createLedgerHome, type LedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -85,6 +85,7 @@
   readonly holdings: EngineHoldings;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
+  readonly ledgerHome: LedgerHome;
   /// Whether it takes new requests.
   isReady(): boolean;
   /// Refuses new requests and resolves when the running ones have ended, or
@@ -192,6 +193,7 @@
     holdings,
     registry,
     handler,
+    ledgerHome,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -20,6 +20,7 @@
 import { createLocalNetwork, type LocalNetwork } from "./local_links.ts";
 import { createLocalVmList, type LocalVmList } from "./local_vm_list.ts";
 import { createMemoryStore, type MemoryStore } from "./memory_store.ts";
+import { createPauseGate, type PauseGate } from "./pause_gate.ts";
 import { createServiceModel, type ServiceModel } from "./service_model.ts";
 
 /// Several entries with stand-ins for everything around them, in one process
@@ -74,6 +75,11 @@
   start(vm: string): Entry;
   /// Ends a VM at once: its links, store and upstream calls all fail.
   kill(vm: string): void;
+  /// Stops the code of a VM until `resume`. What arrives meanwhile waits.
+  pause(vm: string): void;
+  resume(vm: string): void;
+  /// Sets how far the wall clock of a VM is ahead.
+  skewClock(vm: string, milliseconds: number): void;
   complete(
     call: FleetCall,
     completion: Partial<CallerCompletion>,
@@ -100,6 +106,7 @@
   const services = new Map<string, ServiceModel>();
   const entries = new Map<string, Entry>();
   const stops = new Map<string, AbortController>();
+  const gates = new Map<string, PauseGate>();
   const expelled: string[] = [];
   const dataCentres = options.dataCentres ?? ["muttrah"];
   let started = 0;
@@ -131,6 +138,8 @@
       dataCentre: dataCentres[number % dataCentres.length]!,
     };
     const stop = new AbortController();
+    const gate = createPauseGate(clock);
+    const life = { stopped: stop.signal, gate };
     vmList.set({
       name: vm,
       dataCentre: identity.dataCentre,
@@ -138,18 +147,18 @@
       state: "live",
     });
     const entry = createEntry({
-      clock,
+      clock: gate.clock,
       random,
       logFor: createSilentLogger,
-      links: network.join(identity),
-      store: untilStopped(store.connect(), stop.signal),
-      vmList,
+      links: gate.holdLinks(network.join(identity)),
+      store: untilStopped(store.connect(), life),
+      vmList: untilStopped(vmList, life),
       onExpelled: () => void expelled.push(vm),
-      createEngineClient: ({ name }) =>
-        untilStopped(engines.get(name)!, stop.signal),
+      createEngineClient: ({ name }) => untilStopped(engines.get(name)!, life),
       createServiceClient: ({ serves }) =>
-        untilStopped(services.get(serves)!.connect(), stop.signal),
+        untilStopped(services.get(serves)!.connect(), life),
     });
+    gates.set(vm, gate);
     entries.set(vm, entry);
     stops.set(vm, stop);
     return entry;
@@ -195,10 +204,14 @@
       entries.get(vm)?.close();
       entries.delete(vm);
     },
+    pause: (vm) => gates.get(vm)?.pause(),
+    resume: (vm) => gates.get(vm)?.resume(),
+    skewClock: (vm, milliseconds) => gates.get(vm)?.setSkew(milliseconds),
     async complete(call, completion) {
       let text = "";
       let end: StreamEnd | undefined;
       try {
+        await gates.get(call.vm)!.hold(Promise.resolve());
         await entries.get(call.vm)!.handler.complete(
           receive(call),
           {
@@ -224,6 +237,7 @@
     async callService(call, { service, method, path }) {
       const [plain, query] = path.split("?", 2);
       try {
+        await gates.get(call.vm)!.hold(Promise.resolve());
         const received = receive(call);
         const { handler } = entries.get(call.vm)!;
         const answer = await handler.callService(received, {
@@ -249,20 +263,42 @@
   };
 }
 
+interface VmLife {
+  readonly stopped: AbortSignal;
+  readonly gate: PauseGate;
+}
+
 /// A client whose calls never settle once its VM has stopped, as those of a
-/// dead process.
+/// dead process, nor while it is paused.
 function untilStopped<Client extends object>(
   client: Client,
-  stopped: AbortSignal,
+  life: VmLife,
 ): Client {
   return new Proxy(client, {
     get(target, name) {
       const member = Reflect.get(target, name) as unknown;
       if (typeof member !== "function") return member;
       return (...values: unknown[]) => {
-        if (stopped.aborted) return new Promise(() => {});
-        return member.apply(target, values);
+        if (life.stopped.aborted) return new Promise(() => {});
+        return holdResult(member.apply(target, values), life.gate);
       };
     },
   });
 }
+
+function holdResult(result: unknown, gate: PauseGate): unknown {
+  if (result instanceof Promise) return gate.hold(result);
+  const isStream = typeof result === "object" && result !== null &&
+    Symbol.asyncIterator in result;
+  if (!isStream) return result;
+  const source = result as AsyncIterable<unknown>;
+  return {
+    [Symbol.asyncIterator]() {
+      const iterator = source[Symbol.asyncIterator]();
+      return {
+        next: () => gate.hold(iterator.next()),
+        return: () => iterator.return?.() ?? Promise.resolve({ done: true }),
+      };
+    },
+  };
+}
