Make the tool a client of a documented administration API

The tool printed raw answers, knew three exit codes and could neither show a difference nor the history; the API accepted any JSON of the right types and took a lost race without telling what had won.

Each operation is now defined once, with its schemas, role and errors; the server and the document at /v1/openapi.json are made from that. The daemon checks what it gets, as CSV or JSON, and answers with every fault. A conflict carries the difference to the winner. Each change or refused change writes an audit line, whatever DEBUG says. Wrong arguments of the daemon are faults beside wrong settings.

--- a/src/administration/administration_api.ts
+++ b/src/administration/administration_api.ts
@@ -1,87 +1,136 @@
-import { timingSafeEqual } from "node:crypto";
-import { Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
-import Fastify, { type FastifyInstance, type FastifyRequest } from "fastify";
-import { Sheet } from "../contracts/sheet.ts";
-import {
-  SheetConflictError,
-  SheetUndecidedError,
-} from "../contracts/sheet_store.ts";
+import Fastify, { type FastifyInstance } from "fastify";
+import { SheetFaultsError } from "../contracts/sheet_check.ts";
+import { SheetUndecidedError } from "../contracts/sheet_store.ts";
 import type { Entry } from "../entry.ts";
 import type { Links } from "../links/links.ts";
+import { StoreUnavailableError } from "../platform/key_value_store.ts";
+import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { Metrics } from "../support/metrics.ts";
+import { AccessDeniedError, type AccessTokens, requireRole } from "./access.ts";
+import type { AdministrationProblem } from "./administration_schemas.ts";
+import { buildOpenApi } from "./open_api.ts";
+import {
+  ADMINISTRATION_ERRORS,
+  type AdministrationErrorCode,
+  type Route,
+} from "./route.ts";
+import {
+  ApplyConflictError,
+  createSheetRoutes,
+  MalformedDocumentError,
+} from "./sheet_routes.ts";
+import { createStateRoutes } from "./state_routes.ts";
 
 /// The interface towards operators, health checks and metrics.
 
 export interface AdministrationApiOptions {
+  readonly clock: Clock;
   readonly log: Logger;
+  /// Gets one line for each change that an operator makes or tries.
+  readonly audit: Logger;
   readonly metrics: Metrics;
   readonly links: Links;
   readonly entry: Entry;
-  readonly operateToken: string;
-  readonly viewToken: string | undefined;
+  readonly tokens: AccessTokens;
   /// Starts a graceful shutdown.
   readonly drain: () => void;
 }
 
-type Role = "view" | "operate";
-
-class AccessDeniedError extends Error {
-  override readonly name = "AccessDeniedError";
+const BODY_LIMIT_BYTES = 33_554_432;
+/// Faults of a malformed body that one answer names.
+const NAMED_FAULTS = 20;
+
+function codeOf(error: unknown): AdministrationErrorCode {
+  if (error instanceof AccessDeniedError) return "access_denied";
+  if (error instanceof MalformedDocumentError) return "malformed";
+  if (error instanceof SheetFaultsError) return "invalid_sheet";
+  if (error instanceof ApplyConflictError) return "conflict";
+  if (error instanceof SheetUndecidedError) return "undecided";
+  if (error instanceof StoreUnavailableError) return "unavailable";
+  const { statusCode = 500 } = error as { statusCode?: number };
+  return statusCode < 500 ? "malformed" : "failed";
 }
 
-const ApplyBody = Type.Object({
-  sheet: Sheet,
-  base: Type.Integer({ minimum: 0 }),
-  applyId: Type.String({ minLength: 8 }),
-  author: Type.String({ minLength: 1 }),
-});
-
-const BODY_LIMIT_BYTES = 33_554_432;
+function toProblem(error: unknown): AdministrationProblem {
+  const { message } = error as Error;
+  const code = codeOf(error);
+  if (error instanceof SheetFaultsError) {
+    return { code, message, faults: [...error.faults] };
+  }
+  if (error instanceof ApplyConflictError) {
+    return { code, message, conflict: error.conflict };
+  }
+  return { code, message };
+}
 
-function sameText(left: string, right: string): boolean {
-  const first = Buffer.from(left);
-  const second = Buffer.from(right);
-  return first.length === second.length && timingSafeEqual(first, second);
+function requireBody(route: Route, body: unknown): void {
+  if (!route.body || Value.Check(route.body, body)) return;
+  const faults = [...Value.Errors(route.body, body)].slice(0, NAMED_FAULTS)
+    .map(({ path, message }) => `${path}: ${message}`);
+  throw new MalformedDocumentError(faults.join("; "));
 }
 
 /// Creates the application; the caller makes it listen.
 export function createAdministrationApi(
   options: AdministrationApiOptions,
 ): FastifyInstance {
-  const { log, links, entry } = options;
-  const { book, registry, engines, follower } = entry;
+  const { clock, log, audit, links, entry, tokens } = options;
   const application = Fastify({
     bodyLimit: BODY_LIMIT_BYTES,
     forceCloseConnections: true,
   });
 
-  const requireRole = (request: FastifyRequest, role: Role) => {
-    const given = request.headers.authorization ?? "";
-    const token = given.startsWith("Bearer ") ? given.slice(7) : "";
-    if (sameText(token, options.operateToken)) return;
-    const { viewToken } = options;
-    if (role === "view" && viewToken && sameText(token, viewToken)) return;
-    throw new AccessDeniedError(`the role ${role} is needed`);
-  };
-
-  application.setErrorHandler((error, _request, reply) => {
-    const { message, statusCode } = error as Error & { statusCode?: number };
-    if (error instanceof AccessDeniedError) {
-      return reply.code(403).send({ code: "access_denied", message });
+  const serve = (route: Route) =>
+    application.route({
+      method: route.method,
+      url: route.path,
+      // Denied before the body is read.
+      onRequest: (request, _reply, done) => {
+        const { authorization } = request.headers;
+        try {
+          requireRole(authorization, { needed: route.role, tokens });
+          done();
+        } catch (error) {
+          if (route.role === "operate") {
+            const { path } = route;
+            audit.warn("access denied", { path, address: request.ip });
+          }
+          done(error as Error);
+        }
+      },
+      handler: async (request) => {
+        const { body, ip: address } = request;
+        requireBody(route, body);
+        const operator = { role: route.role, address };
+        return await route.handle({ body, operator });
+      },
+    });
+
+  application.setErrorHandler((error, request, reply) => {
+    const problem = toProblem(error);
+    const status =
+      ADMINISTRATION_ERRORS[problem.code as AdministrationErrorCode];
+    if (status === ADMINISTRATION_ERRORS.failed) {
+      const { stack } = error as Error;
+      log.warn("request failed", { path: request.url, reason: stack });
     }
-    if (error instanceof SheetConflictError) {
-      const { winner } = error;
-      return reply.code(409).send({ code: "conflict", message, winner });
-    }
-    if (error instanceof SheetUndecidedError) {
-      return reply.code(503).send({ code: "undecided", message });
-    }
-    const status = statusCode ?? 503;
-    return reply.code(status).send({ code: "failed", message });
+    return reply.code(status).send(problem);
+  });
+  application.setNotFoundHandler((request, reply) => {
+    const message = `there is no ${request.method} ${request.url}`;
+    return reply.code(404).send({ code: "not_found", message });
   });
 
+  const routes = [
+    ...createSheetRoutes({ ...entry, clock, links, audit }),
+    ...createStateRoutes(options),
+  ];
+  routes.forEach(serve);
+  const openApi = buildOpenApi(routes);
+
+  application.get("/v1/openapi.json", () => openApi);
   application.get("/live", () => ({ live: true }));
   application.get("/ready", (_request, reply) => {
     const ready = entry.isReady();
@@ -89,66 +138,12 @@
   });
   application.get("/metrics", async (_request, reply) => {
     const { metrics } = options;
-    metrics.runningRequests.set(registry.running().length);
-    metrics.sheetRevision.set(book.current().revision);
+    metrics.runningRequests.set(entry.registry.running().length);
+    metrics.sheetRevision.set(entry.book.current().revision);
     metrics.connectedVms.set(links.peers().length);
     reply.type(metrics.registry.contentType);
     return await metrics.registry.metrics();
   });
 
-  application.get("/v1/status", (request) => {
-    requireRole(request, "view");
-    return {
-      vm: links.self,
-      ready: entry.isReady(),
-      sheetRevision: book.current().revision,
-      peers: links.peers().map((peer) => ({
-        ...peer,
-        sheetRevision: follower.revisions().get(peer.vm) ?? 0,
-      })),
-      engines: engines.all().map((engine) => ({
-        name: engine.upstream.name,
-        dataCentre: engine.upstream.dataCentre,
-        usable: engine.usable,
-        report: engine.report,
-        outstandingRequests: engine.outstandingRequests,
-      })),
-    };
-  });
-
-  application.get("/v1/requests", (request) => {
-    requireRole(request, "view");
-    return { running: registry.running(), ended: registry.endedByReason() };
-  });
-
-  application.get("/v1/sheet", (request) => {
-    requireRole(request, "view");
-    const { revision, sheet } = book.current();
-    return { revision, sheet };
-  });
-
-  application.put("/v1/sheet", async (request, reply) => {
-    requireRole(request, "operate");
-    const { body } = request;
-    if (!Value.Check(ApplyBody, body)) {
-      const faults = [...Value.Errors(ApplyBody, body)].slice(0, 20);
-      const message = faults.map((fault) => `${fault.path}: ${fault.message}`);
-      return reply.code(400).send({ code: "invalid", message });
-    }
-    const applied = await entry.sheets.apply(body);
-    const { revision } = applied;
-    const { author, applyId } = body;
-    log.info("sheet accepted", { author, applyId, revision });
-    await follower.accept(applied);
-    return { revision };
-  });
-
-  application.post("/v1/drain", (request) => {
-    requireRole(request, "operate");
-    log.info("drain asked for");
-    options.drain();
-    return { draining: true };
-  });
-
   return application;
 }
--- /dev/null
+++ b/src/administration/sheet_routes.ts
@@ -0,0 +1,219 @@
+import type { ContractBook } from "../contracts/contract_book.ts";
+import type { Sheet } from "../contracts/sheet.ts";
+import {
+  checkSheet,
+  SheetFaultsError,
+  warningsOf,
+} from "../contracts/sheet_check.ts";
+import { parseSheetCsv } from "../contracts/sheet_csv.ts";
+import { diffSheets } from "../contracts/sheet_diff.ts";
+import type { SheetFollower } from "../contracts/sheet_follower.ts";
+import { acceptancesOf } from "../contracts/sheet_head.ts";
+import {
+  type AppliedSheet,
+  SheetConflictError,
+  type SheetProposal,
+  type SheetStore,
+} from "../contracts/sheet_store.ts";
+import type { Links } from "../links/links.ts";
+import type { Clock } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
+import {
+  type AdministrationProblem,
+  ApplyReply,
+  ApplyRequest,
+  CheckReply,
+  DiffReply,
+  HistoryReply,
+  RevisionsReply,
+  SheetDocument,
+  SheetReply,
+} from "./administration_schemas.ts";
+import { defineRoute, type Operator, type Route } from "./route.ts";
+
+/// Operations on the sheet.
+
+export interface SheetRoutesOptions {
+  readonly clock: Clock;
+  readonly book: ContractBook;
+  readonly sheets: SheetStore;
+  readonly follower: SheetFollower;
+  readonly links: Links;
+  readonly audit: Logger;
+}
+
+/// A given document names neither CSV nor JSON, or both.
+export class MalformedDocumentError extends Error {
+  override readonly name = "MalformedDocumentError";
+}
+
+/// An apply that lost, with the winner's sheet as far as it could be read.
+export class ApplyConflictError extends Error {
+  override readonly name = "ApplyConflictError";
+  readonly conflict: NonNullable<AdministrationProblem["conflict"]>;
+  constructor(
+    message: string,
+    conflict: NonNullable<AdministrationProblem["conflict"]>,
+  ) {
+    super(message);
+    this.conflict = conflict;
+  }
+}
+
+/// Changes that one answer carries at most.
+const CHANGES_LIMIT = 200;
+/// Longest wait for an accepted sheet to be in force on this VM.
+const ADOPTION_LIMIT_MILLISECONDS = 3_000;
+
+function readDocument({ csv, sheet }: SheetDocument): Sheet {
+  if ((csv === undefined) === (sheet === undefined)) {
+    throw new MalformedDocumentError("expected either csv or sheet");
+  }
+  return csv === undefined ? checkSheet(sheet) : parseSheetCsv(csv);
+}
+
+function describeChanges(before: Sheet, after: Sheet) {
+  const changes = diffSheets(before, after);
+  return { total: changes.length, changes: changes.slice(0, CHANGES_LIMIT) };
+}
+
+export function createSheetRoutes(
+  options: SheetRoutesOptions,
+): readonly Route[] {
+  const { clock, book, sheets, follower, links, audit } = options;
+
+  /// Waits for a sheet to be in force here, within a bound.
+  const adopt = (applied: AppliedSheet) =>
+    Promise.race([
+      follower.accept(applied),
+      clock.sleep(ADOPTION_LIMIT_MILLISECONDS),
+    ]);
+
+  /// Turns a lost race into an answer that shows what won.
+  const explainConflict = async (
+    { winner, message }: SheetConflictError,
+    proposal: SheetProposal,
+  ) => {
+    const { revision, author, time } = winner;
+    await adopt({ revision, head: winner, chunks: new Map() });
+    const changes = describeChanges(book.current().sheet, proposal.sheet);
+    return new ApplyConflictError(message, {
+      revision,
+      author,
+      time,
+      ...changes,
+    });
+  };
+
+  const apply = async (
+    proposal: SheetProposal,
+    operator: Operator,
+  ): Promise<AppliedSheet> => {
+    const { author, applyId, base } = proposal;
+    const fields = { author, applyId, base, ...operator };
+    try {
+      const applied = await sheets.apply(proposal);
+      audit.info("sheet accepted", { ...fields, revision: applied.revision });
+      return applied;
+    } catch (error) {
+      const { name, message } = error as Error;
+      audit.warn("sheet not accepted", { ...fields, error: name, message });
+      throw error instanceof SheetConflictError
+        ? await explainConflict(error, proposal)
+        : error;
+    }
+  };
+
+  return [
+    defineRoute("GET /v1/sheet", {
+      summary: "The sheet in force on this VM",
+      role: "view",
+      reply: SheetReply,
+      handle() {
+        const { revision, sheet } = book.current();
+        return { revision, sheet };
+      },
+    }),
+    defineRoute("PUT /v1/sheet", {
+      summary: "Puts a sheet in force in place of a revision",
+      role: "operate",
+      body: ApplyRequest,
+      reply: ApplyReply,
+      errors: ["invalid_sheet", "conflict", "unavailable", "undecided"],
+      async handle({ body, operator }) {
+        const { base, applyId, author, ...document } = body;
+        const sheet = readDocument(document);
+        const proposal = { sheet, base, applyId, author };
+        const applied = await apply(proposal, operator);
+        await adopt(applied);
+        const { revision } = applied;
+        return { revision, warnings: [...warningsOf(sheet)] };
+      },
+    }),
+    defineRoute("POST /v1/sheet/check", {
+      summary: "Checks a sheet without applying it",
+      role: "view",
+      body: SheetDocument,
+      reply: CheckReply,
+      handle({ body }) {
+        try {
+          const warnings = [...warningsOf(readDocument(body))];
+          return { valid: true, faults: [], warnings };
+        } catch (error) {
+          if (!(error instanceof SheetFaultsError)) throw error;
+          return { valid: false, faults: [...error.faults], warnings: [] };
+        }
+      },
+    }),
+    defineRoute("POST /v1/sheet/diff", {
+      summary: "What a sheet would change in the one in force",
+      role: "view",
+      body: SheetDocument,
+      reply: DiffReply,
+      errors: ["invalid_sheet"],
+      handle({ body }) {
+        const { revision, sheet } = book.current();
+        return { revision, ...describeChanges(sheet, readDocument(body)) };
+      },
+    }),
+    defineRoute("GET /v1/sheet/history", {
+      summary: "The latest accepted revisions, the newest first",
+      role: "view",
+      reply: HistoryReply,
+      handle() {
+        const head = follower.newest();
+        const revisions = head ? acceptancesOf(head) : [];
+        return {
+          revisions: revisions.map(({ revision, author, applyId, time }) => ({
+            revision,
+            author,
+            applyId,
+            time,
+          })),
+        };
+      },
+    }),
+    defineRoute("GET /v1/sheet/revisions", {
+      summary: "The revision in force on every VM",
+      role: "view",
+      reply: RevisionsReply,
+      handle() {
+        const told = follower.revisions();
+        const { self } = links;
+        const own = { ...self, revision: book.current().revision };
+        const others = links.peers().map((peer) => ({
+          ...peer,
+          revision: told.get(peer.vm),
+        }));
+        return {
+          newest: follower.newest()?.revision ?? 0,
+          vms: [own, ...others].map(({ vm, dataCentre, revision }) => ({
+            vm,
+            dataCentre,
+            revision,
+          })),
+        };
+      },
+    }),
+  ];
+}
--- /dev/null
+++ b/src/administration/state_routes.ts
@@ -0,0 +1,104 @@
+import type { Entry } from "../entry.ts";
+import type { Links } from "../links/links.ts";
+import type { Clock } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
+import type { EngineView } from "../upstreams/engine_directory.ts";
+import {
+  DrainReply,
+  RequestsReply,
+  StatusReply,
+  UpstreamsReply,
+} from "./administration_schemas.ts";
+import { defineRoute, type Route } from "./route.ts";
+
+/// Operations that show what this VM sees and does, and the drain.
+
+export interface StateRoutesOptions {
+  readonly clock: Clock;
+  readonly links: Links;
+  readonly entry: Entry;
+  readonly audit: Logger;
+  /// Starts a graceful shutdown.
+  readonly drain: () => void;
+}
+
+function describeEngine(engine: EngineView) {
+  const { name, kind, serves, dataCentre, address } = engine.upstream;
+  return {
+    name,
+    kind,
+    serves,
+    dataCentre,
+    address,
+    usable: engine.usable,
+    outstandingRequests: engine.outstandingRequests,
+    outstandingTokens: engine.outstandingTokens,
+    report: engine.report,
+  };
+}
+
+export function createStateRoutes(
+  options: StateRoutesOptions,
+): readonly Route[] {
+  const { clock, links, entry, audit } = options;
+  const { book, registry, engines, follower } = entry;
+
+  return [
+    defineRoute("GET /v1/status", {
+      summary: "This VM, its peers and the engines as it sees them",
+      role: "view",
+      reply: StatusReply,
+      handle() {
+        const revisions = follower.revisions();
+        return {
+          vm: links.self,
+          ready: entry.isReady(),
+          sheetRevision: book.current().revision,
+          runningRequests: registry.running().length,
+          peers: links.peers().map((peer) => ({
+            ...peer,
+            sheetRevision: revisions.get(peer.vm) ?? 0,
+          })),
+          engines: engines.all().map(describeEngine),
+        };
+      },
+    }),
+    defineRoute("GET /v1/upstreams", {
+      summary: "Engines and services of the sheet",
+      role: "view",
+      reply: UpstreamsReply,
+      handle() {
+        const services = book.current().sheet.upstreams
+          .filter(({ kind }) => kind === "service")
+          .map(({ checksFencing: _, ...service }) => service);
+        return {
+          upstreams: [...engines.all().map(describeEngine), ...services],
+        };
+      },
+    }),
+    defineRoute("GET /v1/requests", {
+      summary: "Running requests of this VM, and ended ones by reason",
+      role: "view",
+      reply: RequestsReply,
+      handle() {
+        const now = clock.now();
+        return {
+          running: registry.running().map((
+            { receivedAt, firstTokenAt: _, ...record },
+          ) => ({ ...record, ageMilliseconds: now - receivedAt })),
+          ended: { ...registry.endedByReason() },
+        };
+      },
+    }),
+    defineRoute("POST /v1/drain", {
+      summary: "Shuts this VM down gracefully",
+      role: "operate",
+      reply: DrainReply,
+      handle({ operator }) {
+        audit.info("drain", { ...operator });
+        options.drain();
+        return { draining: true };
+      },
+    }),
+  ];
+}
--- /dev/null
+++ b/src/administration/tool_state.ts
@@ -0,0 +1,92 @@
+import { createHash } from "node:crypto";
+import { formatTable } from "./text_table.ts";
+import { show, type ToolCommand, ToolUsageError } from "./tool_command.ts";
+
+/// The tool's commands on VMs, upstreams, requests and keys.
+
+const KEY_BYTES = 24;
+
+export const showStatus: ToolCommand = async (context) =>
+  show(context, await context.client.readStatus(), (status) => {
+    const { vm, ready, sheetRevision, peers, engines } = status;
+    const usable = engines.filter((engine) => engine.usable).length;
+    const rows = [
+      [`${vm.vm} (asked)`, vm.dataCentre, vm.incarnation, sheetRevision],
+      ...peers.map((peer) => [
+        peer.vm,
+        peer.dataCentre,
+        peer.incarnation,
+        peer.sheetRevision,
+      ]),
+    ];
+    return [
+      formatTable(["vm", "data centre", "incarnation", "revision"], rows),
+      `ready: ${ready ? "yes" : "no"}; running requests: ` +
+      `${status.runningRequests}; usable engines: ${usable} of ` +
+      `${engines.length}`,
+    ].join("\n");
+  });
+
+export const showUpstreams: ToolCommand = async (context) =>
+  show(
+    context,
+    await context.client.readUpstreams(),
+    ({ upstreams }) =>
+      formatTable(
+        [
+          "name",
+          "kind",
+          "serves",
+          "data centre",
+          "address",
+          "usable",
+          "running",
+        ],
+        upstreams.map((upstream) => [
+          upstream.name,
+          upstream.kind,
+          upstream.serves,
+          upstream.dataCentre,
+          upstream.address,
+          upstream.usable,
+          upstream.outstandingRequests,
+        ]),
+      ),
+  );
+
+export const showRequests: ToolCommand = async (context) =>
+  show(context, await context.client.readRequests(), ({ running, ended }) =>
+    [
+      formatTable(
+        ["id", "customer", "target", "tokens", "state", "upstream", "age ms"],
+        running.map((request) => [
+          request.id,
+          request.customer,
+          request.target,
+          request.promptTokens,
+          request.state,
+          request.upstream,
+          Math.round(request.ageMilliseconds),
+        ]),
+      ),
+      "",
+      formatTable(["ended", "requests"], Object.entries(ended)),
+    ].join("\n"));
+
+export const drain: ToolCommand = async (context) =>
+  show(context, await context.client.drain(), () => "draining");
+
+/// Creates a customer's key without any daemon. Only its hash is ever stored.
+export const createKey: ToolCommand = (context) => {
+  const [customer] = context.operands;
+  if (customer === undefined) throw new ToolUsageError("expected a customer");
+  const key = `${customer}.${context.randomHex(KEY_BYTES)}`;
+  const keyHash = createHash("sha256").update(key).digest("hex");
+  return Promise.resolve(
+    show(context, { customer, key, keyHash }, () =>
+      [
+        `key (shown once): ${key}`,
+        `for column keyHashes of ${customer}: ${keyHash}`,
+      ].join("\n")),
+  );
+};
--- a/src/bin/sequoiaturnd.ts
+++ b/src/bin/sequoiaturnd.ts
@@ -47,6 +47,7 @@
   const settings = readSettings({
     flags: Object.fromEntries(present),
     environment: process.env,
+    operands: command.input,
   });
   if (printOnly) {
     process.stdout.write(printSettings(settings) + "\n");
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -9,7 +9,7 @@
 import type { RequestEnd } from "./requests/request_registry.ts";
 import type { Settings } from "./settings.ts";
 import { createSystemClock } from "./support/clock.ts";
-import { createLogger } from "./support/log.ts";
+import { createAuditLogger, createLogger } from "./support/log.ts";
 import { createMetrics, type Metrics } from "./support/metrics.ts";
 import { createSystemRandom } from "./support/random.ts";
 import { createHttpEngineClient } from "./upstreams/http_engine_client.ts";
@@ -128,12 +128,13 @@
   const drain = () => drained ??= drainAndClose();
 
   const administration = createAdministrationApi({
+    clock,
     log: logFor("administration"),
+    audit: createAuditLogger(where),
     metrics,
     links,
     entry,
-    operateToken: settings.operateToken,
-    viewToken: settings.viewToken,
+    tokens: settings,
     drain: () => void drain(),
   });
 
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -110,6 +110,8 @@
 export interface SettingSources {
   readonly flags: Readonly<Record<string, unknown>>;
   readonly environment: Readonly<Record<string, string | undefined>>;
+  /// Arguments that are no flags; there should be none.
+  readonly operands?: readonly string[];
 }
 
 function convert(schema: TSchema, value: unknown): unknown {
@@ -118,8 +120,10 @@
 }
 
 /// Reads all settings. Throws `SettingsFaultsError` with every fault.
-export function readSettings({ flags, environment }: SettingSources): Settings {
-  const faults: string[] = [];
+export function readSettings(
+  { flags, environment, operands = [] }: SettingSources,
+): Settings {
+  const faults = operands.map((operand) => `${operand}: unexpected argument`);
   const settings: Record<string, unknown> = {};
   const known = Settings.properties as Record<string, TSchema>;
   for (const name of Object.keys(flags)) {
--- a/src/support/log.ts
+++ b/src/support/log.ts
@@ -17,7 +17,21 @@
 /// Writes one JSON object a line to standard error through the `debug`
 /// namespaces `sequoiaturn:<area>`; `DEBUG` selects what is printed.
 export function createLogger(area: string, base: LogFields = {}): Logger {
-  const print = debug(`sequoiaturn:${area}`);
+  return createLoggerOf(area, base, debug(`sequoiaturn:${area}`));
+}
+
+/// A logger of the changes that operators make, which is always on.
+export function createAuditLogger(base: LogFields): Logger {
+  const print = debug("sequoiaturn:audit");
+  print.enabled = true;
+  return createLoggerOf("audit", base, print);
+}
+
+function createLoggerOf(
+  area: string,
+  base: LogFields,
+  print: debug.Debugger,
+): Logger {
   print.log = (line: string) => void process.stderr.write(line + "\n");
   (print as unknown as { useColors: boolean }).useColors = false;
   const write = (level: string, event: string, fields?: LogFields) => {
@@ -29,7 +43,7 @@
   return {
     info: (event, fields) => write("info", event, fields),
     warn: (event, fields) => write("warn", event, fields),
-    with: (fields) => createLogger(area, { ...base, ...fields }),
+    with: (fields) => createLoggerOf(area, { ...base, ...fields }, print),
   };
 }
 
--- a/stand_ins/deployment.ts
+++ b/stand_ins/deployment.ts
@@ -45,7 +45,9 @@
   close(): Promise<void>;
 }
 
-const OPERATE_TOKEN = "operate-token-of-the-stand-ins";
+/// Tokens of the daemons' administration API.
+export const OPERATE_TOKEN = "operate-token-of-the-stand-ins";
+export const VIEW_TOKEN = "view-token-of-the-stand-ins";
 const LINK_SECRET = "link-secret-of-the-stand-ins";
 const FORCE_POLL_MILLISECONDS = 20;
 const FORCE_LIMIT_MILLISECONDS = 10_000;
@@ -111,6 +113,7 @@
         vmListUrl: `http://${vmList.address}/vms`,
         linkSecret: LINK_SECRET,
         operateToken: OPERATE_TOKEN,
+        viewToken: VIEW_TOKEN,
       },
       environment: {},
     });
@@ -120,7 +123,7 @@
 
   const administration = (index: number) =>
     createAdministrationClient({
-      address: daemons[index]!.administrationAddress,
+      addresses: [daemons[index]!.administrationAddress],
       token: OPERATE_TOKEN,
     });
 
@@ -163,11 +166,7 @@
   client: AdministrationClient,
   revision: number,
 ): Promise<boolean> {
-  const status = await client.readStatus() as {
-    ready: boolean;
-    sheetRevision: number;
-    engines: { usable: boolean }[];
-  };
+  const status = await client.readStatus();
   return status.ready && status.sheetRevision >= revision &&
     status.engines.every((engine) => engine.usable);
 }
--- /dev/null
+++ b/test/settings_test.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import {
+  printSettings,
+  readSettings,
+  SettingsFaultsError,
+} from "../src/settings.ts";
+
+const GIVEN = {
+  vmName: "vm-1",
+  dataCentre: "muttrah",
+  storeUrl: "http://10.0.0.1:2379",
+  vmListUrl: "http://10.0.0.1/vms",
+  linkSecret: "0123456789abcdef",
+  operateToken: "fedcba9876543210",
+};
+
+test("flags go before variables, and these before defaults", (t) => {
+  const settings = readSettings({
+    flags: { ...GIVEN, vmName: "vm-2" },
+    environment: {
+      SEQUOIATURN_VM_NAME: "vm-3",
+      SEQUOIATURN_BODY_LIMIT_BYTES: "5",
+      PATH: "/bin",
+    },
+  });
+  t.is(settings.vmName, "vm-2");
+  t.is(settings.bodyLimitBytes, 5);
+  t.is(settings.callerAddress, "127.0.0.1:8080");
+});
+
+test("every fault is reported at once with flag and variable", (t) => {
+  const { vmName: _, ...rest } = GIVEN;
+  const error = t.throws(() =>
+    readSettings({
+      flags: { ...rest, linkSecret: "short", vmNmae: "vm-1" },
+      operands: ["start"],
+      environment: {
+        SEQUOIATURN_DRAIN: "1",
+        SEQUOIATURN_BODY_LIMIT_BYTES: "many",
+      },
+    }), { instanceOf: SettingsFaultsError });
+  t.deepEqual(error?.faults, [
+    "start: unexpected argument",
+    "--vm-nmae: unknown flag",
+    "SEQUOIATURN_DRAIN: unknown variable",
+    "--vm-name (SEQUOIATURN_VM_NAME): required",
+    "--link-secret (SEQUOIATURN_LINK_SECRET): expected at least 16 characters",
+    "--body-limit-bytes (SEQUOIATURN_BODY_LIMIT_BYTES): expected a number of bytes",
+  ]);
+});
+
+test("printed settings hide secrets", (t) => {
+  const text = printSettings(readSettings({ flags: GIVEN, environment: {} }));
+  t.regex(text, /^link-secret = \(hidden\)$/m);
+  t.regex(text, /^vm-name = vm-1$/m);
+  t.false(text.includes(GIVEN.operateToken));
+});
