--- a/src/administration/administration_api.ts
+++ b/src/administration/administration_api.ts
@@ -124,7 +124,7 @@
   });
 
   const routes = [
-    ...createSheetRoutes({ ...entry, clock, links, audit }),
+    ...createSheetRoutes({ ...entry, clock, audit }),
     ...createStateRoutes(options),
   ];
   routes.forEach(serve);
--- a/src/administration/administration_schemas.ts
+++ b/src/administration/administration_schemas.ts
@@ -68,7 +68,8 @@
   vms: Type.Array(Type.Object({
     vm: Type.String(),
     dataCentre: Type.String(),
-    /// Undefined for a VM that has not told its revision.
+    state: Type.String(),
+    /// Undefined for a VM that can't be reached.
     revision: Type.Optional(Type.Integer()),
   })),
 });
@@ -103,11 +104,14 @@
   ready: Type.Boolean(),
   sheetRevision: Type.Integer(),
   runningRequests: Type.Integer(),
+  /// The other VMs, also those that are listed and can't be reached.
   peers: Type.Array(Type.Object({
     vm: Type.String(),
-    incarnation: Type.String(),
+    incarnation: Type.Optional(Type.String()),
     dataCentre: Type.String(),
-    sheetRevision: Type.Integer(),
+    state: Type.String(),
+    reachable: Type.Boolean(),
+    sheetRevision: Type.Optional(Type.Integer()),
   })),
   engines: Type.Array(UpstreamState),
 });
--- a/src/administration/sheet_routes.ts
+++ b/src/administration/sheet_routes.ts
@@ -15,9 +15,9 @@
   type SheetProposal,
   type SheetStore,
 } from "../contracts/sheet_store.ts";
-import type { Links } from "../links/links.ts";
 import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
+import type { Membership } from "../vms/membership.ts";
 import {
   type AdministrationProblem,
   ApplyReply,
@@ -38,7 +38,7 @@
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
-  readonly links: Links;
+  readonly membership: Membership;
   readonly audit: Logger;
 }
 
@@ -80,7 +80,7 @@
 export function createSheetRoutes(
   options: SheetRoutesOptions,
 ): readonly Route[] {
-  const { clock, book, sheets, follower, links, audit } = options;
+  const { clock, book, sheets, follower, membership, audit } = options;
 
   /// Waits for a sheet to be in force here, within a bound.
   const adopt = (applied: AppliedSheet) =>
@@ -199,18 +199,15 @@
       reply: RevisionsReply,
       handle() {
         const told = follower.revisions();
-        const { self } = links;
-        const own = { ...self, revision: book.current().revision };
-        const others = links.peers().map((peer) => ({
-          ...peer,
-          revision: told.get(peer.vm),
-        }));
         return {
           newest: follower.newest()?.revision ?? 0,
-          vms: [own, ...others].map(({ vm, dataCentre, revision }) => ({
+          vms: membership.members().map(({ vm, dataCentre, state }) => ({
             vm,
             dataCentre,
-            revision,
+            state,
+            revision: vm === membership.self.vm
+              ? book.current().revision
+              : told.get(vm),
           })),
         };
       },
--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -41,7 +41,7 @@
   options: StateRoutesOptions,
 ): readonly Route[] {
   const { clock, links, entry, audit } = options;
-  const { book, registry, engines, follower } = entry;
+  const { book, registry, engines, follower, membership } = entry;
 
   return [
     defineRoute("GET /v1/status", {
@@ -55,10 +55,12 @@
           ready: entry.isReady(),
           sheetRevision: book.current().revision,
           runningRequests: registry.running().length,
-          peers: links.peers().map((peer) => ({
-            ...peer,
-            sheetRevision: revisions.get(peer.vm) ?? 0,
-          })),
+          peers: membership.members()
+            .filter(({ vm }) => vm !== links.self.vm)
+            .map((peer) => ({
+              ...peer,
+              sheetRevision: revisions.get(peer.vm),
+            })),
           engines: engines.all().map(describeEngine),
         };
       },
--- a/src/administration/tool_sheet.ts
+++ b/src/administration/tool_sheet.ts
@@ -164,8 +164,10 @@
   const everywhere = await client.readRevisions();
   return show(context, everywhere, ({ newest, vms }) => {
     const behind = vms.filter(({ revision }) => revision !== newest).length;
-    const rows = vms.map((vm) => [vm.vm, vm.dataCentre, vm.revision]);
-    const table = formatTable(["vm", "data centre", "revision"], rows);
+    const table = formatTable(
+      ["vm", "data centre", "state", "revision"],
+      vms.map((vm) => [vm.vm, vm.dataCentre, vm.state, vm.revision]),
+    );
     return `${table}\nnewest ${newest}; ${behind} VM(s) not on it`;
   });
 };
--- a/src/administration/tool_state.ts
+++ b/src/administration/tool_state.ts
@@ -11,16 +11,24 @@
     const { vm, ready, sheetRevision, peers, engines } = status;
     const usable = engines.filter((engine) => engine.usable).length;
     const rows = [
-      [`${vm.vm} (asked)`, vm.dataCentre, vm.incarnation, sheetRevision],
+      [
+        `${vm.vm} (asked)`,
+        vm.dataCentre,
+        "live",
+        vm.incarnation,
+        sheetRevision,
+      ],
       ...peers.map((peer) => [
         peer.vm,
         peer.dataCentre,
+        peer.reachable ? peer.state : "unreachable",
         peer.incarnation,
         peer.sheetRevision,
       ]),
     ];
+    const columns = ["vm", "data centre", "state", "incarnation", "revision"];
     return [
-      formatTable(["vm", "data centre", "incarnation", "revision"], rows),
+      formatTable(columns, rows),
       `ready: ${ready ? "yes" : "no"}; running requests: ` +
       `${status.runningRequests}; usable engines: ${usable} of ` +
       `${engines.length}`,
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -13,10 +13,14 @@
 import { createSheetStore, type SheetStore } from "./contracts/sheet_store.ts";
 import type { Upstream } from "./contracts/sheet.ts";
 import type { Links } from "./links/links.ts";
+import { startMembershipMessages } from "./links/membership_messages.ts";
 import type { KeyValueStore } from "./platform/key_value_store.ts";
+import type { VmList } from "./platform/vm_list.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
+import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
+import { createLedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -34,10 +38,15 @@
   createEngineDirectory,
   type EngineDirectory,
 } from "./upstreams/engine_directory.ts";
+import {
+  createLeavingUpstreams,
+  type LeavingUpstreams,
+} from "./upstreams/leaving_upstreams.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
 /// daemon gives it real connections; tests and measurements give it stand-ins
@@ -50,11 +59,16 @@
   readonly logFor: (area: string) => Logger;
   readonly links: Links;
   readonly store: KeyValueStore;
+  readonly vmList: VmList;
+  /// Called when peers have declared this incarnation gone: it has to stop.
+  readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
   readonly createServiceClient: (upstream: Upstream) => ServiceClient;
 }
 
 export interface Entry {
+  readonly membership: Membership;
+  readonly leavingUpstreams: LeavingUpstreams;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
@@ -72,7 +86,20 @@
 }
 
 export function createEntry(options: EntryOptions): Entry {
-  const { clock, random, links, store, logFor } = options;
+  const { clock, random, links, store, vmList, logFor } = options;
+  const membership = createMembership({
+    clock,
+    log: logFor("vms"),
+    self: links.self,
+    vmList,
+    peers: links,
+  });
+  const membershipMessages = startMembershipMessages({
+    clock,
+    links,
+    membership,
+    onExpelled: options.onExpelled,
+  });
   const book = createContractBook();
   const sheets = createSheetStore({ store, clock });
   const follower = startSheetFollower({
@@ -83,6 +110,13 @@
     sheets,
     book,
   });
+  const leavingUpstreams = createLeavingUpstreams({
+    clock,
+    log: logFor("upstreams"),
+    links,
+    book,
+    vmList,
+  });
   const collector = startSheetCollector({
     clock,
     random,
@@ -93,17 +127,21 @@
   const engines = createEngineDirectory({
     clock,
     book,
+    isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
   const services = createServiceDirectory({
     book,
     random,
+    isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
   const admission = createAdmission(clock);
   const placement = new ShortestWaitPlacement(random);
-  const ledger = createLedger(store);
+  const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const issuedKeys = createIssuedKeys({ clock, random, links });
+  const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
     clock,
     random,
@@ -114,10 +152,13 @@
     completions: createCompletionRunner({ clock, engines, placement }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
+    issuedKeys,
   });
   let draining = false;
 
   return {
+    membership,
+    leavingUpstreams,
     book,
     sheets,
     follower,
@@ -128,10 +169,15 @@
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
+      membership.leave();
       admission.stop();
-      await Promise.race([registry.whenIdle(), clock.sleep(limit)]);
+      const idle = registry.whenIdle().then(() => ledger.whenIdle());
+      await Promise.race([idle, clock.sleep(limit)]);
     },
     close() {
+      membershipMessages.close();
+      membership.close();
+      leavingUpstreams.close();
       follower.close();
       collector.close();
       engines.close();
--- a/src/requests/answer_writer.ts
+++ b/src/requests/answer_writer.ts
@@ -52,6 +52,8 @@
   };
 }
 
+const END_OF_STREAM = "data: [DONE]\n\n";
+
 function untilDrained(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
     response.once("drain", resolve);
@@ -66,6 +68,7 @@
   answer: AsyncIterable<EngineChunk>,
   options: { identity: AnswerIdentity; signal: AbortSignal },
 ): Promise<void> {
+  let last = "";
   for await (const chunk of answer) {
     if (!response.headersSent) {
       response.writeHead(200, {
@@ -80,11 +83,12 @@
       whole: false,
     });
     const event = `data: ${JSON.stringify(document)}\n\n`;
-    if (!response.write(event)) {
+    if (end) last = event;
+    else if (!response.write(event)) {
       await raceAbort(untilDrained(response), options.signal);
     }
   }
-  response.end("data: [DONE]\n\n");
+  response.end(last + END_OF_STREAM);
 }
 
 /// Collects the answer and writes it as one document.
