Spread a new sheet with few messages and prove it by faults

Every VM that learned of a sheet told all others, twice; with relayed links that grows with the square of the fleet.

Only VMs that have a head from the store or an apply broadcast it, once its sheet is in force; the others exchange revisions with two random peers a second and pull the head and chunks, nearest holders first. A starting VM asks all peers for their revision alone. The store's part is a module of its own.

--- a/src/administration/sheet_routes.ts
+++ b/src/administration/sheet_routes.ts
@@ -197,8 +197,8 @@
       summary: "The revision in force on every VM",
       role: "view",
       reply: RevisionsReply,
-      handle() {
-        const told = follower.revisions();
+      async handle() {
+        const told = await follower.askRevisions();
         return {
           newest: follower.newest()?.revision ?? 0,
           vms: membership.members().map(({ vm, dataCentre, state }) => ({
--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -48,8 +48,8 @@
       summary: "This VM, its peers and the engines as it sees them",
       role: "view",
       reply: StatusReply,
-      handle() {
-        const revisions = follower.revisions();
+      async handle() {
+        const revisions = await follower.askRevisions();
         return {
           vm: links.self,
           ready: entry.isReady(),
--- a/src/contracts/sheet_follower.ts
+++ b/src/contracts/sheet_follower.ts
@@ -2,28 +2,27 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import { randomInteger, type RandomSource } from "../support/random.ts";
-import { rankByRendezvous } from "../vms/rendezvous.ts";
+import type { VmIdentity } from "../vms/identity.ts";
 import type { ContractBook } from "./contract_book.ts";
 import type { SheetHead } from "./sheet_head.ts";
 import { createSheetLoader } from "./sheet_loader.ts";
-import { ChunksCall, HeadCall, RevisionMessage } from "./sheet_messages.ts";
+import {
+  ChunksCall,
+  HeadCall,
+  RevisionCall,
+  RevisionMessage,
+  type RevisionState,
+} from "./sheet_messages.ts";
 import type { AppliedSheet, SheetStore } from "./sheet_store.ts";
+import { startSheetWatch } from "./sheet_watch.ts";
 
-/// Keeps this VM on the newest accepted sheet. Two VMs of each data centre
-/// watch the store; the others hear of a new revision over the links and pull
-/// it. What is known only ever grows.
+/// Keeps this VM on the newest accepted sheet, from the store or from peers.
+/// What is known only ever grows.
 
 const RETRY_MILLISECONDS = 300;
 /// Pauses in which a VM that heard of a sheet waits for a peer to hold it
 /// before it reads the store itself.
 const PATIENT_TRIES = 3;
-const ROLE_CHECK_MILLISECONDS = 1_000;
-/// VMs of a data centre that watch the store.
-const WATCHERS_PER_DATA_CENTRE = 2;
-/// Interval at which a watcher also reads the head, should its watch be mute.
-const WATCHER_READ_MILLISECONDS = 2_000;
-/// Interval at which the other VMs read the head, should the links be mute.
-const OTHER_READ_MILLISECONDS = 30_000;
 /// Interval at which a VM tells its revision to a few random peers.
 const GOSSIP_MILLISECONDS = 1_000;
 const GOSSIP_PEERS = 2;
@@ -41,42 +40,42 @@
 }
 
 export interface SheetFollower {
-  /// Whether the newest head known to the store or to peers is in force.
+  /// Whether this VM has caught up since its start with the newest head known
+  /// to the store or to peers.
   isCurrent(): boolean;
   /// The newest head known here.
   newest(): SheetHead | undefined;
   /// Learns of a sheet that was just accepted; resolves when it, or a newer
   /// one, is in force here.
   accept(applied: AppliedSheet): Promise<void>;
-  /// Revision in force at each connected VM, as last heard.
-  revisions(): ReadonlyMap<string, number>;
+  /// Asks every connected VM for the revision in force there. One that does
+  /// not answer is left out.
+  askRevisions(): Promise<ReadonlyMap<string, number>>;
   close(): void;
 }
 
-/// The newest revision that a VM knows and the one in force there.
-interface PeerState {
-  readonly newest: number;
-  readonly inForce: number;
+/// Where a head came from: the store or an apply here, or else a peer.
+interface Origin {
+  readonly isFirstHand: boolean;
 }
 
 export function startSheetFollower(
   options: SheetFollowerOptions,
 ): SheetFollower {
-  const { clock, random, log, links, sheets, book } = options;
+  const { clock, random, log, links, book } = options;
   const loader = createSheetLoader(options);
   const stop = new AbortController();
   /// What each connected VM said last.
-  const peerStates = new Map<string, PeerState>();
-  /// Incarnations whose head was asked for at the start.
+  const peerStates = new Map<string, RevisionState>();
+  /// Incarnations that were asked at the start.
   const askedPeers = new Set<string>();
   const startedAt = clock.now();
   let newest: SheetHead | undefined;
+  let newestIsFirstHand = false;
   let loading: Promise<void> | undefined;
-  let pulling = false;
+  let pulling: Promise<void> | undefined;
   let patience = 0;
   let pendingQuestions = 0;
-  let askedStore = false;
-  let answeredByStore = false;
   let answeredByPeer = false;
   let started = false;
 
@@ -85,36 +84,45 @@
   const pause = (delay: Milliseconds) =>
     clock.sleep(delay, stop.signal).catch(() => {});
 
-  const ownState = () => ({
+  const ownState = (): RevisionState => ({
     newest: newestRevision(),
     inForce: book.current().revision,
   });
 
+  /// Peers that hold a revision's chunks, those of this data centre first.
+  const holdersOf = (revision: number): readonly string[] => {
+    const isNear = ({ dataCentre }: VmIdentity) =>
+      dataCentre === links.self.dataCentre;
+    return links.peers()
+      .filter(({ vm }) => (peerStates.get(vm)?.inForce ?? 0) >= revision)
+      .sort((left, right) => Number(isNear(right)) - Number(isNear(left)))
+      .map(({ vm }) => vm);
+  };
+
+  const loadOnce = async (head: SheetHead) => {
+    const holders = holdersOf(head.revision);
+    if (holders.length === 0 && patience > 0) {
+      patience--;
+      return await pause(RETRY_MILLISECONDS);
+    }
+    try {
+      const accepted = await loader.load(head, holders);
+      if (stop.signal.aborted || !book.adopt(accepted)) return;
+      log.info("sheet in force", { revision: accepted.revision });
+      // The others hear it from those that had it from the store.
+      if (newestIsFirstHand) links.broadcast(RevisionMessage, ownState());
+    } catch (error) {
+      const reason = (error as Error).message;
+      log.warn("sheet unreadable", { revision: head.revision, reason });
+      await pause(RETRY_MILLISECONDS);
+    }
+  };
+
   /// Puts the newest head in force, however often that changes meanwhile.
   const loadNewest = async () => {
-    while (!stop.signal.aborted) {
-      const head = newest;
-      if (!head || book.current().revision >= head.revision) return;
-      const holders = [...peerStates]
-        .filter(([, state]) => state.inForce >= head.revision)
-        .map(([vm]) => vm);
-      if (holders.length === 0 && patience > 0) {
-        patience--;
-        await pause(RETRY_MILLISECONDS);
-        continue;
-      }
-      try {
-        const accepted = await loader.load(head, holders);
-        if (stop.signal.aborted) return;
-        if (book.adopt(accepted)) {
-          log.info("sheet in force", { revision: accepted.revision });
-          links.broadcast(RevisionMessage, ownState());
-        }
-      } catch (error) {
-        const reason = (error as Error).message;
-        log.warn("sheet unreadable", { revision: head.revision, reason });
-        await pause(RETRY_MILLISECONDS);
-      }
+    while (!stop.signal.aborted && newest) {
+      if (book.current().revision >= newest.revision) return;
+      await loadOnce(newest);
     }
   };
 
@@ -123,106 +131,57 @@
       loading = undefined;
     });
 
-  const learn = (head: SheetHead) => {
+  const learn = (head: SheetHead, { isFirstHand }: Origin) => {
     if (head.revision <= newestRevision()) return;
     newest = head;
-    links.broadcast(RevisionMessage, ownState());
+    newestIsFirstHand = isFirstHand;
+    patience = isFirstHand ? 0 : PATIENT_TRIES;
     void load();
   };
 
   const askHead = async (vm: string) => {
-    pendingQuestions++;
     try {
-      const { head, current } = await links.call(vm, HeadCall, {});
-      if (head && head.revision > newestRevision() && !isWatcher()) {
-        patience = PATIENT_TRIES;
-      }
-      if (head) learn(head);
-      if (current) answeredByPeer = true;
+      const { head } = await links.call(vm, HeadCall, {});
+      if (head) learn(head, { isFirstHand: false });
     } catch {
       // A peer tells its revision again when it can be reached.
-    } finally {
-      pendingQuestions--;
     }
   };
 
   /// Asks peers, one at a time, until none is known to know more.
-  const pull = async () => {
-    if (pulling) return;
-    pulling = true;
+  const pullNewer = async () => {
     while (!stop.signal.aborted) {
       const ahead = [...peerStates].find(([, state]) =>
         state.newest > newestRevision()
       );
-      if (!ahead) break;
+      if (!ahead) return;
       const [vm, { newest: told }] = ahead;
       await askHead(vm);
       if (newestRevision() < told) peerStates.delete(vm);
     }
-    pulling = false;
-  };
-
-  const readHead = async () => {
-    try {
-      const head = await sheets.readHead();
-      if (head) learn(head);
-      answeredByStore = true;
-    } catch (error) {
-      log.warn("sheet head unreadable", { reason: (error as Error).message });
-    }
-    askedStore = true;
-  };
-
-  const isWatcher = () => {
-    const { self } = links;
-    const local = links.peers()
-      .filter(({ dataCentre }) => dataCentre === self.dataCentre)
-      .map(({ vm }) => vm);
-    const ranked = rankByRendezvous("sheet.watch", [...local, self.vm]);
-    return ranked.slice(0, WATCHERS_PER_DATA_CENTRE).includes(self.vm);
   };
 
-  const watch = async () => {
-    while (!stop.signal.aborted) {
-      if (isWatcher()) await watchWhileChosen();
-      await pause(ROLE_CHECK_MILLISECONDS);
-    }
-  };
+  const pull = () =>
+    pulling ??= pullNewer().finally(() => {
+      pulling = undefined;
+    });
 
-  const watchWhileChosen = async () => {
-    const ended = new AbortController();
-    const check = async () => {
-      while (!stop.signal.aborted && isWatcher()) {
-        await pause(ROLE_CHECK_MILLISECONDS);
-      }
-      ended.abort(new Error("no watcher any more"));
-    };
-    void check();
-    const signal = AbortSignal.any([stop.signal, ended.signal]);
-    while (!signal.aborted) {
-      try {
-        for await (const head of sheets.watchHeads(signal)) learn(head);
-      } catch (error) {
-        const reason = (error as Error).message;
-        log.warn("sheet watch broke", { reason });
-      }
-      await pause(RETRY_MILLISECONDS);
+  const askRevision = async (vm: string) => {
+    pendingQuestions++;
+    try {
+      const { current, ...state } = await links.call(vm, RevisionCall, {});
+      peerStates.set(vm, state);
+      await pull();
+      if (current) answeredByPeer = true;
+    } catch {
+      peerStates.delete(vm);
+    } finally {
+      pendingQuestions--;
     }
   };
 
-  const readRegularly = async () => {
-    let last = -Infinity;
-    while (!stop.signal.aborted) {
-      const interval = isWatcher() || !answeredByStore
-        ? WATCHER_READ_MILLISECONDS
-        : OTHER_READ_MILLISECONDS * (1 + random.next());
-      if (clock.now() - last >= interval) {
-        last = clock.now();
-        await readHead();
-      }
-      await pause(WATCHER_READ_MILLISECONDS);
-    }
-  };
+  const askRevisions = () =>
+    Promise.all(links.peers().map(({ vm }) => askRevision(vm)));
 
   const gossip = async () => {
     while (!stop.signal.aborted) {
@@ -241,21 +200,27 @@
     for (const vm of peerStates.keys()) {
       if (!connected.has(vm)) peerStates.delete(vm);
     }
+    if (started || stop.signal.aborted) return;
     for (const { vm, incarnation } of peers) {
       if (askedPeers.has(incarnation)) continue;
       askedPeers.add(incarnation);
-      void askHead(vm);
+      void askRevision(vm);
     }
-    if (!stop.signal.aborted) links.broadcast(RevisionMessage, ownState());
   };
 
+  const watch = startSheetWatch({
+    ...options,
+    signal: stop.signal,
+    onHead: (head) => learn(head, { isFirstHand: true }),
+  });
+
   /// Whether everyone who can be asked has answered and the newest sheet that
   /// they know is in force.
   const hasStarted = () => {
-    if (pendingQuestions > 0 || !askedStore) return false;
+    if (pendingQuestions > 0 || !watch.asked) return false;
     const waited = clock.now() - startedAt >= FIRST_PEER_MILLISECONDS;
     const known = answeredByPeer ||
-      (answeredByStore && (waited || askedPeers.size > 0));
+      (watch.answered && (waited || askedPeers.size > 0));
     return known && book.current().revision >= newestRevision();
   };
 
@@ -271,40 +236,41 @@
       await pause(START_CHECK_MILLISECONDS);
       if (answeredByPeer || clock.now() - asked < GOSSIP_MILLISECONDS) continue;
       asked = clock.now();
-      for (const { vm } of links.peers()) void askHead(vm);
+      void askRevisions();
     }
   };
 
+  const answerHead = () => Promise.resolve({ head: newest });
+  const answerRevision = () =>
+    Promise.resolve({ ...ownState(), current: isCurrent() });
+
   links.onMessage(RevisionMessage, (state, from) => {
     peerStates.set(from.vm, state);
     void pull();
   });
-  links.onCall(
-    HeadCall,
-    () => Promise.resolve({ head: newest, current: isCurrent() }),
-  );
-  links.onCall(
-    ChunksCall,
-    ({ hashes }) => Promise.resolve({ chunks: loader.held(hashes) }),
-  );
+  links.onCall(HeadCall, answerHead);
+  links.onCall(RevisionCall, answerRevision);
+  links.onCall(ChunksCall, ({ hashes }) => {
+    const chunks = loader.held(hashes);
+    return Promise.resolve({ chunks });
+  });
   links.onPeersChange(meetPeers);
   meetPeers();
   void start();
-  void watch();
-  void readRegularly();
   void gossip();
 
   return {
     isCurrent,
     newest: () => newest,
     async accept({ head, chunks }) {
-      patience = 0;
       loader.add(chunks);
-      learn(head);
+      learn(head, { isFirstHand: true });
       await load();
     },
-    revisions: () =>
-      new Map([...peerStates].map(([vm, { inForce }]) => [vm, inForce])),
+    async askRevisions() {
+      await askRevisions();
+      return new Map([...peerStates].map(([vm, state]) => [vm, state.inForce]));
+    },
     close: () => stop.abort(new Error("closed")),
   };
 }
--- a/test/contracts/sheet_follower_test.ts
+++ b/test/contracts/sheet_follower_test.ts
@@ -50,17 +50,18 @@
 }
 
 interface Fault {
-  /// Runs right after the head was written; its VM knows of it.
-  readonly cause: (fleet: Fleet) => void;
+  readonly prepare?: (fleet: Fleet) => void;
+  /// Runs right after the head was written, before anyone hears of it.
+  readonly cause?: (fleet: Fleet) => void;
 }
 
 const FAULTS: Readonly<Record<string, Fault>> = {
-  "no fault": { cause: () => {} },
+  "no fault": {},
   "a store outage after acceptance": {
     cause: (fleet) => fleet.store.setDown(true),
   },
   "stale reads of the store": {
-    cause: (fleet) => fleet.store.setStaleReads(true),
+    prepare: (fleet) => fleet.store.setStaleReads(true),
   },
   "a VM that no link reaches": {
     cause: (fleet) => isolate(fleet, "vm-5", true),
@@ -74,11 +75,12 @@
   },
 };
 
-for (const [name, { cause }] of Object.entries(FAULTS)) {
+for (const [name, { prepare, cause }] of Object.entries(FAULTS)) {
   test(`in force everywhere in time with ${name}`, async (t) => {
     const fleet = await start();
+    prepare?.(fleet);
     const { entry, applied } = await apply(fleet, 1);
-    cause(fleet);
+    cause?.(fleet);
     void entry.follower.accept(applied);
     await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
     t.deepEqual(revisionsOf(fleet), Array(VMS).fill(2));
@@ -93,17 +95,20 @@
   t.deepEqual(revisionsOf(fleet), Array(VMS - 1).fill(2));
 });
 
-test("a partition that heals leaves nobody behind", async (t) => {
-  const fleet = await start();
-  isolate(fleet, "vm-5", true);
-  const { entry, applied } = await apply(fleet, 1, "vm-2");
-  fleet.store.setDown(true);
-  await fleet.clock.advanceUntil(entry.follower.accept(applied));
-  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
-  isolate(fleet, "vm-5", false);
-  await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
-  t.deepEqual(revisionsOf(fleet), Array(VMS).fill(2));
-});
+// One of the three does not watch the store, so that only peers can tell it.
+for (const vm of ["vm-2", "vm-5", "vm-8"]) {
+  test(`a healed partition leaves ${vm} not behind`, async (t) => {
+    const fleet = await start();
+    isolate(fleet, vm, true);
+    const { entry, applied } = await apply(fleet, 1);
+    fleet.store.setDown(true);
+    await fleet.clock.advanceUntil(entry.follower.accept(applied));
+    await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+    isolate(fleet, vm, false);
+    await fleet.clock.advance(EVERYWHERE_MILLISECONDS);
+    t.deepEqual(revisionsOf(fleet), Array(VMS).fill(2));
+  });
+}
 
 test("no VM ever goes back, and a sheet changes whole", async (t) => {
   const fleet = await start();
@@ -120,10 +125,10 @@
   };
   watch();
   for (let base = 1; base <= 4; base++) {
+    // Reads show the sheet before this apply until they recover.
+    fleet.store.setStaleReads(true);
     const { entry, applied } = await apply(fleet, base, `vm-${base}`);
     void entry.follower.accept(applied);
-    await clock.advance(300);
-    fleet.store.setStaleReads(true);
     await clock.advance(2_500);
     fleet.store.setStaleReads(false);
     isolate(fleet, `vm-${base + 4}`, base % 2 === 1);
