Report how fast the error budgets are spent

Nothing told whether the objectives hold: the daemon counted ends and times to first token, and nothing put the entries' counts together.

Each ended request is judged for four objectives: first token of short and of long prompts, slowdown of short prompts against an idle engine, completion. Good and bad ones are counted over 5 min, 1 h, 6 h and 1 d in 31 buckets each, so that memory is constant. Any VM merges the counts of all over the links and names those that are missing or counted for less than a window. The tool's burn prints text, JSON or one HTML page with its plots; /metrics has the same judgements as counters.

--- a/src/administration/administration_client.ts
+++ b/src/administration/administration_client.ts
@@ -2,6 +2,7 @@
 import { Value } from "@sinclair/typebox/value";
 import { request } from "undici";
 import type { Sheet } from "../contracts/sheet.ts";
+import { BurnReport } from "./burn_schemas.ts";
 import {
   AdministrationProblem,
   ApplyReply,
@@ -50,6 +51,7 @@
   checkSheet(document: SheetDocument): Promise<CheckReply>;
   diffSheet(document: SheetDocument): Promise<DiffReply>;
   applySheet(proposal: ApplyRequest): Promise<ApplyReply>;
+  readBurn(): Promise<BurnReport>;
   drain(): Promise<{ draining: boolean }>;
 }
 
@@ -154,6 +156,7 @@
     diffSheet: (document) => post("/v1/sheet/diff", DiffReply, document),
     applySheet: (body) =>
       ask({ method: "PUT", path: "/v1/sheet", reply: ApplyReply, body }),
+    readBurn: () => read("/v1/burn", BurnReport),
     drain: () => post("/v1/drain", DrainReply),
   };
 }
--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -9,6 +9,7 @@
   StatusReply,
   UpstreamsReply,
 } from "./administration_schemas.ts";
+import { BurnReport } from "./burn_schemas.ts";
 import { defineRoute, type Route } from "./route.ts";
 
 /// Operations that show what this VM sees and does, and the drain.
@@ -92,6 +93,12 @@
         };
       },
     }),
+    defineRoute("GET /v1/burn", {
+      summary: "How fast the error budgets are spent, over all VMs",
+      role: "view",
+      reply: BurnReport,
+      handle: () => entry.burn.report(),
+    }),
     defineRoute("POST /v1/drain", {
       summary: "Shuts this VM down gracefully",
       role: "operate",
--- a/src/administration/tool.ts
+++ b/src/administration/tool.ts
@@ -11,6 +11,7 @@
   type ToolContext,
   ToolUsageError,
 } from "./tool_command.ts";
+import { showBurn } from "./tool_burn.ts";
 import {
   applyFile,
   checkFile,
@@ -37,6 +38,7 @@
   status: showStatus,
   upstreams: showUpstreams,
   requests: showRequests,
+  burn: showBurn,
   drain,
   keys: createKey,
 };
--- a/src/bin/sequoiaturn.ts
+++ b/src/bin/sequoiaturn.ts
@@ -21,6 +21,7 @@
   status               VMs, their revisions and readiness
   upstreams            Engines and services
   requests             Running requests, and ended ones by reason
+  burn                 How fast the error budgets are spent
   drain                Shut the daemon down gracefully
   keys <customer>      Create a customer key; needs no daemon
 
@@ -30,6 +31,7 @@
   --token       Bearer token (SEQUOIATURN_TOKEN)
   --json        Print JSON
   --everywhere  With sheet show: the revision in force on every VM
+  --html        With burn: print an HTML page with plots
   --base        With sheet apply: the revision that the sheet replaces
   --apply-id    With sheet apply: repeat an apply whose outcome is unknown
   --author      With sheet apply: name recorded with the sheet
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -1,3 +1,4 @@
+import { type Burn, startBurn } from "./administration/burn.ts";
 import {
   type ContractBook,
   createContractBook,
@@ -76,6 +77,7 @@
   readonly engines: EngineDirectory;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
+  readonly burn: Burn;
   /// Whether it takes new requests.
   isReady(): boolean;
   /// Refuses new requests and resolves when the running ones have ended, or
@@ -137,6 +139,7 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
+  const burn = startBurn({ clock, links, membership, registry, engines });
   const admission = createAdmission(clock);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
@@ -166,6 +169,7 @@
     engines,
     registry,
     handler,
+    burn,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
--- a/src/support/metrics.ts
+++ b/src/support/metrics.ts
@@ -13,6 +13,8 @@
   readonly requestsEnded: Counter<"kind" | "reason">;
   /// Seconds to the first token by length class.
   readonly firstTokenSeconds: Histogram<"length">;
+  /// Requests that count for a service-level objective, by result.
+  readonly objectiveRequests: Counter<"objective" | "result">;
   readonly runningRequests: Gauge;
   readonly sheetRevision: Gauge;
   readonly connectedVms: Gauge;
@@ -51,6 +53,12 @@
       buckets: FIRST_TOKEN_BUCKETS_SECONDS,
       registers,
     }),
+    objectiveRequests: new Counter({
+      name: "sequoiaturn_objective_requests_total",
+      help: "Requests that count for a service-level objective, by result",
+      labelNames: ["objective", "result"],
+      registers,
+    }),
     runningRequests: new Gauge({
       name: "sequoiaturn_running_requests",
       help: "Requests that have not ended",
--- a/test/administration/administration_api_test.ts
+++ b/test/administration/administration_api_test.ts
@@ -72,6 +72,7 @@
     paths: Record<string, Record<string, { responses: object }>>;
   };
   t.deepEqual(Object.keys(document.paths).sort(), [
+    "/v1/burn",
     "/v1/drain",
     "/v1/requests",
     "/v1/sheet",
@@ -182,6 +183,7 @@
 const TABLES: readonly [string, RegExp][] = [
   ["status", /vm-1 \(asked\)[^]*vm-2[^]*ready: yes[^]*usable engines: 1 of 1/],
   ["upstreams", /engine-1 +engine +text[^]*desk-1 +service/],
+  ["burn", /firstTokenShort[^]*VMs counted: 2; missing: none/],
   ["requests", /customer[^]*ended/],
   ["keys clerk", /key \(shown once\): clerk\.(ab){24}[^]*keyHashes/],
 ];
