--- a/src/entry.ts
+++ b/src/entry.ts
@@ -1,3 +1,4 @@
+import { type Burn, startBurn } from "./administration/burn.ts";
 import {
   type ContractBook,
   createContractBook,
@@ -86,6 +87,7 @@
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
   readonly ledgerHome: LedgerHome;
+  readonly burn: Burn;
   /// Whether it takes new requests.
   isReady(): boolean;
   /// Refuses new requests and resolves when the running ones have ended, or
@@ -156,6 +158,7 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
+  const burn = startBurn({ clock, links, membership, registry, engines });
   const admission = createAdmission(clock);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
@@ -194,6 +197,7 @@
     registry,
     handler,
     ledgerHome,
+    burn,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
