Keep customers' limits over all VMs through a home that grants

Admission counted on each VM alone, so 9 VMs together admitted 9 times a contract. Now a home VM for each customer holds the buckets, entries keep half a second of demand in stock, and an entry without its home uses an equal share.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -2,6 +2,7 @@
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import { createCustomerLimits } from "./contracts/customer_limits.ts";
 import {
   type SheetFollower,
   startSheetFollower,
@@ -122,7 +123,8 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
-  const admission = createAdmission(clock);
+  const limits = createCustomerLimits({ clock, links, membership, book });
+  const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
   const ledger = createLedger(store);
   const handler = createRequestHandler({
@@ -157,6 +159,7 @@
     close() {
       membershipMessages.close();
       membership.close();
+      limits.close();
       leavingUpstreams.close();
       follower.close();
       engines.close();
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -141,7 +141,8 @@
     const signal = AbortSignal.any([deadline.signal, caller.received.gone]);
     let release = () => {};
     try {
-      const ticket = admission.admit({ ...work, customer: caller.customer });
+      const { customer } = caller;
+      const ticket = await admission.admit({ ...work, customer });
       release = () => ticket.release();
       open.update({ state: "admitted" });
       const result = await action({ open, deadline, signal });
--- a/stand_ins/local_links.ts
+++ b/stand_ins/local_links.ts
@@ -28,20 +28,43 @@
 
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 
-/// Creates a network whose every message takes `latency` milliseconds.
-export function createLocalNetwork(clock: Clock, latency = 1): LocalNetwork {
+export interface LocalNetworkOptions {
+  /// Time that each message takes.
+  readonly latencyMilliseconds?: number;
+  /// Time after which peers notice a VM or a way that was lost. Until then
+  /// what they send is lost as well.
+  readonly detectionMilliseconds?: number;
+}
+
+/// Creates a network between VMs of this process.
+export function createLocalNetwork(
+  clock: Clock,
+  options: LocalNetworkOptions = {},
+): LocalNetwork {
+  const latency = options.latencyMilliseconds ?? 1;
+  const detection = options.detectionMilliseconds ?? 0;
   const members = new Map<string, Member>();
   const cuts = new Set<string>();
+  /// What `peers` shows; follows the truth after the detection time.
+  let visibleMembers: ReadonlyMap<string, Member> = new Map();
+  let visibleCuts: ReadonlySet<string> = new Set();
 
   const reaches = (from: string, to: string) =>
     members.has(from) && members.has(to) && !cuts.has(`${from} ${to}`);
 
-  const notify = () => {
+  const show = () => {
+    visibleMembers = new Map(members);
+    visibleCuts = new Set(cuts);
     for (const member of members.values()) {
       member.listeners.forEach((listener) => listener());
     }
   };
 
+  const notice = () => {
+    if (detection === 0) show();
+    else clock.schedule(detection, show);
+  };
+
   const carry = (from: string, to: Member, action: () => void) => {
     clock.schedule(latency, () => {
       const current = members.get(to.identity.vm) === to;
@@ -53,16 +76,17 @@
     const self = member.identity;
     const alive = () => members.get(self.vm) === member;
     const peers = () => {
-      const others = [...members.values()].filter((other) =>
-        other !== member && alive() &&
-        reaches(self.vm, other.identity.vm) &&
-        reaches(other.identity.vm, self.vm)
+      if (!alive()) return [];
+      const others = [...visibleMembers.values()].filter((other) =>
+        other !== member &&
+        !visibleCuts.has(`${self.vm} ${other.identity.vm}`) &&
+        !visibleCuts.has(`${other.identity.vm} ${self.vm}`)
       );
       return others.map((other) => other.identity);
     };
     const find = (vm: string) => {
       const connected = peers().some((peer) => peer.vm === vm);
-      return connected ? members.get(vm) : undefined;
+      return connected ? visibleMembers.get(vm) : undefined;
     };
     return {
       self,
@@ -116,17 +140,17 @@
       const router = createMessageRouter();
       const member: Member = { identity, router, listeners: [] };
       members.set(identity.vm, member);
-      notify();
+      show();
       return createLinks(member);
     },
     remove(vm) {
       members.delete(vm);
-      notify();
+      notice();
     },
     setCut(from, to, cut) {
       if (cut) cuts.add(`${from} ${to}`);
       else cuts.delete(`${from} ${to}`);
-      notify();
+      notice();
     },
   };
 }
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -5,6 +5,7 @@
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Measurement>>> = {
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
+  limits: async () => (await import("./measurements/limits.ts")).measureLimits,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
--- /dev/null
+++ b/test/contracts/customer_limits_test.ts
@@ -0,0 +1,105 @@
+import test, { type ExecutionContext } from "ava";
+import { rankByRendezvous } from "../../src/vms/rendezvous.ts";
+import {
+  LIMIT_CUSTOMER,
+  startLimitFleet,
+} from "../../stand_ins/limit_fleet.ts";
+
+const VMS = 9;
+const LIMIT = 100;
+/// Demand far over the limit.
+const OVERLOAD = 400;
+const even = Array.from({ length: VMS }, () => 1);
+const oneOnly = even.map((_, index) => index === 0 ? 1 : 0);
+
+/// Requests admitted a second after the first seconds have passed.
+async function steadyRate(weights: readonly number[], seconds: number) {
+  const fleet = startLimitFleet({ vms: VMS, requestsPerSecond: LIMIT });
+  await fleet.start();
+  await fleet.arrive({ perSecond: OVERLOAD, weights, seconds: 5 });
+  const admitted = await fleet.arrive({
+    perSecond: OVERLOAD,
+    weights,
+    seconds,
+  });
+  return admitted / seconds;
+}
+
+const isNear = (t: ExecutionContext, rate: number) =>
+  t.true(rate > 0.9 * LIMIT && rate < 1.1 * LIMIT, `${rate} a second`);
+
+for (const [name, weights] of [["even", even], ["skewed", oneOnly]] as const) {
+  test(`${name} arrival over the limit gets the limit`, async (t) => {
+    isNear(t, await steadyRate(weights, 10));
+  });
+}
+
+test("arrival below the limit is never refused", async (t) => {
+  const fleet = startLimitFleet({ vms: VMS, requestsPerSecond: LIMIT });
+  await fleet.start();
+  const arrival = { perSecond: 60, weights: even, seconds: 10 };
+  const admitted = await fleet.arrive(arrival);
+  t.is(fleet.refused(), 0);
+  t.true(admitted > 500);
+});
+
+const FAILURES = [
+  { name: "the home is lost", remove: [0] },
+  { name: "a partition splits the VMs", cut: 4 },
+];
+
+for (const { name, remove = [], cut = 0 } of FAILURES) {
+  test(`${name}: never twice the limit, and near it 5 s later`, async (t) => {
+    const fleet = startLimitFleet({ vms: VMS, requestsPerSecond: LIMIT });
+    await fleet.start();
+    const arrival = { perSecond: OVERLOAD, weights: even, seconds: 5 };
+    await fleet.arrive(arrival);
+    const ranked = rankByRendezvous(`limit ${LIMIT_CUSTOMER}`, fleet.names);
+    for (const index of remove) fleet.remove(ranked[index]!);
+    if (cut > 0) fleet.split(ranked.slice(0, cut));
+    const during = await fleet.arrive(arrival);
+    t.true(during < 2 * 5 * LIMIT, `${during} in 5 s`);
+    const after = await fleet.arrive({ ...arrival, seconds: 10 });
+    t.true(after < 1.1 * 10 * LIMIT, `${after} in 10 s`);
+    t.true(after > 0.8 * 10 * LIMIT, `${after} in 10 s`);
+  });
+}
+
+test("long requests over all VMs stay within their limit", async (t) => {
+  const fleet = startLimitFleet({ vms: VMS, requestsPerSecond: LIMIT });
+  await fleet.start();
+  const tickets = await fleet.takeLongEverywhere();
+  t.is(tickets.length, fleet.longLimit);
+  await fleet.clock.advance(60_000);
+  t.is((await fleet.takeLongEverywhere()).length, 0);
+  tickets[0]!.release();
+  await fleet.clock.advance(1_000);
+  t.is((await fleet.takeLongEverywhere()).length, 1);
+});
+
+test("long requests outlive their home", async (t) => {
+  const fleet = startLimitFleet({ vms: VMS, requestsPerSecond: LIMIT });
+  await fleet.start();
+  const [home, ...others] = rankByRendezvous(
+    `limit ${LIMIT_CUSTOMER}`,
+    fleet.names,
+  );
+  const held = await fleet.takeLongEverywhere(others);
+  t.is(held.length, fleet.longLimit);
+  fleet.remove(home!);
+  await fleet.clock.advance(1_000);
+  t.is((await fleet.takeLongEverywhere(others)).length, 0);
+  await fleet.clock.advance(60_000);
+  t.is((await fleet.takeLongEverywhere(others)).length, 0);
+});
+
+test("a customer that the home doesn't know gets no grant", async (t) => {
+  const fleet = startLimitFleet({
+    vms: VMS,
+    requestsPerSecond: LIMIT,
+    sheetRevision: 0,
+  });
+  await fleet.start();
+  const arrival = { perSecond: OVERLOAD, weights: even, seconds: 10 };
+  t.true(await fleet.arrive(arrival) <= LIMIT);
+});
