--- a/src/contracts/customer_limits.ts
+++ b/src/contracts/customer_limits.ts
@@ -19,12 +19,6 @@
 /// customer's buckets to the entries that need them. An entry that can't ask
 /// the home uses an equal share.
 
-export interface LimitCost {
-  /// Prompt and requested tokens.
-  readonly tokens: number;
-  readonly isLong: boolean;
-}
-
 /// What an admitted request holds until `release`.
 export interface LimitTicket {
   release(): void;
@@ -36,12 +30,13 @@
 }
 
 export interface CustomerLimits {
-  /// Counts a request against its customer's limits. A short one is decided
-  /// at once; a long one asks the home.
-  take(
+  /// Counts a short request of so many prompt and requested tokens.
+  take(customer: Customer, tokens: number): LimitTicket | LimitRefusal;
+  /// Counts a long request, for which the home is asked.
+  takeLong(
     customer: Customer,
-    cost: LimitCost,
-  ): LimitTicket | LimitRefusal | Promise<LimitTicket | LimitRefusal>;
+    tokens: number,
+  ): Promise<LimitTicket | LimitRefusal>;
   close(): void;
 }
 
@@ -190,7 +185,12 @@
     return (await links.call(vm, TakeLongCall, slot, limits)).granted;
   };
 
-  const takeLong = async (
+  const take: CustomerLimits["take"] = (customer, tokens) => {
+    const wait = stockOf(customer).take(tokens, equalShare);
+    return wait > 0 ? { retryAfterMilliseconds: wait } : NOTHING_HELD;
+  };
+
+  const takeSlot = async (
     customer: string,
   ): Promise<LimitTicket | LimitRefusal> => {
     const slot = {
@@ -234,15 +234,13 @@
   });
 
   return {
-    take(customer, { tokens, isLong }) {
-      const stock = stockOf(customer);
-      const wait = stock.take(tokens, equalShare);
-      if (wait > 0) return { retryAfterMilliseconds: wait };
-      if (!isLong) return NOTHING_HELD;
-      return takeLong(customer.name).then((result) => {
-        if (isRefusal(result)) stock.refund(tokens);
-        return result;
-      });
+    take,
+    async takeLong(customer, tokens) {
+      const result = take(customer, tokens);
+      if (isRefusal(result)) return result;
+      const long = await takeSlot(customer.name);
+      if (isRefusal(long)) stocks.get(customer.name)?.refund(tokens);
+      return long;
     },
     close: () => stop.abort(new Error("closed")),
   };
--- a/src/contracts/sheet.ts
+++ b/src/contracts/sheet.ts
@@ -5,7 +5,7 @@
 
 const Name = Type.String({ pattern: "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$" });
 const Rate = Type.Number({ exclusiveMinimum: 0 });
-const Duration = Type.Integer({ minimum: 1 });
+const Duration = Type.Integer({ minimum: 0, default: 0 });
 
 export const PRIORITIES = ["urgent", "normal", "background"] as const;
 export const Priority = Type.Union(
@@ -26,9 +26,10 @@
   tokensPerSecond: Rate,
   /// Long requests that may run at once.
   concurrentLongRequests: Type.Integer({ minimum: 0 }),
-  /// Longest time a short request may take, in milliseconds.
+  /// Longest time a short request may take, in milliseconds. With 0, each
+  /// request has to give its own deadline.
   shortDeadlineMilliseconds: Duration,
-  /// Longest time a long request may take, in milliseconds.
+  /// The same for a long request.
   longDeadlineMilliseconds: Duration,
 }, { additionalProperties: false });
 export type Customer = Static<typeof Customer>;
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -3,6 +3,10 @@
   createContractBook,
 } from "./contracts/contract_book.ts";
 import { createCustomerLimits } from "./contracts/customer_limits.ts";
+import {
+  type SheetCollector,
+  startSheetCollector,
+} from "./contracts/sheet_collector.ts";
 import {
   type SheetFollower,
   startSheetFollower,
@@ -15,7 +19,9 @@
 import type { VmList } from "./platform/vm_list.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
+import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
+import { createLedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -67,6 +73,7 @@
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
+  readonly collector: SheetCollector;
   readonly engines: EngineDirectory;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
@@ -95,9 +102,10 @@
     onExpelled: options.onExpelled,
   });
   const book = createContractBook();
-  const sheets = createSheetStore(store);
+  const sheets = createSheetStore({ store, clock });
   const follower = startSheetFollower({
     clock,
+    random,
     log: logFor("contracts"),
     links,
     sheets,
@@ -110,6 +118,13 @@
     book,
     vmList,
   });
+  const collector = startSheetCollector({
+    clock,
+    random,
+    log: logFor("contracts"),
+    links,
+    sheets,
+  });
   const engines = createEngineDirectory({
     clock,
     book,
@@ -126,7 +141,9 @@
   const limits = createCustomerLimits({ clock, links, membership, book });
   const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
-  const ledger = createLedger(store);
+  const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const issuedKeys = createIssuedKeys({ clock, random, links });
+  const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
     clock,
     random,
@@ -137,6 +154,7 @@
     completions: createCompletionRunner({ clock, engines, placement }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
+    issuedKeys,
   });
   let draining = false;
 
@@ -146,6 +164,7 @@
     book,
     sheets,
     follower,
+    collector,
     engines,
     registry,
     handler,
@@ -154,7 +173,8 @@
       draining = true;
       membership.leave();
       admission.stop();
-      await Promise.race([registry.whenIdle(), clock.sleep(limit)]);
+      const idle = registry.whenIdle().then(() => ledger.whenIdle());
+      await Promise.race([idle, clock.sleep(limit)]);
     },
     close() {
       membershipMessages.close();
@@ -162,6 +182,7 @@
       limits.close();
       leavingUpstreams.close();
       follower.close();
+      collector.close();
       engines.close();
     },
   };
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -1,6 +1,7 @@
 import {
   type CustomerLimits,
   isRefusal,
+  type LimitRefusal,
   type LimitTicket,
 } from "../contracts/customer_limits.ts";
 import type { Customer } from "../contracts/sheet.ts";
@@ -24,6 +25,8 @@
 export interface Admission {
   /// Rejects with a `RequestError` when the request is refused.
   admit(question: AdmissionQuestion): Promise<AdmissionTicket>;
+  /// Admits a request that isn't long without waiting. Throws `RequestError`.
+  admitShort(customer: Customer, tokens: number): AdmissionTicket;
   /// Refuses everything from now on.
   stop(): void;
 }
@@ -36,39 +39,42 @@
   let running = 0;
   let stopped = false;
 
-  const takeLimit = async (
-    { customer, tokens, isLong }: AdmissionQuestion,
-  ): Promise<LimitTicket> => {
-    const result = await limits.take(customer, { tokens, isLong });
-    if (!isRefusal(result)) return result;
-    const seconds = Math.ceil(result.retryAfterMilliseconds / 1_000);
-    const retryAfterSeconds = Math.max(1, seconds);
-    throw new RequestError("limit_spent", { retryAfterSeconds });
+  const requireOpen = () => {
+    if (stopped) throw new RequestError("draining", { retryAfterSeconds: 1 });
+    if (running >= RUNNING_LIMIT) {
+      throw new RequestError("queue_full", { retryAfterSeconds: 1 });
+    }
   };
 
-  return {
-    async admit(question) {
-      if (stopped) throw new RequestError("draining", { retryAfterSeconds: 1 });
-      if (running >= RUNNING_LIMIT) {
-        throw new RequestError("queue_full", { retryAfterSeconds: 1 });
-      }
-      running++;
-      let ticket: LimitTicket;
-      try {
-        ticket = await takeLimit(question);
-      } catch (error) {
+  const toTicket = (result: LimitTicket | LimitRefusal): AdmissionTicket => {
+    if (isRefusal(result)) {
+      const seconds = Math.ceil(result.retryAfterMilliseconds / 1_000);
+      const retryAfterSeconds = Math.max(1, seconds);
+      throw new RequestError("limit_spent", { retryAfterSeconds });
+    }
+    running++;
+    let released = false;
+    return {
+      release() {
+        if (released) return;
+        released = true;
         running--;
-        throw error;
-      }
-      let released = false;
-      return {
-        release() {
-          if (released) return;
-          released = true;
-          running--;
-          ticket.release();
-        },
-      };
+        result.release();
+      },
+    };
+  };
+
+  const admitShort: Admission["admitShort"] = (customer, tokens) => {
+    requireOpen();
+    return toTicket(limits.take(customer, tokens));
+  };
+
+  return {
+    admitShort,
+    async admit({ customer, tokens, isLong }) {
+      if (!isLong) return admitShort(customer, tokens);
+      requireOpen();
+      return toTicket(await limits.takeLong(customer, tokens));
     },
     stop: () => void (stopped = true),
   };
--- a/src/requests/caller_api.ts
+++ b/src/requests/caller_api.ts
@@ -65,9 +65,10 @@
 
 function receive(request: FastifyRequest, reply: FastifyReply) {
   const gone = new AbortController();
-  const problem = new RequestError("caller_gone", { executed: "unknown" });
-  const onClose = () => gone.abort(problem);
-  reply.raw.once("close", onClose);
+  reply.raw.once("close", () => {
+    if (reply.raw.writableFinished) return;
+    gone.abort(new RequestError("caller_gone", { executed: "unknown" }));
+  });
   const received: ReceivedRequest = {
     id: request.id,
     headers: readCallerHeaders(request.raw),
@@ -146,6 +147,14 @@
     "/v1/chat/completions",
     (request, reply) => complete(request, reply, readChatBody(request.body)),
   );
+  application.post("/v1/idempotency-keys", (request, reply) => {
+    const received = receive(request, reply);
+    const idempotencyKey = handler.issueKey(received);
+    return reply
+      .code(201)
+      .header("x-request-id", received.id)
+      .send({ idempotencyKey });
+  });
   application.register((scope, _options, done) => {
     scope.removeAllContentTypeParsers();
     const parseAs = "buffer" as const;
--- a/stand_ins/limit_fleet.ts
+++ b/stand_ins/limit_fleet.ts
@@ -126,9 +126,8 @@
 
   const takeShort = (vm: string) => {
     const tokens = options.tokens ?? DEFAULT_TOKENS;
-    const result = limits.get(vm)?.take(customer, { tokens, isLong: false });
+    const result = limits.get(vm)?.take(customer, tokens);
     if (!result) return false;
-    if (result instanceof Promise) throw new Error("a short request waited");
     if (!isRefusal(result)) return true;
     refusedCount++;
     return false;
@@ -169,9 +168,7 @@
       for (const [from, to] of cuts.splice(0)) network.setCut(from, to, false);
     },
     async takeLongEverywhere(vms = names) {
-      const asked = vms.map((vm) =>
-        limits.get(vm)!.take(customer, { tokens: 1, isLong: true })
-      );
+      const asked = vms.map((vm) => limits.get(vm)!.takeLong(customer, 1));
       const results = await clock.advanceUntil(Promise.all(asked));
       return results.filter((result): result is LimitTicket =>
         !isRefusal(result)
