--- a/src/entry.ts
+++ b/src/entry.ts
@@ -3,6 +3,7 @@
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import { createCustomerLimits } from "./contracts/customer_limits.ts";
 import {
   type SheetCollector,
   startSheetCollector,
@@ -17,6 +18,7 @@
 import { startMembershipMessages } from "./links/membership_messages.ts";
 import type { KeyValueStore } from "./platform/key_value_store.ts";
 import type { VmList } from "./platform/vm_list.ts";
+import type { WeightStore } from "./platform/weight_store.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createIssuedKeys } from "./requests/issued_keys.ts";
@@ -54,6 +56,8 @@
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
 import type { VmIdentity } from "./vms/identity.ts";
+import { startSteward, type Steward } from "./upstreams/steward.ts";
+import { mayBeSteward } from "./upstreams/steward_candidates.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
@@ -68,6 +72,8 @@
   readonly links: Links;
   readonly store: KeyValueStore;
   readonly vmList: VmList;
+  /// Where engines load from; without it no engine is given an order.
+  readonly weightStore?: WeightStore;
   /// Called when peers have declared this incarnation gone: it has to stop.
   readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
@@ -78,6 +84,7 @@
   readonly identity: VmIdentity;
   readonly membership: Membership;
   readonly leavingUpstreams: LeavingUpstreams;
+  readonly steward: Steward | undefined;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
@@ -159,7 +166,8 @@
   });
   const registry = createRequestRegistry(clock);
   const burn = startBurn({ clock, links, membership, registry, engines });
-  const admission = createAdmission(clock);
+  const limits = createCustomerLimits({ clock, links, membership, book });
+  const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
   const issuedKeys = createIssuedKeys({ clock, random, links });
@@ -182,12 +190,24 @@
     estimator: createTokenEstimator(),
     issuedKeys,
   });
+  const steward = options.weightStore && startSteward({
+    clock,
+    log: logFor("steward"),
+    store,
+    weightStore: options.weightStore,
+    book,
+    engines,
+    self: links.self,
+    isCandidate: () => mayBeSteward(membership),
+    isSheetCurrent: follower.isCurrent,
+  });
   let draining = false;
 
   return {
     identity: links.self,
     membership,
     leavingUpstreams,
+    steward,
     book,
     sheets,
     follower,
@@ -211,6 +231,8 @@
     close() {
       membershipMessages.close();
       membership.close();
+      limits.close();
+      steward?.close();
       leavingUpstreams.close();
       follower.close();
       quarantine.close();
