--- a/src/entry.ts
+++ b/src/entry.ts
@@ -1,7 +1,9 @@
+import { type Burn, startBurn } from "./administration/burn.ts";
 import {
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import { createCustomerLimits } from "./contracts/customer_limits.ts";
 import {
   type SheetCollector,
   startSheetCollector,
@@ -16,11 +18,13 @@
 import { startMembershipMessages } from "./links/membership_messages.ts";
 import type { KeyValueStore } from "./platform/key_value_store.ts";
 import type { VmList } from "./platform/vm_list.ts";
+import type { WeightStore } from "./platform/weight_store.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
-import { createLedgerHome } from "./requests/ledger_home.ts";
+import { createQuarantine } from "./requests/quarantine.ts";
+import { createLedgerHome, type LedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -48,6 +52,11 @@
 } from "./upstreams/placement.ts";
 import { createPrefillBook } from "./upstreams/prefill_book.ts";
 import type { describePrompt } from "./upstreams/prompt_blocks.ts";
+import {
+  createEngineHoldings,
+  type EngineHoldings,
+} from "./upstreams/engine_holdings.ts";
+import { createEngineKeeper } from "./upstreams/engine_keeper.ts";
 import {
   createLeavingUpstreams,
   type LeavingUpstreams,
@@ -55,6 +64,9 @@
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import type { VmIdentity } from "./vms/identity.ts";
+import { startSteward, type Steward } from "./upstreams/steward.ts";
+import { mayBeSteward } from "./upstreams/steward_candidates.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
@@ -78,6 +90,8 @@
   readonly links: Links;
   readonly store: KeyValueStore;
   readonly vmList: VmList;
+  /// Where engines load from; without it no engine is given an order.
+  readonly weightStore?: WeightStore;
   /// Called when peers have declared this incarnation gone: it has to stop.
   readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
@@ -89,15 +103,20 @@
 }
 
 export interface Entry {
+  readonly identity: VmIdentity;
   readonly membership: Membership;
   readonly leavingUpstreams: LeavingUpstreams;
+  readonly steward: Steward | undefined;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
   readonly collector: SheetCollector;
   readonly engines: EngineDirectory;
+  readonly holdings: EngineHoldings;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
+  readonly ledgerHome: LedgerHome;
+  readonly burn: Burn;
   /// Whether it takes new requests.
   isReady(): boolean;
   /// Refuses new requests and resolves when the running ones have ended, or
@@ -160,6 +179,15 @@
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
+  const clientOf = (engine: string) => engines.find(engine)?.client;
+  const holdings = createEngineHoldings({ clock, links, clientOf });
+  const keeper = createEngineKeeper({
+    clock,
+    links,
+    clientOf,
+    engineNames: () => engines.all().map((engine) => engine.upstream.name),
+  });
+  const quarantine = createQuarantine({ clock, links });
   const services = createServiceDirectory({
     book,
     random,
@@ -174,12 +202,14 @@
     vmCount: () => links.peers().length + 1,
     refusesInfeasible: has("feasibility"),
   });
+  const placement = options.createPlacement?.(random) ??
+    new ShortestWaitPlacement(random);
+  const burn = startBurn({ clock, links, membership, registry, engines });
+  const limits = createCustomerLimits({ clock, links, membership, book });
   const admission = createAdmission(
-    clock,
+    limits,
     has("queues") ? queues : undefined,
   );
-  const placement = options.createPlacement?.(random) ??
-    new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
   const issuedKeys = createIssuedKeys({ clock, random, links });
   const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
@@ -190,39 +220,68 @@
     book,
     registry,
     admission,
-    completions: createCompletionRunner({ clock, engines, placement }),
+    completions: createCompletionRunner({
+      clock,
+      engines,
+      holdings,
+      placement,
+      quarantine,
+    }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
     describePrompt: options.describePrompt,
     ordersByLength: has("lengthPriority"),
     issuedKeys,
   });
+  const steward = options.weightStore && startSteward({
+    clock,
+    log: logFor("steward"),
+    store,
+    weightStore: options.weightStore,
+    book,
+    engines,
+    self: links.self,
+    isCandidate: () => mayBeSteward(membership),
+    isSheetCurrent: follower.isCurrent,
+  });
   let draining = false;
 
   return {
+    identity: links.self,
     membership,
     leavingUpstreams,
+    steward,
     book,
     sheets,
     follower,
     collector,
     engines,
+    holdings,
     registry,
     handler,
+    ledgerHome,
+    burn,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
       membership.leave();
       admission.stop();
+      const end = clock.now() + limit;
       const idle = registry.whenIdle().then(() => ledger.whenIdle());
       await Promise.race([idle, clock.sleep(limit)]);
+      await holdings.whenReleased(Math.max(0, end - clock.now()));
     },
     close() {
       membershipMessages.close();
       membership.close();
+      limits.close();
+      steward?.close();
       leavingUpstreams.close();
       follower.close();
       stopDigests();
+      quarantine.close();
+      keeper.close();
+      holdings.close();
       collector.close();
       engines.close();
     },
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -18,14 +18,12 @@
 import type { Admission } from "./admission.ts";
 import type { CallerCompletion } from "./caller_body.ts";
 import type { CallerHeaders } from "./caller_headers.ts";
-import type {
-  CompletionRequest,
-  CompletionRunner,
-  RunContext,
-} from "./completion_run.ts";
+import type { CompletionRequest, RunContext } from "./completion_request.ts";
+import type { CompletionRunner } from "./completion_run.ts";
 import { startDeadline } from "./deadline.ts";
 import { enginePriority } from "./engine_priority.ts";
 import type { IssuedKeys } from "./issued_keys.ts";
+import { fingerprintOf } from "./quarantine.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
 import type { QueueNeed } from "./request_queues.ts";
 import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
@@ -158,7 +156,8 @@
       const { tokens, isLong, need, limit } = work;
       const engines = need && { need, remaining: limit };
       const { customer } = caller;
-      const ticket = admission.admit({ customer, tokens, isLong, engines });
+      const question = { customer, tokens, isLong, engines };
+      const ticket = await admission.admit(question);
       release = () => ticket.release();
       await ticket.whenReady(signal);
       open.update({ state: "admitted" });
@@ -194,6 +193,11 @@
     const level = PRIORITIES.indexOf(effectivePriority(caller));
     return {
       customer: customer.name,
+      fingerprint: fingerprintOf({
+        customer: customer.name,
+        model,
+        body: JSON.stringify([completion.prompt, maximumTokens]),
+      }),
       model,
       version: chooseVersion(shares, random),
       prompt,
@@ -271,7 +275,7 @@
     },
     issueKey(received) {
       const { customer } = authenticate(received);
-      admission.admit({ customer, tokens: 0, isLong: false }).release();
+      admission.admitShort(customer, 0).release();
       return options.issuedKeys.issue();
     },
   };
--- a/src/requests/request_queues.ts
+++ b/src/requests/request_queues.ts
@@ -116,7 +116,7 @@
   return {
     check(need, remaining) {
       const vms = vmCount();
-      const duration = FEASIBILITY_MARGIN * gate.expectedDuration(need, {
+      const duration = FEASIBILITY_MARGIN * gate.expectedWait(need, {
         queuedTokens: vms * queuedTokens(need.priority),
         overtakingTokensPerSecond: vms * demand.moreUrgentThan(need.priority),
       });
--- a/src/requests/start_gate.ts
+++ b/src/requests/start_gate.ts
@@ -24,8 +24,9 @@
 
 export interface StartGate {
   mayStart(need: StartNeed): boolean;
-  /// Expected time to the end of the answer.
-  expectedDuration(need: StartNeed, ahead: WorkAhead): Milliseconds;
+  /// Expected time to the first token. The answer's length is not known: the
+  /// maximum that callers give is rarely reached.
+  expectedWait(need: StartNeed, ahead: WorkAhead): Milliseconds;
 }
 
 /// Work that competes with a request and is not at engines yet.
@@ -41,9 +42,6 @@
 const ENGINE_WAIT_LIMIT_MILLISECONDS = 500;
 /// Share of the rate that is assumed to be left in the worst case.
 const LEAST_RATE_SHARE = 0.1;
-/// Time that one more token of the answer is allowed to take.
-const TOKEN_MILLISECONDS = 26;
-
 export function createStartGate(engines: EngineDirectory): StartGate {
   const usableOf = ({ model, version }: StartNeed) =>
     engines.enginesOf(model, version).filter((engine) => engine.usable);
@@ -66,7 +64,7 @@
           ENGINE_WAIT_LIMIT_MILLISECONDS
       );
     },
-    expectedDuration(need, { queuedTokens, overtakingTokensPerSecond }) {
+    expectedWait(need, { queuedTokens, overtakingTokensPerSecond }) {
       const usable = usableOf(need);
       if (usable.length === 0) return 0;
       const rates = usable.map((engine) =>
@@ -82,8 +80,7 @@
         ),
       );
       const queued = queuedTokens / total;
-      return 1_000 * (own + queued) / share +
-        need.maximumTokens * TOKEN_MILLISECONDS;
+      return 1_000 * (own + queued) / share;
     },
   };
 }
--- a/src/upstreams/placement.ts
+++ b/src/upstreams/placement.ts
@@ -57,7 +57,11 @@
   engine: EngineView,
   need: Pick<PlacementQuestion, "prompt" | "maximumTokens">,
 ): boolean {
-  const free = (engine.report?.freeTokens ?? 0) - engine.unreportedTokens;
+  let known = 0;
+  for (const group of engine.prefills) known += group.tokens;
+  // Prefills that began after the report have taken memory since.
+  const taken = Math.max(0, known - engine.knownAtReport);
+  const free = (engine.report?.freeTokens ?? 0) - taken;
   return free >= need.prompt.tokens + need.maximumTokens;
 }
 
