--- a/test/administration/administration_api_test.ts
+++ b/test/administration/administration_api_test.ts
@@ -82,6 +82,7 @@
     "/v1/sheet/revisions",
     "/v1/status",
     "/v1/upstreams",
+    "/v1/upstreams/drain",
   ]);
   t.deepEqual(
     Object.keys(document.paths["/v1/sheet"]!.put!.responses),
