Resume long completions at any entry by their key

Cause: a long answer was lost with its entry or with its caller's connection, and a run of minutes had to be done again.

Change: a long completion with an idempotency key records its stream in the stream ledger; a caller that comes back with X-Resume-Offset takes the stream over by attempt number at whichever entry. A keeper no longer cancels a listed stream whose id names a lost VM but which the keeper itself has taken over; a test of a stream that outlives the grace found that.

Conclusion: the answer survives entry and connection; prompts over several engines and an unreachable ledger are the named exceptions.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -30,6 +30,8 @@
   createRequestRegistry,
   type RequestRegistry,
 } from "./requests/request_registry.ts";
+import { createResumableStreams } from "./requests/resumable_stream.ts";
+import { createStreamLedger } from "./requests/stream_ledger.ts";
 import { createServiceRunner } from "./requests/service_run.ts";
 import type { Clock, Milliseconds } from "./support/clock.ts";
 import type { Logger } from "./support/log.ts";
@@ -146,6 +148,7 @@
     links,
     clientOf,
     engineNames: () => engines.all().map((engine) => engine.upstream.name),
+    isHeldHere: holdings.isHeld,
   });
   const quarantine = createQuarantine({ clock, links });
   const services = createServiceDirectory({
@@ -158,6 +161,7 @@
   const admission = createAdmission(clock);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const streamLedger = createStreamLedger({ clock, random, home: ledgerHome });
   const issuedKeys = createIssuedKeys({ clock, random, links });
   const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
@@ -173,6 +177,7 @@
       holdings,
       placement,
       quarantine,
+      resumables: createResumableStreams({ clock, ledger: streamLedger }),
     }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
--- a/src/requests/caller_headers.ts
+++ b/src/requests/caller_headers.ts
@@ -11,6 +11,8 @@
   readonly deadline: Milliseconds | undefined;
   readonly priority: Priority | undefined;
   readonly idempotencyKey: string | undefined;
+  /// Tokens of the answer that a caller who comes back has.
+  readonly resumeOffset?: number;
 }
 
 /// Headers that may stand once only; a second one could mean one thing to a
@@ -24,8 +26,10 @@
   "transfer-encoding",
   "x-deadline-milliseconds",
   "x-priority",
+  "x-resume-offset",
 ]);
 const DEADLINE = /^[1-9][0-9]{0,8}$/;
+const OFFSET = /^(0|[1-9][0-9]{0,8})$/;
 const BEARER = /^Bearer ([\x21-\x7e]+)$/;
 
 function malformed(detail: string): RequestError {
@@ -48,6 +52,12 @@
   throw malformed("x-deadline-milliseconds: expected a whole number above 0");
 }
 
+function readOffset(text: string | undefined): number | undefined {
+  if (text === undefined) return undefined;
+  if (OFFSET.test(text)) return Number(text);
+  throw malformed("x-resume-offset: expected a whole number");
+}
+
 function readPriority(text: string | undefined): Priority | undefined {
   if (text === undefined) return undefined;
   const known = PRIORITIES.find((priority) => priority === text);
@@ -67,5 +77,6 @@
     deadline: readDeadline(single("x-deadline-milliseconds")),
     priority: readPriority(single("x-priority")),
     idempotencyKey: single("idempotency-key"),
+    resumeOffset: readOffset(single("x-resume-offset")),
   };
 }
--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -15,7 +15,12 @@
 import type { EngineHoldings, Holding } from "../upstreams/engine_holdings.ts";
 import { checkedChunks } from "./attempt.ts";
 import type { CompletionRequest, RunContext } from "./completion_request.ts";
+import {
+  CALLER_GRACE_MILLISECONDS,
+  type ResumableRun,
+} from "./resumable_stream.ts";
 import { isAnswering, watchSilence } from "./silence_watch.ts";
+import { RequestError } from "./request_error.ts";
 import { prefillSpans } from "./span_prefill.ts";
 
 /// One try of a completion at one engine, or at several for a prompt that no
@@ -34,6 +39,8 @@
   offset: number;
   /// Whether an engine may have begun.
   mayHaveRun: boolean;
+  /// Set for a long request with a key.
+  readonly resumable: ResumableRun | undefined;
 }
 
 export interface AttemptRuntime {
@@ -55,6 +62,12 @@
     engine: EngineView,
     runtime: AttemptRuntime,
   ): AsyncIterable<EngineChunk>;
+  /// Takes over the stream of an earlier try.
+  resumeStream(
+    engine: EngineView,
+    streamId: string,
+    runtime: AttemptRuntime,
+  ): AsyncIterable<EngineChunk>;
   runOverSpans(
     usable: readonly EngineView[],
     runtime: AttemptRuntime,
@@ -62,9 +75,14 @@
 }
 
 interface EngineStream {
+  readonly engine: string;
   readonly client: EngineClient;
-  readonly call: CompletionCall;
   readonly holding: Holding;
+  /// Set if another try may take the stream over. One over several engines
+  /// ends with its entry: nobody could take over the reservations.
+  readonly resumable?: ResumableRun;
+  /// Asks the engine for the stream's first part.
+  readonly open: () => AsyncIterable<EngineChunk>;
 }
 
 export function createAttemptRunner(
@@ -76,19 +94,21 @@
   /// normal before the first token, as long as the engine answers.
   async function* deliver(
     source: AsyncIterable<EngineChunk>,
-    { client, call: { streamId } }: EngineStream,
+    { client, holding }: EngineStream,
     { state, context }: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
     const { attempt, offset } = state;
+    const streamId = holding.id;
     const checked = checkedChunks(source, { streamId, attempt, offset });
     const mayBeSilent = async () =>
-      state.offset === 0 && await isAnswering(client, clock);
+      state.offset === offset && await isAnswering(client, clock);
     const watch = watchSilence({ clock, mayBeSilent });
     const signal = AbortSignal.any([context.signal, watch.signal]);
     try {
       for await (const chunk of untilAborted(checked, signal)) {
         watch.touch();
-        if (state.offset === 0 && chunk.tokens > 0) {
+        const { firstTokenAt: seen } = context.open.record();
+        if (seen === undefined && chunk.tokens > 0) {
           const firstTokenAt = clock.now();
           context.open.update({ state: "streaming", firstTokenAt });
         }
@@ -100,15 +120,21 @@
     }
   }
 
+  const resumption = (
+    { client, holding }: Pick<EngineStream, "client" | "holding">,
+    { state, context }: AttemptRuntime,
+  ) => {
+    const { offset, attempt } = state;
+    return client.resume(holding.id, { offset, attempt }, context.signal);
+  };
+
   /// Reads a stream to its end, resuming it where its connection is lost.
   async function* readStream(
     stream: EngineStream,
     runtime: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
-    const { client, call } = stream;
     const { state, context } = runtime;
-    const { streamId } = call;
-    let source = client.complete(call, context.signal);
+    let source = stream.open();
     let lost: EngineLostError | undefined;
     for (let resumed = 0;; resumed++) {
       try {
@@ -120,9 +146,7 @@
         if (resumed === MAXIMUM_RESUMPTIONS) throw error;
         state.attempt++;
         context.open.update({ attempt: state.attempt });
-        const { offset, attempt } = state;
-        const position = { offset, attempt };
-        source = client.resume(streamId, position, context.signal);
+        source = resumption(stream, runtime);
       }
     }
   }
@@ -132,12 +156,14 @@
     stream: EngineStream,
     runtime: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
-    const { holding } = stream;
-    const { state } = runtime;
+    const { holding, engine, resumable } = stream;
+    const { state, context } = runtime;
     const { offset, mayHaveRun } = state;
     let isHeld = false;
     try {
-      await raceAbort(holding.announced, runtime.context.signal);
+      await raceAbort(holding.announced, context.signal);
+      const placed = resumable?.place(engine, holding.id);
+      if (placed) await raceAbort(placed, context.signal);
       isHeld = true;
       state.mayHaveRun = true;
       yield* readStream(stream, runtime);
@@ -150,8 +176,9 @@
       throw error;
     } finally {
       const mayStartLate = state.offset === offset;
-      if (isHeld) holding.release({ mayStartLate });
-      else holding.end();
+      if (!isHeld) holding.end();
+      else if (resumable) void resumable.leave(holding, reasonOf(context));
+      else void holding.release({ mayStartLate });
     }
   }
 
@@ -168,6 +195,12 @@
     context: [],
   });
 
+  const holdStream = (engine: string, runtime: AttemptRuntime) => {
+    const { resumable } = runtime.state;
+    const given = resumable && { graceMilliseconds: CALLER_GRACE_MILLISECONDS };
+    return holdings.hold(engine, "stream", nameOf(runtime), given);
+  };
+
   const nameOf = ({ state }: AttemptRuntime) =>
     `${state.name}.${state.attempt}`;
 
@@ -175,10 +208,27 @@
     async *runOnEngine({ client, upstream }, runtime) {
       const { name } = upstream;
       const send = engines.recordSend(name, runtime.request.prompt.tokens);
-      const holding = holdings.hold(name, "stream", nameOf(runtime));
+      const holding = holdStream(name, runtime);
       const call = toCall(holding.id, runtime);
+      const open = () => client.complete(call, runtime.context.signal);
+      const { resumable } = runtime.state;
+      const stream = { engine: name, client, holding, resumable, open };
       try {
-        yield* runStream({ client, call, holding }, runtime);
+        yield* runStream(stream, runtime);
+      } finally {
+        send.end();
+      }
+    },
+    async *resumeStream({ client, upstream }, streamId, runtime) {
+      const { name } = upstream;
+      const send = engines.recordSend(name, 0);
+      const graceMilliseconds = CALLER_GRACE_MILLISECONDS;
+      const holding = holdings.adopt(name, streamId, { graceMilliseconds });
+      const open = () => resumption({ client, holding }, runtime);
+      const { resumable } = runtime.state;
+      const stream = { engine: name, client, holding, resumable, open };
+      try {
+        yield* runStream(stream, runtime);
       } finally {
         send.end();
       }
@@ -198,13 +248,16 @@
         const { client, upstream } = spans.engine;
         const { prompt, context, reservation } = spans;
         const holding = holdings.hold(upstream.name, "stream", name);
+        const { signal } = runtime.context;
         const call = {
           ...toCall(holding.id, runtime),
           prompt,
           context,
           reservation,
         };
-        yield* runStream({ client, call, holding }, runtime);
+        const open = () => client.complete(call, signal);
+        const engine = upstream.name;
+        yield* runStream({ engine, client, holding, open }, runtime);
       } finally {
         await spans.release();
       }
@@ -212,6 +265,14 @@
   };
 }
 
+/// Why a stream is left before its end.
+function reasonOf({ signal }: RunContext): "callerGone" | "failed" {
+  const { reason } = signal;
+  const isGone = reason instanceof RequestError &&
+    reason.code === "caller_gone";
+  return isGone ? "callerGone" : "failed";
+}
+
 function isCertainlyUnbegun(error: unknown): boolean {
   return error instanceof EngineNotReachedError ||
     error instanceof EngineRefusedError;
--- a/src/requests/completion_request.ts
+++ b/src/requests/completion_request.ts
@@ -4,7 +4,16 @@
 
 /// A completion as it is run, and what bounds the run.
 
+/// What lets a caller come back for an answer.
+export interface ResumableBy {
+  /// Customer and idempotency key.
+  readonly key: string;
+  /// Tokens of the answer that the caller has.
+  readonly offset: number;
+}
+
 export interface CompletionRequest {
+  readonly id: string;
   readonly customer: string;
   /// Names what is asked for, whoever asks.
   readonly fingerprint: string;
@@ -15,6 +24,7 @@
   /// Smaller is more urgent.
   readonly priority: number;
   readonly isLong: boolean;
+  readonly resumable?: ResumableBy;
 }
 
 /// Where a running request takes its limits from and reports to.
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -21,6 +21,8 @@
 import type { CompletionRequest, RunContext } from "./completion_request.ts";
 import type { Quarantine, WatchedTry } from "./quarantine.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
+import type { StreamPlacement } from "./stream_ledger.ts";
+import type { ResumableRun, ResumableStreams } from "./resumable_stream.ts";
 import { createRetryBudget } from "./retry_budget.ts";
 import { isAnswering } from "./silence_watch.ts";
 
@@ -32,6 +34,7 @@
   readonly holdings: EngineHoldings;
   readonly placement: PlacementPolicy;
   readonly quarantine: Quarantine;
+  readonly resumables: ResumableStreams;
 }
 
 export interface CompletionRunner {
@@ -91,6 +94,19 @@
     watched.stop();
   };
 
+  /// Goes on with the stream of an earlier try of the same key.
+  async function* takeOver(
+    { engine: name, streamId }: StreamPlacement,
+    runtime: AttemptRuntime,
+  ): AsyncIterable<EngineChunk> {
+    const { state, context } = runtime;
+    const engine = engines.find(name);
+    if (!engine) throw new EngineLostError(`${name} is out of use`);
+    context.open.update({ state: "sent", upstream: name });
+    yield* attempts.resumeStream(engine, streamId, runtime);
+    state.resumable?.finished();
+  }
+
   async function* attemptOnce(
     runtime: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
@@ -107,6 +123,7 @@
       if (chosen.isWhole) yield* runOnEngine(engine!, runtime);
       else yield* attempts.runOverSpans(used, runtime);
       watched.completed();
+      state.resumable?.finished();
     } catch (error) {
       if (!signal.aborted) {
         await raceAbort(noteFailure(error, watched, used), signal);
@@ -121,20 +138,41 @@
     state.offset === 0 && tries < MAXIMUM_TRIES && isEngineError(error) &&
     budget.take();
 
+  const startState = (
+    { resumable: by }: CompletionRequest,
+    context: RunContext,
+    resumable: ResumableRun | undefined,
+  ): RunState => {
+    const offset = by?.offset ?? 0;
+    const earlier = resumable?.earlier;
+    if (offset > 0 && !earlier) {
+      const detail = "There is no stream to resume";
+      throw new RequestError("upstream_lost", { executed: "unknown", detail });
+    }
+    return {
+      name: context.open.id,
+      excluded: new Set(),
+      attempt: resumable?.firstAttempt ?? 0,
+      offset,
+      mayHaveRun: earlier !== undefined,
+      resumable,
+    };
+  };
+
   return {
     async *run(request, context) {
-      const state: RunState = {
-        name: context.open.id,
-        excluded: new Set(),
-        attempt: 0,
-        offset: 0,
-        mayHaveRun: false,
-      };
+      const claim = options.resumables.claim(request);
+      const resumable = await raceAbort(claim, context.signal);
+      const state = startState(request, context, resumable);
       budget.recordRequest();
       for (let tries = 1;; tries++) {
         state.attempt++;
+        const runtime = { request, state, context };
+        const earlier = tries === 1 ? resumable?.earlier : undefined;
         try {
-          return yield* attemptOnce({ request, state, context });
+          return yield* earlier
+            ? takeOver(earlier, runtime)
+            : attemptOnce(runtime);
         } catch (error) {
           const { aborted, reason } = context.signal;
           if (aborted) throw toFailure(reason, state);
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -79,6 +79,7 @@
 }
 
 const PRIORITY_STEP = 10;
+const MAXIMUM_KEY_LENGTH = 160;
 /// Added to the engine priority of long prompts.
 const LONG_PRIORITY_OFFSET = 5;
 
@@ -114,6 +115,17 @@
   return shares.at(-1)!.version;
 }
 
+/// A long request with a key can be taken over at any entry.
+function resumableBy({ customer, received }: Authenticated, isLong: boolean) {
+  const { idempotencyKey, resumeOffset } = received.headers;
+  if (!isLong || idempotencyKey === undefined) return undefined;
+  if (idempotencyKey.length > MAXIMUM_KEY_LENGTH) {
+    throw new RequestError("key_invalid");
+  }
+  const key = `${customer.name} ${idempotencyKey}`;
+  return { key, offset: resumeOffset ?? 0 };
+}
+
 /// Time the request may take: the smaller of the caller's and the contract's.
 /// A contract may leave it to the caller.
 function deadlineOf({ customer, received }: Authenticated, isLong: boolean) {
@@ -183,6 +195,7 @@
     const isLong = prompt.tokens >= contracts.options.longPromptTokens;
     const level = PRIORITIES.indexOf(effectivePriority(caller));
     return {
+      id: caller.received.id,
       customer: customer.name,
       fingerprint: fingerprintOf({
         customer: customer.name,
@@ -195,6 +208,7 @@
       maximumTokens,
       priority: level * PRIORITY_STEP + (isLong ? LONG_PRIORITY_OFFSET : 0),
       isLong,
+      resumable: resumableBy(caller, isLong),
     };
   };
 
--- a/src/upstreams/engine_holdings.ts
+++ b/src/upstreams/engine_holdings.ts
@@ -38,10 +38,23 @@
   release(options?: { mayStartLate: boolean }): Promise<void>;
 }
 
+export interface HoldOptions {
+  /// Time for which another VM may take it over once this one is gone.
+  readonly graceMilliseconds?: Milliseconds;
+}
+
 export interface EngineHoldings {
   /// Claims memory of an engine under an id made from `name`, which is unique
   /// on this VM.
-  hold(engine: string, kind: EngineClaim["kind"], name: string): Holding;
+  hold(
+    engine: string,
+    kind: EngineClaim["kind"],
+    name: string,
+    options?: HoldOptions,
+  ): Holding;
+  /// Claims a stream that another VM, or this one, has started.
+  adopt(engine: string, streamId: string, options?: HoldOptions): Holding;
+  isHeld(id: string): boolean;
   /// Claims whose end is not confirmed yet.
   held(): readonly EngineClaim[];
   /// Resolves when every release has been confirmed, or after `limit`.
@@ -63,6 +76,9 @@
   const { vm, incarnation } = links.self;
   const owner = { vm, incarnation };
   const claims = new Map<string, EngineClaim>();
+  /// Holdings of one claim; a stream may be adopted while another request of
+  /// this VM still has it.
+  const counts = new Map<string, number>();
   const releases = new Set<Promise<void>>();
   const stop = new AbortController();
   setMaxListeners(0, stop.signal);
@@ -133,7 +149,11 @@
   };
 
   const withdraw = (claim: EngineClaim) => {
-    if (!claims.delete(claim.id)) return;
+    const count = counts.get(claim.id)! - 1;
+    counts.set(claim.id, count);
+    if (count > 0) return;
+    counts.delete(claim.id);
+    claims.delete(claim.id);
     withdrawn.push(claim);
     withdrawTimer ??= clock.schedule(
       WITHDRAW_BATCH_MILLISECONDS,
@@ -160,6 +180,29 @@
     return release.finally(() => void releases.delete(release));
   };
 
+  const start = (claim: EngineClaim): Holding => {
+    claims.set(claim.id, claim);
+    counts.set(claim.id, (counts.get(claim.id) ?? 0) + 1);
+    const announced = keepersNow(claim.engine).length === 0
+      ? Promise.resolve()
+      : new Promise<void>((done) => unannounced.push({ claim, done }));
+    announceTimer ??= clock.schedule(
+      ANNOUNCE_BATCH_MILLISECONDS,
+      flushAnnouncements,
+    );
+    let released: Promise<void> | undefined;
+    return {
+      id: claim.id,
+      announced,
+      end() {
+        if (!released) withdraw(claim);
+        released ??= Promise.resolve();
+      },
+      release: (given) =>
+        released ??= startRelease(claim, given?.mayStartLate ?? false),
+    };
+  };
+
   links.onCall(holdsCall, ({ ids }) => {
     const held = ids.filter((id) => claims.has(id));
     return Promise.resolve({ held });
@@ -167,28 +210,11 @@
   links.onPeersChange(announceAfresh);
 
   return {
-    hold(engine, kind, name) {
-      const claim = { engine, kind, id: toEngineId(owner, name) };
-      claims.set(claim.id, claim);
-      const announced = keepersNow(engine).length === 0
-        ? Promise.resolve()
-        : new Promise<void>((done) => unannounced.push({ claim, done }));
-      announceTimer ??= clock.schedule(
-        ANNOUNCE_BATCH_MILLISECONDS,
-        flushAnnouncements,
-      );
-      let released: Promise<void> | undefined;
-      return {
-        id: claim.id,
-        announced,
-        end() {
-          if (!released) withdraw(claim);
-          released ??= Promise.resolve();
-        },
-        release: (given) =>
-          released ??= startRelease(claim, given?.mayStartLate ?? false),
-      };
-    },
+    hold: (engine, kind, name, given) =>
+      start({ engine, kind, id: toEngineId(owner, name), ...given }),
+    adopt: (engine, id, given) =>
+      start({ engine, kind: "stream", id, ...given }),
+    isHeld: (id) => claims.has(id),
     held: () => [...claims.values()],
     async whenReleased(limit) {
       const done = Promise.allSettled([...releases]);
--- a/src/upstreams/engine_keeper.ts
+++ b/src/upstreams/engine_keeper.ts
@@ -46,6 +46,8 @@
   readonly links: Links;
   readonly clientOf: (engine: string) => EngineClient | undefined;
   readonly engineNames: () => readonly string[];
+  /// Whether this VM itself has claimed the id.
+  readonly isHeldHere: (id: string) => boolean;
 }
 
 interface OwnedIds {
@@ -75,6 +77,7 @@
   const { signal } = stop;
   setMaxListeners(0, signal);
   const releasing = new Set<string>();
+  const goneSince = new Map<string, Milliseconds>();
   const unknownSince = new Map<string, Milliseconds>();
 
   const keepersNow = ({ claim, owner }: KeptClaim) => {
@@ -141,17 +144,37 @@
     records.withdraw(owner, former.map((kept) => kept.claim.id));
   };
 
+  /// Whether another VM has taken a lost owner's claim over.
+  const isTakenOver = ({ claim }: KeptClaim) =>
+    options.isHeldHere(claim.id) ||
+    records.ownersOf(claim.id).some(liveness.isLinked);
+
+  /// Releases what a lost owner had and nobody takes over.
+  const releaseOrphans = (owner: Incarnation, kept: readonly KeptClaim[]) => {
+    const now = clock.now();
+    const since = goneSince.get(incarnationKey(owner)) ?? now;
+    goneSince.set(incarnationKey(owner), since);
+    for (const entry of kept) {
+      const { claim } = entry;
+      if (keepersNow(entry)[0] !== self) continue;
+      if (isTakenOver(entry)) records.withdraw(owner, [claim.id]);
+      else if (now - since >= (claim.graceMilliseconds ?? 0)) {
+        void startRelease(claim);
+      }
+    }
+  };
+
   const checkOwner = async (owner: Incarnation) => {
     const isGone = await liveness.isGone(owner);
     const isLinked = liveness.isLinked(owner);
     if (isLinked) return dropFormer(owner, isLinked);
     const kept = records.claimsOf(owner);
     await shareOrphans(kept);
-    for (const entry of isGone ? kept : []) {
-      if (keepersNow(entry)[0] === self) void startRelease(entry.claim);
-    }
+    if (isGone) releaseOrphans(owner, kept);
     dropFormer(owner, isLinked);
-    if (records.claimsOf(owner).length === 0) liveness.forget(owner);
+    if (records.claimsOf(owner).length > 0) return;
+    liveness.forget(owner);
+    goneSince.delete(incarnationKey(owner));
   };
 
   /// Ids that their owner, if it can be asked, does not hold.
@@ -177,7 +200,9 @@
   const compareListing = async (engine: string) => {
     const streams = await clientOf(engine)?.listStreams() ?? [];
     const ids = streams.map((stream) => stream.streamId);
-    const unknown = ids.filter((id) => !records.isKnown(id));
+    const unknown = ids.filter((id) =>
+      !records.isKnown(id) && !options.isHeldHere(id)
+    );
     for (const { owner, ids } of groupByOwner(noteUnknown(unknown))) {
       for (const id of await abandonedIds(owner, ids)) {
         void startRelease({ engine, kind: "span", id });
--- a/src/upstreams/engine_keeper_messages.ts
+++ b/src/upstreams/engine_keeper_messages.ts
@@ -21,6 +21,8 @@
     Type.Literal("reservation"),
   ]),
   id: Type.String(),
+  /// Time for which another VM may take it over once its owner is gone.
+  graceMilliseconds: Type.Optional(Type.Number({ minimum: 0 })),
 });
 export type EngineClaim = Static<typeof EngineClaim>;
 
--- a/src/upstreams/engine_keeper_records.ts
+++ b/src/upstreams/engine_keeper_records.ts
@@ -25,6 +25,8 @@
   owners(): readonly Incarnation[];
   claimsOf(owner: Incarnation): readonly KeptClaim[];
   isKnown(id: string): boolean;
+  /// Owners that have announced this id.
+  ownersOf(id: string): readonly Incarnation[];
   size(): number;
 }
 
@@ -76,6 +78,10 @@
     },
     isKnown: (id) =>
       [...records.values()].some((record) => record.claims.has(id)),
+    ownersOf: (id) =>
+      [...records.values()]
+        .filter((record) => record.claims.has(id))
+        .map((record) => record.owner),
     size: () =>
       [...records.values()].reduce(
         (total, record) => total + record.claims.size,
--- a/test/requests/completion_run_test.ts
+++ b/test/requests/completion_run_test.ts
@@ -52,6 +52,7 @@
     holdings,
     placement,
     quarantine: createQuarantine({ clock, links }),
+    resumables: { claim: () => Promise.resolve(undefined) },
   });
   const registry = createRequestRegistry(clock);
   await clock.advance(300);
@@ -66,6 +67,7 @@
     });
     const limit = startDeadline(clock, deadline);
     const request: CompletionRequest = {
+      id: "request-1",
       customer: "caller",
       fingerprint: "fingerprint",
       model: "text",
