--- a/src/entry.ts
+++ b/src/entry.ts
@@ -1,3 +1,4 @@
+import { type Burn, startBurn } from "./administration/burn.ts";
 import {
   type ContractBook,
   createContractBook,
@@ -20,8 +21,8 @@
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
-import { createLedgerHome } from "./requests/ledger_home.ts";
 import { createQuarantine } from "./requests/quarantine.ts";
+import { createLedgerHome, type LedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -87,6 +88,8 @@
   readonly holdings: EngineHoldings;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
+  readonly ledgerHome: LedgerHome;
+  readonly burn: Burn;
   /// Whether it takes new requests.
   isReady(): boolean;
   /// Refuses new requests and resolves when the running ones have ended, or
@@ -158,6 +161,7 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
+  const burn = startBurn({ clock, links, membership, registry, engines });
   const admission = createAdmission(clock);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
@@ -197,6 +201,8 @@
     holdings,
     registry,
     handler,
+    ledgerHome,
+    burn,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -5,8 +5,10 @@
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Measurement>>> = {
   "engine-memory": async () =>
     (await import("./measurements/engine_memory.ts")).measureEngineMemory,
+  ledger: async () => (await import("./measurements/ledger.ts")).measureLedger,
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
+  sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
