--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -3,6 +3,9 @@
 /// Runs one measurement by name and writes its result.
 
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Measurement>>> = {
+  "engine-memory": async () =>
+    (await import("./measurements/engine_memory.ts")).measureEngineMemory,
+  ledger: async () => (await import("./measurements/ledger.ts")).measureLedger,
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
   sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
