--- a/src/administration/tool_sheet.ts
+++ b/src/administration/tool_sheet.ts
@@ -121,13 +121,18 @@
   return EXIT.undecided;
 }
 
+async function readNewest({ client }: ToolContext): Promise<number> {
+  const { revisions } = await client.readHistory();
+  return revisions[0]?.revision ?? 0;
+}
+
 export const applyFile: ToolCommand = async (context) => {
   const { client, flags } = context;
   const { file, sheet } = await readOperand(context);
   if (flags.applyId !== undefined && flags.base === undefined) {
     throw new ToolUsageError("--apply-id needs --base");
   }
-  const base = flags.base ?? (await client.readSheet()).revision;
+  const base = flags.base ?? await readNewest(context);
   const applyId = flags.applyId ?? context.randomHex(APPLY_ID_BYTES);
   const { author } = flags;
   try {
--- a/src/contracts/sheet_follower.ts
+++ b/src/contracts/sheet_follower.ts
@@ -153,22 +153,32 @@
     },
   );
 
-  const askRevision = async (vm: string) => {
+  /// The revision in force at `vm`, or undefined without an answer.
+  const askRevision = async (vm: string): Promise<number | undefined> => {
     pendingQuestions++;
     try {
       const { current, ...state } = await links.call(vm, RevisionCall, {});
       peerStates.set(vm, state);
       await pulling.run();
       if (current) answeredByPeer = true;
+      return state.inForce;
     } catch {
-      peerStates.delete(vm);
+      return undefined;
     } finally {
       pendingQuestions--;
     }
   };
 
-  const askRevisions = () =>
-    Promise.all(links.peers().map(({ vm }) => askRevision(vm)));
+  const askRevisions = async () => {
+    const vms = links.peers().map(({ vm }) => vm);
+    const answers = await Promise.all(vms.map(askRevision));
+    const revisions = new Map<string, number>();
+    for (const [index, vm] of vms.entries()) {
+      const revision = answers[index];
+      if (revision !== undefined) revisions.set(vm, revision);
+    }
+    return revisions;
+  };
 
   const gossip = async () => {
     while (!stop.signal.aborted) {
@@ -254,10 +264,7 @@
       learn(head, { isFirstHand: true });
       await loading.run();
     },
-    async askRevisions() {
-      await askRevisions();
-      return new Map([...peerStates].map(([vm, state]) => [vm, state.inForce]));
-    },
+    askRevisions,
     close: () => stop.abort(new Error("closed")),
   };
 }
--- a/test/contracts/sheet_follower_test.ts
+++ b/test/contracts/sheet_follower_test.ts
@@ -3,6 +3,7 @@
 import { startSheetFollower } from "../../src/contracts/sheet_follower.ts";
 import { succeedHead } from "../../src/contracts/sheet_head.ts";
 import {
+  ChunksCall,
   HeadCall,
   RevisionMessage,
 } from "../../src/contracts/sheet_messages.ts";
@@ -190,22 +191,29 @@
   t.deepEqual(revisionsOf(fleet), [1, 1]);
 });
 
-test("of a burst of messages the last one counts", async (t) => {
+/// A follower at VM `a` and the links of a peer that the test plays.
+function followAlone() {
   const clock = createFakeClock();
   const network = createLocalNetwork(clock);
   const joinAs = (vm: string) =>
     network.join({ vm, incarnation: vm, dataCentre: "muttrah" });
   const memory = createMemoryStore(clock);
-  memory.setDown(true);
+  const book = createContractBook();
+  const open = () => createSheetStore({ store: memory.connect(), clock });
   const follower = startSheetFollower({
     clock,
     random: createSeededRandom(1),
     log: createSilentLogger(),
     links: joinAs("a"),
-    sheets: createSheetStore({ store: memory.connect(), clock }),
-    book: createContractBook(),
+    sheets: open(),
+    book,
   });
-  const peer = joinAs("b");
+  return { clock, memory, book, follower, sheets: open(), peer: joinAs("b") };
+}
+
+test("of a burst of messages the last one counts", async (t) => {
+  const { clock, memory, follower, peer } = followAlone();
+  memory.setDown(true);
   const head = succeedHead(undefined, {
     root: "none",
     applyId: "apply-1",
@@ -221,6 +229,26 @@
   follower.close();
 });
 
+test("chunks that are not what their hash says are not taken", async (t) => {
+  const { clock, book, follower, sheets, peer } = followAlone();
+  const sheet = sheetOf(5);
+  let answers = 0;
+  peer.onCall(ChunksCall, ({ hashes }) => {
+    answers++;
+    const bytes = Buffer.from("[]");
+    return Promise.resolve({ chunks: hashes.map((hash) => ({ hash, bytes })) });
+  });
+  peer.send("a", RevisionMessage, { newest: 0, inForce: 1 });
+  await clock.advance(100);
+  await clock.advanceUntil(
+    sheets.apply({ sheet, base: 0, applyId: "apply-1", author: "b" }),
+  );
+  await clock.advance(EVERYWHERE_MILLISECONDS);
+  t.true(answers > 0);
+  t.deepEqual(book.current().sheet, sheet);
+  follower.close();
+});
+
 test("two VMs of each data centre watch the store", async (t) => {
   const fleet = await start();
   const watchers = 2 * DATA_CENTRES.length;
