--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -7,6 +7,7 @@
   type RequestError,
   toRequestError,
 } from "../src/requests/request_error.ts";
+import type { WeightStore } from "../src/platform/weight_store.ts";
 import { createSilentLogger } from "../src/support/log.ts";
 import { createSeededRandom } from "../src/support/random.ts";
 import type { StreamEnd } from "../src/upstreams/engine_client.ts";
@@ -35,6 +36,8 @@
   readonly dataCentres?: readonly string[];
   /// Age of what the platform's VM list shows.
   readonly vmListLagMilliseconds?: number;
+  /// Without it the entries give no orders.
+  readonly weightStore?: WeightStore;
 }
 
 /// What a caller had received when its request ended.
@@ -153,6 +156,7 @@
       links: gate.holdLinks(network.join(identity)),
       store: untilStopped(store.connect(), life),
       vmList: untilStopped(vmList, life),
+      weightStore: options.weightStore,
       onExpelled: () => void expelled.push(vm),
       createEngineClient: ({ name }) => untilStopped(engines.get(name)!, life),
       createServiceClient: ({ serves }) =>
