Share engines' load reports between the VMs

Now one VM of a group asks an engine and tells the others in columns; the next by rank takes over when its reports stop.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -44,6 +44,7 @@
   createLeavingUpstreams,
   type LeavingUpstreams,
 } from "./upstreams/leaving_upstreams.ts";
+import { createSharedLoadReports } from "./upstreams/shared_load_reports.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
@@ -131,9 +132,11 @@
     links,
     sheets,
   });
+  const reports = createSharedLoadReports({ clock, links, membership });
   const engines = createEngineDirectory({
     clock,
     book,
+    reports,
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
@@ -202,6 +205,7 @@
       leavingUpstreams.close();
       follower.close();
       collector.close();
+      reports.close();
       engines.close();
     },
   };
--- a/src/upstreams/engine_directory.ts
+++ b/src/upstreams/engine_directory.ts
@@ -2,11 +2,15 @@
 import type { Upstream } from "../contracts/sheet.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { EngineClient, LoadReport } from "./engine_client.ts";
+import {
+  createDirectLoadReports,
+  type LoadReports,
+  REPORT_INTERVAL_MILLISECONDS,
+} from "./load_reports.ts";
 
 /// What this VM knows of each engine: the last load report, and the prompt
 /// tokens it sent itself since then.
 
-const REPORT_INTERVAL_MILLISECONDS = 250;
 /// Time an engine rests after a failure before it is chosen again.
 const FAILURE_REST_MILLISECONDS = 2_000;
 /// An engine whose reports stopped for this long is not chosen.
@@ -56,12 +60,15 @@
   readonly createClient: (upstream: Upstream) => EngineClient;
   /// Engines that leave get no new work.
   readonly isLeaving?: (upstream: Upstream) => boolean;
+  /// Where load reports come from; each engine is asked if absent.
+  readonly reports?: LoadReports;
 }
 
 interface EngineState {
   upstream: Upstream;
   readonly client: EngineClient;
-  readonly stop: AbortController;
+  /// Ends its load reports.
+  unfollow: () => void;
   report: LoadReport | undefined;
   reportTime: Milliseconds;
   recentSends: RecentSend[];
@@ -75,6 +82,7 @@
   options: EngineDirectoryOptions,
 ): EngineDirectory {
   const { clock, book } = options;
+  const reports = options.reports ?? createDirectLoadReports(clock);
   const engines = new Map<string, EngineState>();
 
   const receiveReport = (state: EngineState, report: LoadReport) => {
@@ -85,23 +93,11 @@
     );
   };
 
-  const poll = async (state: EngineState) => {
-    const { signal } = state.stop;
-    while (!signal.aborted) {
-      try {
-        receiveReport(state, await state.client.load());
-      } catch {
-        state.restUntil = clock.now() + REPORT_INTERVAL_MILLISECONDS;
-      }
-      await clock.sleep(REPORT_INTERVAL_MILLISECONDS, signal).catch(() => {});
-    }
-  };
-
   const add = (upstream: Upstream) => {
     const state: EngineState = {
       upstream,
       client: options.createClient(upstream),
-      stop: new AbortController(),
+      unfollow: () => {},
       report: undefined,
       reportTime: clock.now(),
       recentSends: [],
@@ -110,11 +106,16 @@
       restUntil: 0,
     };
     engines.set(upstream.name, state);
-    void poll(state);
+    const onFailure = () => {
+      state.restUntil = clock.now() + REPORT_INTERVAL_MILLISECONDS;
+    };
+    const onReport = (report: LoadReport) => receiveReport(state, report);
+    const listener = { onReport, onFailure };
+    state.unfollow = reports.follow(upstream.name, state.client, listener);
   };
 
   const remove = (state: EngineState) => {
-    state.stop.abort(new Error("removed"));
+    state.unfollow();
     engines.delete(state.upstream.name);
   };
 
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -6,6 +6,8 @@
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
   limits: async () => (await import("./measurements/limits.ts")).measureLimits,
+  control: async () =>
+    (await import("./measurements/control.ts")).measureControl,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
--- /dev/null
+++ b/stand_ins/measurements/control.ts
@@ -0,0 +1,258 @@
+import { createSystemClock } from "../../src/support/clock.ts";
+import {
+  type ControlPlane,
+  type ControlPlaneOptions,
+  startControlPlane,
+} from "../control_plane.ts";
+import type { MeasurementResult, ResultTable } from "../measurement.ts";
+
+/// What control alone costs a node, against the number of nodes, engines and
+/// customers, and how long an accepted sheet takes to be in force everywhere.
+/// Arguments choose parts: `nodes`, `engines`, `customers`, `apply`.
+
+const clock = createSystemClock();
+
+const NODES = [3, 9, 27, 81];
+const ENGINES = [20, 80, 320, 660];
+const CUSTOMERS = [10, 1_000, 13_000];
+const BASE: ControlPlaneOptions = { nodes: 9, engines: 20, customers: 10 };
+const SETTLE_MILLISECONDS = 8_000;
+const WINDOW_MILLISECONDS = 10_000;
+const APPLIES = 30;
+const APPLIES_WITH_OUTAGE = 10;
+const RECOVERY_MILLISECONDS = 3_000;
+
+const CPU_TARGET_PERCENT = 1.9;
+const MEMORY_TARGET_MEGABYTES = 256;
+const BYTES_TARGET_KILOBYTES = 27;
+const APPLY_TARGET_MILLISECONDS = 7_000;
+
+interface NodeCost {
+  readonly options: ControlPlaneOptions;
+  /// Of one core.
+  readonly cpuPercent: number;
+  readonly worstCpuPercent: number;
+  readonly megabytes: number;
+  /// Read and written together.
+  readonly kilobytesPerSecond: number;
+  readonly worstKilobytesPerSecond: number;
+  /// Load reports read at each engine.
+  readonly pollsPerEngine: number;
+}
+
+const average = (values: readonly number[]) =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
+
+async function measureWindow(
+  plane: ControlPlane,
+  options: ControlPlaneOptions,
+): Promise<NodeCost> {
+  const readAll = () =>
+    Promise.all(plane.daemons.map((daemon) => daemon.use()));
+  const readsBefore = plane.engines.reads();
+  const before = await readAll();
+  const startedAt = clock.now();
+  await clock.sleep(WINDOW_MILLISECONDS);
+  const after = await readAll();
+  const elapsed = clock.now() - startedAt;
+  const reads = plane.engines.reads() - readsBefore;
+  const cpu = after.map((use, index) =>
+    (use.cpuMilliseconds - before[index]!.cpuMilliseconds) * 100 / elapsed
+  );
+  const bytes = after.map((use, index) =>
+    (use.bytes - before[index]!.bytes) / elapsed
+  );
+  return {
+    options,
+    cpuPercent: average(cpu),
+    worstCpuPercent: Math.max(...cpu),
+    megabytes: Math.max(...after.map((use) => use.residentBytes)) / 1e6,
+    kilobytesPerSecond: average(bytes),
+    worstKilobytesPerSecond: Math.max(...bytes),
+    pollsPerEngine: reads * 1_000 / elapsed / options.engines,
+  };
+}
+
+async function measureNode(options: ControlPlaneOptions): Promise<NodeCost> {
+  const plane = await startControlPlane(options);
+  try {
+    await plane.untilEverywhere(await plane.apply());
+    await clock.sleep(SETTLE_MILLISECONDS);
+    return await measureWindow(plane, options);
+  } finally {
+    await plane.close();
+  }
+}
+
+async function applyOnce(plane: ControlPlane, outage: boolean) {
+  const startedAt = clock.now();
+  const revision = await plane.apply();
+  if (outage) plane.store.setDown(true);
+  await plane.untilEverywhere(revision);
+  const elapsed = clock.now() - startedAt;
+  if (!outage) return elapsed;
+  plane.store.setDown(false);
+  await clock.sleep(RECOVERY_MILLISECONDS);
+  return elapsed;
+}
+
+interface ApplyTimes {
+  readonly options: ControlPlaneOptions;
+  readonly outage: boolean;
+  readonly milliseconds: readonly number[];
+}
+
+async function measureApplies(
+  options: ControlPlaneOptions,
+): Promise<ApplyTimes[]> {
+  const plane = await startControlPlane(options);
+  try {
+    await plane.untilEverywhere(await plane.apply());
+    await clock.sleep(SETTLE_MILLISECONDS);
+    const results: ApplyTimes[] = [];
+    for (const outage of [false, true]) {
+      const milliseconds: number[] = [];
+      const count = outage ? APPLIES_WITH_OUTAGE : APPLIES;
+      for (let index = 0; index < count; index++) {
+        milliseconds.push(await applyOnce(plane, outage));
+      }
+      results.push({ options, outage, milliseconds });
+    }
+    return results;
+  } finally {
+    await plane.close();
+  }
+}
+
+function quantile(values: readonly number[], share: number): number {
+  const sorted = values.toSorted((left, right) => left - right);
+  const index = Math.ceil(share * sorted.length) - 1;
+  return sorted[Math.max(0, index)]!;
+}
+
+function costTable(title: string, costs: readonly NodeCost[]): ResultTable {
+  return {
+    title,
+    columns: [
+      "nodes",
+      "engines",
+      "customers",
+      "CPU % of a core",
+      "worst node",
+      "MB, worst node",
+      "KB/s",
+      "worst node",
+      "load reads per engine per s",
+    ],
+    rows: costs.map((cost) => [
+      cost.options.nodes,
+      cost.options.engines,
+      cost.options.customers,
+      cost.cpuPercent.toFixed(2),
+      cost.worstCpuPercent.toFixed(2),
+      cost.megabytes.toFixed(0),
+      cost.kilobytesPerSecond.toFixed(1),
+      cost.worstKilobytesPerSecond.toFixed(1),
+      cost.pollsPerEngine.toFixed(2),
+    ]),
+  };
+}
+
+function applyTable(times: readonly ApplyTimes[]): ResultTable {
+  return {
+    title: "From the operator's apply until in force everywhere",
+    columns: [
+      "nodes",
+      "customers",
+      "store after acceptance",
+      "p50 ms",
+      "p99 ms",
+    ],
+    rows: times.map(({ options, outage, milliseconds }) => [
+      options.nodes,
+      options.customers,
+      outage ? "down" : "up",
+      quantile(milliseconds, 0.5).toFixed(0),
+      quantile(milliseconds, 0.99).toFixed(0),
+    ]),
+  };
+}
+
+function targetsOf(costs: readonly NodeCost[], times: readonly ApplyTimes[]) {
+  const check = (name: string, measured: number, bound: number) => ({
+    name,
+    target: `≤ ${bound}`,
+    measured: measured.toFixed(1),
+    met: measured <= bound,
+  });
+  const worst = (read: (cost: NodeCost) => number) =>
+    Math.max(...costs.map(read));
+  const nodes = costs.length === 0 ? [] : [
+    check(
+      "CPU of a node, % of a core",
+      worst((cost) => cost.cpuPercent),
+      CPU_TARGET_PERCENT,
+    ),
+    check(
+      "memory of the worst node, MB",
+      worst((cost) => cost.megabytes),
+      MEMORY_TARGET_MEGABYTES,
+    ),
+    check(
+      "bytes of a node, KB/s",
+      worst((cost) => cost.kilobytesPerSecond),
+      BYTES_TARGET_KILOBYTES,
+    ),
+  ];
+  const applies = times.map(({ options, outage, milliseconds }) =>
+    check(
+      `in force on ${options.nodes} nodes, p99 ms, store ${
+        outage ? "down" : "up"
+      }`,
+      quantile(milliseconds, 0.99),
+      APPLY_TARGET_MILLISECONDS,
+    )
+  );
+  return [...nodes, ...applies];
+}
+
+/// Measures the parts chosen, or all.
+export async function measureControl(
+  parts: readonly string[],
+): Promise<MeasurementResult> {
+  const wants = (part: string) => parts.length === 0 || parts.includes(part);
+  const costs: NodeCost[] = [];
+  const tables: ResultTable[] = [];
+  const vary = async (
+    part: string,
+    values: readonly number[],
+    vary: (value: number) => ControlPlaneOptions,
+  ) => {
+    if (!wants(part)) return;
+    const found: NodeCost[] = [];
+    for (const value of values) found.push(await measureNode(vary(value)));
+    costs.push(...found);
+    tables.push(costTable(`By ${part}`, found));
+  };
+  await vary("nodes", NODES, (nodes) => ({ ...BASE, nodes }));
+  await vary("engines", ENGINES, (engines) => ({ ...BASE, engines }));
+  await vary("customers", CUSTOMERS, (customers) => ({ ...BASE, customers }));
+  const times: ApplyTimes[] = [];
+  if (wants("apply")) {
+    for (const customers of [10, 13_000]) {
+      times.push(...await measureApplies({ ...BASE, customers }));
+    }
+    tables.push(applyTable(times));
+  }
+  return {
+    name: "control",
+    summary: "Daemons in processes of their own on one machine, over " +
+      "loopback, without callers: averages over 10 s from 8 s after the sheet " +
+      "was in force. Bytes are those of read and write calls in both " +
+      "directions, without the headers of TCP and IP. Up to 32 nodes all " +
+      "connect to each other in 3 data centres; more are in 8. The store, the " +
+      "VM list and the engines' load reports are stand-ins in another process.",
+    tables,
+    targets: targetsOf(costs, times),
+  };
+}
