--- a/src/entry.ts
+++ b/src/entry.ts
@@ -1,3 +1,4 @@
+import { type Burn, startBurn } from "./administration/burn.ts";
 import {
   type ContractBook,
   createContractBook,
@@ -22,7 +23,8 @@
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createIssuedKeys } from "./requests/issued_keys.ts";
 import { createLedger } from "./requests/ledger.ts";
-import { createLedgerHome } from "./requests/ledger_home.ts";
+import { createQuarantine } from "./requests/quarantine.ts";
+import { createLedgerHome, type LedgerHome } from "./requests/ledger_home.ts";
 import {
   createRequestHandler,
   type RequestHandler,
@@ -40,6 +42,11 @@
   createEngineDirectory,
   type EngineDirectory,
 } from "./upstreams/engine_directory.ts";
+import {
+  createEngineHoldings,
+  type EngineHoldings,
+} from "./upstreams/engine_holdings.ts";
+import { createEngineKeeper } from "./upstreams/engine_keeper.ts";
 import {
   createLeavingUpstreams,
   type LeavingUpstreams,
@@ -51,6 +58,7 @@
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
 import { startSteward, type Steward } from "./upstreams/steward.ts";
 import { mayBeSteward } from "./upstreams/steward_candidates.ts";
+import type { VmIdentity } from "./vms/identity.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
@@ -74,6 +82,7 @@
 }
 
 export interface Entry {
+  readonly identity: VmIdentity;
   readonly membership: Membership;
   readonly leavingUpstreams: LeavingUpstreams;
   readonly steward: Steward | undefined;
@@ -82,8 +91,11 @@
   readonly follower: SheetFollower;
   readonly collector: SheetCollector;
   readonly engines: EngineDirectory;
+  readonly holdings: EngineHoldings;
   readonly registry: RequestRegistry;
   readonly handler: RequestHandler;
+  readonly ledgerHome: LedgerHome;
+  readonly burn: Burn;
   /// Whether it takes new requests.
   isReady(): boolean;
   /// Refuses new requests and resolves when the running ones have ended, or
@@ -140,6 +152,15 @@
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
+  const clientOf = (engine: string) => engines.find(engine)?.client;
+  const holdings = createEngineHoldings({ clock, links, clientOf });
+  const keeper = createEngineKeeper({
+    clock,
+    links,
+    clientOf,
+    engineNames: () => engines.all().map((engine) => engine.upstream.name),
+  });
+  const quarantine = createQuarantine({ clock, links });
   const services = createServiceDirectory({
     book,
     random,
@@ -148,6 +169,7 @@
   });
   const registry = createRequestRegistry(clock);
   const limits = createCustomerLimits({ clock, links, membership, book });
+  const burn = startBurn({ clock, links, membership, registry, engines });
   const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
@@ -160,7 +182,13 @@
     book,
     registry,
     admission,
-    completions: createCompletionRunner({ clock, engines, placement }),
+    completions: createCompletionRunner({
+      clock,
+      engines,
+      holdings,
+      placement,
+      quarantine,
+    }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
     issuedKeys,
@@ -179,6 +207,7 @@
   let draining = false;
 
   return {
+    identity: links.self,
     membership,
     leavingUpstreams,
     steward,
@@ -187,15 +216,20 @@
     follower,
     collector,
     engines,
+    holdings,
     registry,
     handler,
+    ledgerHome,
+    burn,
     isReady: () => !draining && follower.isCurrent(),
     async drain(limit) {
       draining = true;
       membership.leave();
       admission.stop();
+      const end = clock.now() + limit;
       const idle = registry.whenIdle().then(() => ledger.whenIdle());
       await Promise.race([idle, clock.sleep(limit)]);
+      await holdings.whenReleased(Math.max(0, end - clock.now()));
     },
     close() {
       membershipMessages.close();
@@ -204,6 +238,9 @@
       steward?.close();
       leavingUpstreams.close();
       follower.close();
+      quarantine.close();
+      keeper.close();
+      holdings.close();
       collector.close();
       reports.close();
       engines.close();
--- a/stand_ins/control_plane.ts
+++ b/stand_ins/control_plane.ts
@@ -1,8 +1,6 @@
 import { createHash, randomBytes } from "node:crypto";
-import {
-  type AdministrationClient,
-  createAdministrationClient,
-} from "../src/administration/administration_client.ts";
+import { request } from "undici";
+import { createAdministrationClient } from "../src/administration/administration_client.ts";
 import type { Sheet } from "../src/contracts/sheet.ts";
 import { createSystemClock } from "../src/support/clock.ts";
 import { type DaemonProcess, startDaemonProcess } from "./daemon_process.ts";
@@ -69,13 +67,16 @@
   };
 }
 
+/// Reads the revision from the metrics, which ask no other VM.
 async function isInForce(
-  client: AdministrationClient,
+  { administrationAddress }: DaemonProcess,
   revision: number,
 ): Promise<boolean> {
   try {
-    const status = await client.readStatus() as { sheetRevision: number };
-    return status.sheetRevision >= revision;
+    const url = `http://${administrationAddress}/metrics`;
+    const text = await (await request(url)).body.text();
+    const found = /^sequoiaturn_sheet_revision (\d+)$/m.exec(text);
+    return found !== null && Number(found[1]) >= revision;
   } catch {
     return false;
   }
@@ -104,13 +105,15 @@
     );
   };
   const clientOf = ({ administrationAddress: address }: DaemonProcess) =>
-    createAdministrationClient({ address, token: OPERATE_TOKEN });
+    createAdministrationClient({
+      addresses: [address],
+      token: OPERATE_TOKEN,
+    });
 
   const untilAll = async (revision: number) => {
     const limit = clock.now() + START_LIMIT_MILLISECONDS;
     await Promise.all(daemons.map(async (daemon) => {
-      const client = clientOf(daemon);
-      while (!await isInForce(client, revision)) {
+      while (!await isInForce(daemon, revision)) {
         if (clock.now() > limit) throw new Error("not in force everywhere");
         await clock.sleep(POLL_MILLISECONDS);
       }
--- a/stand_ins/deployment.ts
+++ b/stand_ins/deployment.ts
@@ -37,6 +37,8 @@
 
 /// Token that the administration API of every stand-in deployment accepts.
 export const OPERATE_TOKEN = "operate-token-of-the-stand-ins";
+/// Token that may only view.
+export const VIEW_TOKEN = "view-token-of-the-stand-ins";
 const LINK_SECRET = "link-secret-of-the-stand-ins";
 const FORCE_POLL_MILLISECONDS = 20;
 const FORCE_LIMIT_MILLISECONDS = 10_000;
@@ -57,6 +59,7 @@
     vmListUrl: place.vmListUrl,
     linkSecret: LINK_SECRET,
     operateToken: OPERATE_TOKEN,
+    viewToken: VIEW_TOKEN,
   };
 }
 
@@ -85,11 +88,7 @@
   client: AdministrationClient,
   revision: number,
 ): Promise<boolean> {
-  const status = await client.readStatus() as {
-    ready: boolean;
-    sheetRevision: number;
-    engines: { usable: boolean }[];
-  };
+  const status = await client.readStatus();
   return status.ready && status.sheetRevision >= revision &&
     status.engines.every((engine) => engine.usable);
 }
@@ -115,7 +114,7 @@
   })));
   const administration = (index: number) =>
     createAdministrationClient({
-      address: daemons[index]!.administrationAddress,
+      addresses: [daemons[index]!.administrationAddress],
       token: OPERATE_TOKEN,
     });
   return {
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -3,11 +3,15 @@
 /// Runs one measurement by name and writes its result.
 
 const MEASUREMENTS: Readonly<Record<string, () => Promise<Measurement>>> = {
+  "engine-memory": async () =>
+    (await import("./measurements/engine_memory.ts")).measureEngineMemory,
+  ledger: async () => (await import("./measurements/ledger.ts")).measureLedger,
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
   limits: async () => (await import("./measurements/limits.ts")).measureLimits,
   control: async () =>
     (await import("./measurements/control.ts")).measureControl,
+  sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
--- a/stand_ins/process_deployment.ts
+++ b/stand_ins/process_deployment.ts
@@ -77,7 +77,7 @@
     ...started,
     process: child,
     administration: createAdministrationClient({
-      address: started.administrationAddress,
+      addresses: [started.administrationAddress],
       token: OPERATE_TOKEN,
     }),
     async stop(signal) {
