--- a/src/administration/administration_schemas.ts
+++ b/src/administration/administration_schemas.ts
@@ -114,12 +114,15 @@
     sheetRevision: Type.Optional(Type.Integer()),
   })),
   engines: Type.Array(UpstreamState),
-  /// State of the steward role, where this VM may hold it.
+  /// What this VM knows as the steward of its region.
   steward: Type.Optional(Type.Object({
     region: Type.String(),
-    /// Fencing number while this VM is the steward.
     fencing: Type.Optional(Type.Integer()),
-    /// Engines that keep a last ready copy and can't be changed yet.
+    underWay: Type.Array(Type.Object({
+      engine: Type.String(),
+      model: Type.String(),
+      version: Type.String(),
+    })),
     blocked: Type.Array(Type.String()),
   })),
 });
@@ -143,10 +146,9 @@
 });
 export type RequestsReply = Static<typeof RequestsReply>;
 
-/// Names an upstream that is to get no new work.
-export const UpstreamDrainBody = Type.Object({
-  name: Type.String({ minLength: 1 }),
-}, { additionalProperties: false });
+export const UpstreamDrainRequest = Type.Object({ name: Type.String() }, {
+  additionalProperties: false,
+});
 
 export const DrainReply = Type.Object({ draining: Type.Boolean() });
 
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -53,13 +53,14 @@
   createLeavingUpstreams,
   type LeavingUpstreams,
 } from "./upstreams/leaving_upstreams.ts";
+import { createSharedLoadReports } from "./upstreams/shared_load_reports.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
-import type { VmIdentity } from "./vms/identity.ts";
 import { startSteward, type Steward } from "./upstreams/steward.ts";
 import { mayBeSteward } from "./upstreams/steward_candidates.ts";
+import type { VmIdentity } from "./vms/identity.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
@@ -145,9 +146,11 @@
     links,
     sheets,
   });
+  const reports = createSharedLoadReports({ clock, links, membership });
   const engines = createEngineDirectory({
     clock,
     book,
+    reports,
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
@@ -168,8 +171,8 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
-  const burn = startBurn({ clock, links, membership, registry, engines });
   const limits = createCustomerLimits({ clock, links, membership, book });
+  const burn = startBurn({ clock, links, membership, registry, engines });
   const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
@@ -244,6 +247,7 @@
       keeper.close();
       holdings.close();
       collector.close();
+      reports.close();
       engines.close();
     },
   };
