Let the homes of long requests settle before a test fleet starts

Cause: the home of a customer's long requests waits 2.5 s after it became one before it grants any, so in a fleet started 1 s ago the first long request waits; 12 of 391 tests of resumed completions counted on its tokens after 1 s. Ruled out: placement and load reports (all engines usable at that time). Change: a fleet is handed over 4 s after its start. Conclusion: the wait is that of a home that must hear of running requests first; a steady fleet has none.

--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -95,8 +95,9 @@
   heldTokens(): number;
 }
 
-/// Time for the sheet to be adopted and the first load reports to come.
-const START_MILLISECONDS = 1_000;
+/// Time for the sheet to be adopted, the first load reports to come and the
+/// homes of long requests to settle.
+const START_MILLISECONDS = 4_000;
 
 /// Starts a fleet with its sheet in force.
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
