--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -8,7 +8,7 @@
   DrainReply,
   RequestsReply,
   StatusReply,
-  UpstreamDrainBody,
+  UpstreamDrainRequest,
   UpstreamsReply,
 } from "./administration_schemas.ts";
 import { BurnReport } from "./burn_schemas.ts";
@@ -42,8 +42,8 @@
 
 function describeSteward(steward: Steward | undefined) {
   if (!steward) return undefined;
-  const { region, fencing, blocked } = steward.status();
-  return { region, fencing, blocked: [...blocked] };
+  const { region, fencing, underWay, blocked } = steward.status();
+  return { region, fencing, underWay: [...underWay], blocked: [...blocked] };
 }
 
 export function createStateRoutes(
@@ -109,15 +109,13 @@
       handle: () => entry.burn.report(),
     }),
     defineRoute("POST /v1/upstreams/drain", {
-      summary: "Gives an upstream no new work, on every VM",
+      summary: "Gives an upstream no new work, at any VM; false if unknown",
       role: "operate",
-      body: UpstreamDrainBody,
+      body: UpstreamDrainRequest,
       reply: DrainReply,
-      errors: ["not_found"],
-      handle({ operator, body }) {
-        const draining = entry.leavingUpstreams.mark(body.name);
-        audit.info("upstream drain", { ...operator, ...body, draining });
-        return { draining };
+      handle({ body: { name }, operator }) {
+        audit.info("upstream drain", { ...operator, upstream: name });
+        return { draining: entry.leavingUpstreams.mark(name) };
       },
     }),
     defineRoute("POST /v1/drain", {
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -34,6 +34,8 @@
   type RequestRegistry,
 } from "./requests/request_registry.ts";
 import { createRequestQueues } from "./requests/request_queues.ts";
+import { createResumableStreams } from "./requests/resumable_stream.ts";
+import { createStreamLedger } from "./requests/stream_ledger.ts";
 import { createServiceRunner } from "./requests/service_run.ts";
 import { createStartGate } from "./requests/start_gate.ts";
 import type { Clock, Milliseconds } from "./support/clock.ts";
@@ -61,12 +63,13 @@
   createLeavingUpstreams,
   type LeavingUpstreams,
 } from "./upstreams/leaving_upstreams.ts";
+import { createSharedLoadReports } from "./upstreams/shared_load_reports.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
-import type { VmIdentity } from "./vms/identity.ts";
 import { startSteward, type Steward } from "./upstreams/steward.ts";
 import { mayBeSteward } from "./upstreams/steward_candidates.ts";
+import type { VmIdentity } from "./vms/identity.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
@@ -170,12 +173,14 @@
     links,
     sheets,
   });
+  const reports = createSharedLoadReports({ clock, links, membership });
   const engines = createEngineDirectory({
     clock,
     book,
     prefills,
     learnsSlowness: has("slowness"),
     followsCaches: has("cacheView"),
+    reports,
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
@@ -186,6 +191,7 @@
     links,
     clientOf,
     engineNames: () => engines.all().map((engine) => engine.upstream.name),
+    isHeldHere: holdings.isHeld,
   });
   const quarantine = createQuarantine({ clock, links });
   const services = createServiceDirectory({
@@ -211,6 +217,7 @@
     has("queues") ? queues : undefined,
   );
   const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const streamLedger = createStreamLedger({ clock, random, home: ledgerHome });
   const issuedKeys = createIssuedKeys({ clock, random, links });
   const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
@@ -226,6 +233,7 @@
       holdings,
       placement,
       quarantine,
+      resumables: createResumableStreams({ clock, ledger: streamLedger }),
     }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
@@ -283,6 +291,7 @@
       keeper.close();
       holdings.close();
       collector.close();
+      reports.close();
       engines.close();
     },
   };
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -84,6 +84,8 @@
   issueKey(received: ReceivedRequest): string;
 }
 
+const MAXIMUM_KEY_LENGTH = 160;
+
 interface Authenticated {
   readonly received: ReceivedRequest;
   readonly customer: Customer;
@@ -117,6 +119,17 @@
   return shares.at(-1)!.version;
 }
 
+/// A long request with a key can be taken over at any entry.
+function resumableBy({ customer, received }: Authenticated, isLong: boolean) {
+  const { idempotencyKey, resumeOffset } = received.headers;
+  if (!isLong || idempotencyKey === undefined) return undefined;
+  if (idempotencyKey.length > MAXIMUM_KEY_LENGTH) {
+    throw new RequestError("key_invalid");
+  }
+  const key = `${customer.name} ${idempotencyKey}`;
+  return { key, offset: resumeOffset ?? 0 };
+}
+
 /// Time the request may take: the smaller of the caller's and the contract's.
 /// A contract may leave it to the caller.
 function deadlineOf({ customer, received }: Authenticated, isLong: boolean) {
@@ -192,6 +205,7 @@
     const isLong = prompt.tokens >= contracts.options.longPromptTokens;
     const level = PRIORITIES.indexOf(effectivePriority(caller));
     return {
+      id: caller.received.id,
       customer: customer.name,
       fingerprint: fingerprintOf({
         customer: customer.name,
@@ -209,6 +223,7 @@
         byLength: options.ordersByLength ?? true,
       }),
       isLong,
+      resumable: resumableBy(caller, isLong),
     };
   };
 
--- a/src/upstreams/engine_directory.ts
+++ b/src/upstreams/engine_directory.ts
@@ -3,6 +3,11 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import { type CacheView, createCacheView } from "./cache_view.ts";
 import type { EngineClient, LoadReport } from "./engine_client.ts";
+import {
+  createDirectLoadReports,
+  type LoadReports,
+  REPORT_INTERVAL_MILLISECONDS,
+} from "./load_reports.ts";
 import {
   createPrefillBook,
   type PrefillBook,
@@ -12,7 +17,6 @@
 /// What this VM knows of each engine: the last load report, and the prompt
 /// tokens it sent itself since then.
 
-const REPORT_INTERVAL_MILLISECONDS = 250;
 const CACHE_INTERVAL_MILLISECONDS = 500;
 /// Time an engine rests after a failure before it is chosen again.
 const FAILURE_REST_MILLISECONDS = 2_000;
@@ -98,12 +102,15 @@
   readonly followsCaches?: boolean;
   /// Engines that leave get no new work.
   readonly isLeaving?: (upstream: Upstream) => boolean;
+  /// Where load reports come from; each engine is asked if absent.
+  readonly reports?: LoadReports;
 }
 
 interface EngineState {
   upstream: Upstream;
   readonly client: EngineClient;
-  readonly stop: AbortController;
+  /// Ends its load reports.
+  unfollow: () => void;
   report: LoadReport | undefined;
   reportTime: Milliseconds;
   recentSends: RecentSend[];
@@ -112,6 +119,8 @@
   restUntil: Milliseconds;
   slowness: number;
   readonly cache: CacheView;
+  /// Ends the reading of its cache events.
+  readonly stop: AbortController;
   /// Tokens of the known prefills at each poll, oldest first.
   knownTokens: { readonly at: Milliseconds; readonly tokens: number }[];
 }
@@ -122,6 +131,7 @@
 ): EngineDirectory {
   const { clock, book } = options;
   const prefills = options.prefills ?? createPrefillBook();
+  const reports = options.reports ?? createDirectLoadReports(clock);
   const engines = new Map<string, EngineState>();
 
   const receiveReport = (state: EngineState, report: LoadReport) => {
@@ -152,18 +162,6 @@
     state.slowness += SLOWNESS_LEARNING_RATE * (bounded - state.slowness);
   };
 
-  const poll = async (state: EngineState) => {
-    const { signal } = state.stop;
-    while (!signal.aborted) {
-      try {
-        receiveReport(state, await state.client.load());
-      } catch {
-        state.restUntil = clock.now() + REPORT_INTERVAL_MILLISECONDS;
-      }
-      await clock.sleep(REPORT_INTERVAL_MILLISECONDS, signal).catch(() => {});
-    }
-  };
-
   const followCache = async (state: EngineState) => {
     const { signal } = state.stop;
     const { cache, client } = state;
@@ -181,7 +179,7 @@
     const state: EngineState = {
       upstream,
       client: options.createClient(upstream),
-      stop: new AbortController(),
+      unfollow: () => {},
       report: undefined,
       reportTime: clock.now(),
       recentSends: [],
@@ -190,15 +188,22 @@
       restUntil: 0,
       slowness: 1,
       cache: createCacheView(),
+      stop: new AbortController(),
       knownTokens: [],
     };
     engines.set(upstream.name, state);
-    void poll(state);
     if (options.followsCaches !== false) void followCache(state);
+    const onFailure = () => {
+      state.restUntil = clock.now() + REPORT_INTERVAL_MILLISECONDS;
+    };
+    const onReport = (report: LoadReport) => receiveReport(state, report);
+    const listener = { onReport, onFailure };
+    state.unfollow = reports.follow(upstream.name, state.client, listener);
   };
 
   const remove = (state: EngineState) => {
-    state.stop.abort(new Error("removed"));
+    state.unfollow();
+    state.stop.abort();
     engines.delete(state.upstream.name);
   };
 
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -11,8 +11,10 @@
   policy: async () => (await import("./measurements/policy.ts")).measurePolicy,
   subsets: async () =>
     (await import("./measurements/subsets.ts")).measureSubsets,
-  sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
   limits: async () => (await import("./measurements/limits.ts")).measureLimits,
+  control: async () =>
+    (await import("./measurements/control.ts")).measureControl,
+  sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
