--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -3,10 +3,12 @@
 import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { EngineView } from "../upstreams/engine_directory.ts";
+import type { Steward } from "../upstreams/steward.ts";
 import {
   DrainReply,
   RequestsReply,
   StatusReply,
+  UpstreamDrainRequest,
   UpstreamsReply,
 } from "./administration_schemas.ts";
 import { BurnReport } from "./burn_schemas.ts";
@@ -38,6 +40,12 @@
   };
 }
 
+function describeSteward(steward: Steward | undefined) {
+  if (!steward) return undefined;
+  const { region, fencing, underWay, blocked } = steward.status();
+  return { region, fencing, underWay: [...underWay], blocked: [...blocked] };
+}
+
 export function createStateRoutes(
   options: StateRoutesOptions,
 ): readonly Route[] {
@@ -63,6 +71,7 @@
               sheetRevision: revisions.get(peer.vm),
             })),
           engines: engines.all().map(describeEngine),
+          steward: describeSteward(entry.steward),
         };
       },
     }),
@@ -99,6 +108,16 @@
       reply: BurnReport,
       handle: () => entry.burn.report(),
     }),
+    defineRoute("POST /v1/upstreams/drain", {
+      summary: "Gives an upstream no new work, at any VM; false if unknown",
+      role: "operate",
+      body: UpstreamDrainRequest,
+      reply: DrainReply,
+      handle({ body: { name }, operator }) {
+        audit.info("upstream drain", { ...operator, upstream: name });
+        return { draining: entry.leavingUpstreams.mark(name) };
+      },
+    }),
     defineRoute("POST /v1/drain", {
       summary: "Shuts this VM down gracefully",
       role: "operate",
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -3,6 +3,7 @@
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import { createCustomerLimits } from "./contracts/customer_limits.ts";
 import {
   type SheetCollector,
   startSheetCollector,
@@ -17,6 +18,7 @@
 import { startMembershipMessages } from "./links/membership_messages.ts";
 import type { KeyValueStore } from "./platform/key_value_store.ts";
 import type { VmList } from "./platform/vm_list.ts";
+import type { WeightStore } from "./platform/weight_store.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createIssuedKeys } from "./requests/issued_keys.ts";
@@ -51,10 +53,13 @@
   createLeavingUpstreams,
   type LeavingUpstreams,
 } from "./upstreams/leaving_upstreams.ts";
+import { createSharedLoadReports } from "./upstreams/shared_load_reports.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import { startSteward, type Steward } from "./upstreams/steward.ts";
+import { mayBeSteward } from "./upstreams/steward_candidates.ts";
 import type { VmIdentity } from "./vms/identity.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
@@ -70,6 +75,8 @@
   readonly links: Links;
   readonly store: KeyValueStore;
   readonly vmList: VmList;
+  /// Where engines load from; without it no engine is given an order.
+  readonly weightStore?: WeightStore;
   /// Called when peers have declared this incarnation gone: it has to stop.
   readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
@@ -80,6 +87,7 @@
   readonly identity: VmIdentity;
   readonly membership: Membership;
   readonly leavingUpstreams: LeavingUpstreams;
+  readonly steward: Steward | undefined;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
@@ -138,9 +146,11 @@
     links,
     sheets,
   });
+  const reports = createSharedLoadReports({ clock, links, membership });
   const engines = createEngineDirectory({
     clock,
     book,
+    reports,
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
@@ -161,8 +171,9 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
+  const limits = createCustomerLimits({ clock, links, membership, book });
   const burn = startBurn({ clock, links, membership, registry, engines });
-  const admission = createAdmission(clock);
+  const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
   const streamLedger = createStreamLedger({ clock, random, home: ledgerHome });
@@ -187,12 +198,24 @@
     estimator: createTokenEstimator(),
     issuedKeys,
   });
+  const steward = options.weightStore && startSteward({
+    clock,
+    log: logFor("steward"),
+    store,
+    weightStore: options.weightStore,
+    book,
+    engines,
+    self: links.self,
+    isCandidate: () => mayBeSteward(membership),
+    isSheetCurrent: follower.isCurrent,
+  });
   let draining = false;
 
   return {
     identity: links.self,
     membership,
     leavingUpstreams,
+    steward,
     book,
     sheets,
     follower,
@@ -216,12 +239,15 @@
     close() {
       membershipMessages.close();
       membership.close();
+      limits.close();
+      steward?.close();
       leavingUpstreams.close();
       follower.close();
       quarantine.close();
       keeper.close();
       holdings.close();
       collector.close();
+      reports.close();
       engines.close();
     },
   };
--- a/src/requests/silence_watch.ts
+++ b/src/requests/silence_watch.ts
@@ -8,6 +8,8 @@
 
 /// Time without a chunk after which a stream counts as stalled.
 const SILENCE_LIMIT_MILLISECONDS: Milliseconds = 5_000;
+/// Smaller delays could vanish in the rounding of the clock's time.
+const MINIMUM_DELAY_MILLISECONDS: Milliseconds = 1;
 /// Time an engine has to show that it is alive.
 const PROBE_LIMIT_MILLISECONDS: Milliseconds = 2_000;
 
@@ -37,7 +39,8 @@
   const check = async () => {
     const silent = clock.now() - lastChunkAt;
     if (silent < SILENCE_LIMIT_MILLISECONDS) {
-      return start(SILENCE_LIMIT_MILLISECONDS - silent);
+      const rest = SILENCE_LIMIT_MILLISECONDS - silent;
+      return start(Math.max(MINIMUM_DELAY_MILLISECONDS, rest));
     }
     const isNormal = await mayBeSilent();
     if (stopped) return;
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -10,6 +10,9 @@
   ledger: async () => (await import("./measurements/ledger.ts")).measureLedger,
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
+  limits: async () => (await import("./measurements/limits.ts")).measureLimits,
+  control: async () =>
+    (await import("./measurements/control.ts")).measureControl,
   sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
 };
 
