Pause linked entries for longer than a call over a link

Cause: a pause of the exploration ended before the call to the home timed out, so the home's delayed write never met the other entry's own. Change: the length of the pause is an option, 1,600 ms for linked entries. Conclusion: late writes by the home and by an entry are explored against each other.

--- a/stand_ins/ledger_check.ts
+++ b/stand_ins/ledger_check.ts
@@ -32,6 +32,9 @@
   /// Times at which every open call of the store times out and takes effect
   /// later.
   readonly pauses: number;
+  /// Length of a pause: above the store's timeout, and above that of a call
+  /// over a link where the entries have one.
+  readonly pauseMilliseconds: number;
   readonly defect?: LedgerDefect;
 }
 
@@ -63,7 +66,6 @@
 
 const KEY = "order";
 const OUTCOME = { status: 200, contentType: "text/plain", body: "" };
-const PAUSE_MILLISECONDS = 1_001;
 const LINK_MILLISECONDS = 2;
 const ENTRIES = 2;
 const PAUSE = "pause";
@@ -257,10 +259,14 @@
   return names.length > 0 && world.pauses > 0 ? [...names, PAUSE] : names;
 }
 
-async function take(world: World, choice: string): Promise<void> {
+async function take(
+  world: World,
+  choice: string,
+  pauseMilliseconds: number,
+): Promise<void> {
   if (choice === PAUSE) {
     world.pauses--;
-    await world.clock.advance(PAUSE_MILLISECONDS);
+    await world.clock.advance(pauseMilliseconds);
   } else {
     world.steps.get(choice)!.take();
   }
@@ -304,7 +310,9 @@
 
 async function replay(options: LedgerCheckOptions, path: readonly string[]) {
   const world = await startWorld(options);
-  for (const choice of path) await take(world, choice);
+  for (const choice of path) {
+    await take(world, choice, options.pauseMilliseconds);
+  }
   return world;
 }
 
@@ -335,7 +343,7 @@
         break;
       }
       path.push(next);
-      await take(world, next);
+      await take(world, next, options.pauseMilliseconds);
     }
   }
   return { states: seen.size, ends, violation: undefined };
--- a/test/requests/ledger_check_test.ts
+++ b/test/requests/ledger_check_test.ts
@@ -4,21 +4,22 @@
   type LedgerCheckOptions,
 } from "../../stand_ins/ledger_check.ts";
 
-const FULL: LedgerCheckOptions = {
+const SEPARATE: LedgerCheckOptions = {
   linked: false,
   triesPerEntry: 1,
   lostAnswers: 1,
   pauses: 1,
+  pauseMilliseconds: 1_001,
 };
-
+const LINKED = { ...SEPARATE, linked: true, pauseMilliseconds: 1_600 };
 const EXPLORATION_LIMIT_MILLISECONDS = 240_000;
 
 const CASES = [
-  { name: "separate entries", options: FULL },
-  { name: "linked entries", options: { ...FULL, linked: true } },
+  { name: "separate entries", options: SEPARATE },
+  { name: "linked entries", options: LINKED },
   {
     name: "linked entries that try again",
-    options: { ...FULL, linked: true, triesPerEntry: 2 },
+    options: { ...LINKED, triesPerEntry: 2 },
   },
 ];
 
@@ -33,7 +34,7 @@
 
 for (const defect of ["sendUnconfirmed", "unguardedWrites"] as const) {
   test(`the exploration finds ${defect}`, async (t) => {
-    const { violation } = await checkLedger({ ...FULL, defect });
+    const { violation } = await checkLedger({ ...SEPARATE, defect });
     t.regex(violation ?? "", /^2 executions/);
   });
 }
