--- a/src/administration/administration_client.ts
+++ b/src/administration/administration_client.ts
@@ -53,6 +53,8 @@
   applySheet(proposal: ApplyRequest): Promise<ApplyReply>;
   readBurn(): Promise<BurnReport>;
   drain(): Promise<{ draining: boolean }>;
+  /// Gives an upstream no new work, on every VM.
+  drainUpstream(name: string): Promise<Static<typeof DrainReply>>;
 }
 
 export interface AdministrationClientOptions {
@@ -158,5 +160,6 @@
       ask({ method: "PUT", path: "/v1/sheet", reply: ApplyReply, body }),
     readBurn: () => read("/v1/burn", BurnReport),
     drain: () => post("/v1/drain", DrainReply),
+    drainUpstream: (name) => post("/v1/upstreams/drain", DrainReply, { name }),
   };
 }
--- a/src/administration/administration_schemas.ts
+++ b/src/administration/administration_schemas.ts
@@ -114,6 +114,17 @@
     sheetRevision: Type.Optional(Type.Integer()),
   })),
   engines: Type.Array(UpstreamState),
+  /// What this VM knows as the steward of its region.
+  steward: Type.Optional(Type.Object({
+    region: Type.String(),
+    fencing: Type.Optional(Type.Integer()),
+    underWay: Type.Array(Type.Object({
+      engine: Type.String(),
+      model: Type.String(),
+      version: Type.String(),
+    })),
+    blocked: Type.Array(Type.String()),
+  })),
 });
 export type StatusReply = Static<typeof StatusReply>;
 
@@ -135,6 +146,10 @@
 });
 export type RequestsReply = Static<typeof RequestsReply>;
 
+export const UpstreamDrainRequest = Type.Object({ name: Type.String() }, {
+  additionalProperties: false,
+});
+
 export const DrainReply = Type.Object({ draining: Type.Boolean() });
 
 /// An error of the administration API.
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -3,6 +3,7 @@
   type ContractBook,
   createContractBook,
 } from "./contracts/contract_book.ts";
+import { createCustomerLimits } from "./contracts/customer_limits.ts";
 import {
   type SheetCollector,
   startSheetCollector,
@@ -17,6 +18,7 @@
 import { startMembershipMessages } from "./links/membership_messages.ts";
 import type { KeyValueStore } from "./platform/key_value_store.ts";
 import type { VmList } from "./platform/vm_list.ts";
+import type { WeightStore } from "./platform/weight_store.ts";
 import { createAdmission } from "./requests/admission.ts";
 import { createCompletionRunner } from "./requests/completion_run.ts";
 import { createIssuedKeys } from "./requests/issued_keys.ts";
@@ -31,6 +33,8 @@
   createRequestRegistry,
   type RequestRegistry,
 } from "./requests/request_registry.ts";
+import { createResumableStreams } from "./requests/resumable_stream.ts";
+import { createStreamLedger } from "./requests/stream_ledger.ts";
 import { createServiceRunner } from "./requests/service_run.ts";
 import type { Clock, Milliseconds } from "./support/clock.ts";
 import type { Logger } from "./support/log.ts";
@@ -49,10 +53,13 @@
   createLeavingUpstreams,
   type LeavingUpstreams,
 } from "./upstreams/leaving_upstreams.ts";
+import { createSharedLoadReports } from "./upstreams/shared_load_reports.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import { startSteward, type Steward } from "./upstreams/steward.ts";
+import { mayBeSteward } from "./upstreams/steward_candidates.ts";
 import type { VmIdentity } from "./vms/identity.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
@@ -68,6 +75,8 @@
   readonly links: Links;
   readonly store: KeyValueStore;
   readonly vmList: VmList;
+  /// Where engines load from; without it no engine is given an order.
+  readonly weightStore?: WeightStore;
   /// Called when peers have declared this incarnation gone: it has to stop.
   readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
@@ -78,6 +87,7 @@
   readonly identity: VmIdentity;
   readonly membership: Membership;
   readonly leavingUpstreams: LeavingUpstreams;
+  readonly steward: Steward | undefined;
   readonly book: ContractBook;
   readonly sheets: SheetStore;
   readonly follower: SheetFollower;
@@ -136,9 +146,11 @@
     links,
     sheets,
   });
+  const reports = createSharedLoadReports({ clock, links, membership });
   const engines = createEngineDirectory({
     clock,
     book,
+    reports,
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
@@ -149,6 +161,7 @@
     links,
     clientOf,
     engineNames: () => engines.all().map((engine) => engine.upstream.name),
+    isHeldHere: holdings.isHeld,
   });
   const quarantine = createQuarantine({ clock, links });
   const services = createServiceDirectory({
@@ -158,10 +171,12 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
+  const limits = createCustomerLimits({ clock, links, membership, book });
   const burn = startBurn({ clock, links, membership, registry, engines });
-  const admission = createAdmission(clock);
+  const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const streamLedger = createStreamLedger({ clock, random, home: ledgerHome });
   const issuedKeys = createIssuedKeys({ clock, random, links });
   const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
@@ -177,17 +192,30 @@
       holdings,
       placement,
       quarantine,
+      resumables: createResumableStreams({ clock, ledger: streamLedger }),
     }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
     issuedKeys,
   });
+  const steward = options.weightStore && startSteward({
+    clock,
+    log: logFor("steward"),
+    store,
+    weightStore: options.weightStore,
+    book,
+    engines,
+    self: links.self,
+    isCandidate: () => mayBeSteward(membership),
+    isSheetCurrent: follower.isCurrent,
+  });
   let draining = false;
 
   return {
     identity: links.self,
     membership,
     leavingUpstreams,
+    steward,
     book,
     sheets,
     follower,
@@ -211,12 +239,15 @@
     close() {
       membershipMessages.close();
       membership.close();
+      limits.close();
+      steward?.close();
       leavingUpstreams.close();
       follower.close();
       quarantine.close();
       keeper.close();
       holdings.close();
       collector.close();
+      reports.close();
       engines.close();
     },
   };
--- a/test/requests/caller_api_test.ts
+++ b/test/requests/caller_api_test.ts
@@ -224,3 +224,23 @@
     await caller.close();
   });
 }
+
+test("an issued key orders once", async (t) => {
+  const issued = await post({ path: "/v1/idempotency-keys", body: "{}" });
+  t.is(issued.status, 201);
+  const key = String(issued.problem.idempotencyKey);
+  for (let count = 0; count < 2; count++) {
+    const answer = await post({
+      path: "/v1/services/desk/orders",
+      headers: { "idempotency-key": key },
+    });
+    t.is(answer.status, 200);
+  }
+  t.is(deployment.services.get("desk")!.runsOf(key), 1);
+  const refused = await post({
+    path: "/v1/idempotency-keys",
+    headers: { authorization: "Bearer nobody" },
+    body: "{}",
+  });
+  t.is(refused.problem.code, "unauthenticated");
+});
