Send no claimed call after its deadline, and split the explorer

Change: the runner looks at the time left right before each send and gives the claim back; the stepped store has a module of its own. Conclusion: a late call is refused as not run instead of being sent for nobody.

--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -168,10 +168,13 @@
     const { open } = context;
     try {
       while (true) {
-        if (context.signal.aborted || !ledger.markSent(claim)) {
+        const isLate = context.deadline.remaining() === 0;
+        const mayNotSend = isLate || context.signal.aborted ||
+          !ledger.markSent(claim);
+        if (mayNotSend) {
           ledger.abandon(claim);
-          const { code } = toRequestError(context.signal.reason);
-          throw new RequestError(code);
+          const reason = toRequestError(context.signal.reason).code;
+          throw new RequestError(isLate ? "deadline_exceeded" : reason);
         }
         try {
           const signal = late.signal;
--- a/stand_ins/ledger_check.ts
+++ b/stand_ins/ledger_check.ts
@@ -1,8 +1,3 @@
-import type { Links } from "../src/links/links.ts";
-import {
-  type KeyValueStore,
-  StoreOutcomeUnknownError,
-} from "../src/platform/key_value_store.ts";
 import type { Claim } from "../src/requests/claim.ts";
 import { createIssuedKeys } from "../src/requests/issued_keys.ts";
 import { createLedger, type Ledger } from "../src/requests/ledger.ts";
@@ -12,9 +7,16 @@
   shardOfKey,
 } from "../src/requests/ledger_home.ts";
 import { createSeededRandom } from "../src/support/random.ts";
-import { createFakeClock, type FakeClock } from "./fake_clock.ts";
+import { createFakeClock } from "./fake_clock.ts";
 import { createLocalNetwork } from "./local_links.ts";
-import { createMemoryStore, type MemoryStore } from "./memory_store.ts";
+import { createMemoryStore } from "./memory_store.ts";
+import {
+  createSteppedStore,
+  recordLinks,
+  tell,
+  waitForStep,
+  type World,
+} from "./stepped_world.ts";
 
 /// Explores every order in which the store can serve the calls of two entries
 /// that try the same key, with a bounded number of faults.
@@ -46,130 +48,14 @@
   readonly violation: string | undefined;
 }
 
-/// A step that the explorer may take now.
-interface Step {
-  readonly name: string;
-  readonly take: () => void;
-}
-
-interface World {
-  readonly clock: FakeClock;
-  readonly steps: Map<string, Step>;
-  /// What each entry has been told, in order: all that its state depends on.
-  readonly inputs: string[][];
-  readonly results: string[];
-  readonly memory: MemoryStore;
-  lostAnswers: number;
-  pauses: number;
-  executions: number;
-}
-
 const KEY = "order";
 const OUTCOME = { status: 200, contentType: "text/plain", body: "" };
 const LINK_MILLISECONDS = 2;
 const ENTRIES = 2;
 const PAUSE = "pause";
-const LOSE = "lose the answer of ";
 
 const turn = () => new Promise<void>((resolve) => setImmediate(resolve));
 
-/// Waits until the explorer takes the step `name`.
-function waitForStep<Value>(
-  world: World,
-  name: string,
-  action: () => Promise<Value>,
-): Promise<Value> {
-  return new Promise((resolve, reject) => {
-    const take = () => {
-      world.steps.delete(name);
-      action().then(resolve, reject);
-    };
-    world.steps.set(name, { name, take });
-  });
-}
-
-/// A store whose every call takes two steps: its effect and its answer.
-function createSteppedStore(
-  world: World,
-  entry: number,
-  defect: LedgerDefect,
-): KeyValueStore {
-  const store = world.memory.connect();
-  let nextCall = 0;
-
-  const perform = async <Value>(
-    kind: string,
-    effect: () => Promise<Value>,
-  ): Promise<Value> => {
-    const name = `entry ${entry} call ${nextCall++} ${kind}`;
-    let lost = false;
-    const loseName = LOSE + name;
-    if (kind === "write" && world.lostAnswers > 0) {
-      void waitForStep(world, loseName, () => {
-        lost = true;
-        world.lostAnswers--;
-        world.steps.get(name)?.take();
-        return Promise.resolve();
-      });
-    }
-    const value = await waitForStep(world, name, () => {
-      world.steps.delete(loseName);
-      return effect();
-    });
-    const answer = lost ? `${name} lost` : summarize(name, value);
-    await waitForStep(world, `${answer} answer`, () => Promise.resolve());
-    tell(world, entry, answer);
-    if (lost) throw new StoreOutcomeUnknownError("the answer was lost");
-    return value;
-  };
-
-  return {
-    ...store,
-    get: (key) => perform("read", () => store.get(key)),
-    transact: (comparisons, operations) =>
-      perform("write", () =>
-        store.transact(
-          defect === "unguardedWrites" ? [] : comparisons,
-          operations,
-        )),
-  };
-}
-
-function tell(world: World, entry: number, input: string): void {
-  world.inputs[entry]!.push(`${world.clock.now()} ${input}`);
-}
-
-function summarize(name: string, value: unknown): string {
-  const result = value as
-    | { modifiedRevision?: number; revision?: number; succeeded?: boolean }
-    | undefined;
-  const revision = result?.modifiedRevision ?? result?.revision;
-  return `${name} ${revision} ${result?.succeeded}`;
-}
-
-/// Records what arrives over the links among the entry's inputs.
-function recordLinks(links: Links, world: World, entry: number): Links {
-  return {
-    ...links,
-    async call(vm, type, value, limits) {
-      try {
-        const reply = await links.call(vm, type, value, limits);
-        tell(world, entry, `reply ${JSON.stringify(reply)}`);
-        return reply;
-      } catch (error) {
-        tell(world, entry, `reply ${String(error)}`);
-        throw error;
-      }
-    },
-    onCall(type, handler) {
-      links.onCall(type, (value, from) => {
-        tell(world, entry, `call ${JSON.stringify(value)}`);
-        return handler(value, from);
-      });
-    },
-  };
-}
-
 interface EntryOptions extends LedgerCheckOptions {
   readonly entry: number;
 }
@@ -229,7 +115,9 @@
     const identity = { vm, incarnation: vm, dataCentre: "muttrah" };
     const links = recordLinks(network.join(identity), world, entry);
     const random = createSeededRandom(entry);
-    const store = createSteppedStore(world, entry, options.defect ?? "none");
+    const store = createSteppedStore(world, entry, {
+      isGuarded: options.defect !== "unguardedWrites",
+    });
     const home = createLedgerHome({ clock, random, links, store });
     const issuedKeys = createIssuedKeys({ clock, random, links });
     return createLedger({ clock, links, home, issuedKeys });
