--- a/src/administration/administration_api.ts
+++ b/src/administration/administration_api.ts
@@ -141,6 +141,10 @@
     metrics.runningRequests.set(entry.registry.running().length);
     metrics.sheetRevision.set(entry.book.current().revision);
     metrics.connectedVms.set(links.peers().length);
+    const { conflicts, fallbacks } = entry.ledgerHome.counters();
+    metrics.ledgerPending.set(entry.ledgerHome.pending());
+    metrics.ledgerConflicts.set(conflicts);
+    metrics.ledgerFallbacks.set(fallbacks);
     reply.type(metrics.registry.contentType);
     return await metrics.registry.metrics();
   });
--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -6,7 +6,11 @@
 import { type ClaimState, createClaimRegister } from "./claim_register.ts";
 import type { Claim, ClaimResult } from "./claim.ts";
 import { type IssuedKeys, IssuerLostError } from "./issued_keys.ts";
-import { type LedgerHome, LedgerUnavailableError } from "./ledger_home.ts";
+import {
+  LEDGER_CONFIRM_TIMEOUT_MILLISECONDS,
+  type LedgerHome,
+  LedgerUnavailableError,
+} from "./ledger_home.ts";
 import type {
   ClaimOperation,
   LedgerOperation,
@@ -42,7 +46,6 @@
   readonly issuedKeys: IssuedKeys;
 }
 
-const CLAIM_TIMEOUT_MILLISECONDS = 2_500;
 /// Delays between tries to record an outcome.
 const RECORD_RETRY_MILLISECONDS = [500, 2_000, 10_000];
 const RECORD_TRIES = 60;
@@ -68,7 +71,7 @@
   ): Promise<LedgerReply> => {
     const bounded = withTimeout(submit(claim, operation), {
       clock,
-      limit: CLAIM_TIMEOUT_MILLISECONDS,
+      limit: LEDGER_CONFIRM_TIMEOUT_MILLISECONDS,
       onTimeout: () => new LedgerUnavailableError("no confirmation in time"),
     });
     return raceAbort(bounded, signal);
--- a/src/requests/stream_ledger.ts
+++ b/src/requests/stream_ledger.ts
@@ -1,7 +1,12 @@
 import type { Clock } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
-import { type LedgerHome, LedgerUnavailableError } from "./ledger_home.ts";
-import type { LedgerReply } from "./ledger_operation.ts";
+import { withTimeout } from "../support/timeout.ts";
+import {
+  LEDGER_CONFIRM_TIMEOUT_MILLISECONDS,
+  type LedgerHome,
+  LedgerUnavailableError,
+} from "./ledger_home.ts";
+import type { LedgerOperation, LedgerReply } from "./ledger_operation.ts";
 
 /// The record of where long requests stream, so that a caller that comes back
 /// with its key at another entry resumes its stream there.
@@ -58,9 +63,17 @@
 /// `LedgerUnavailableError` when the ledger can't confirm the change.
 export function createStreamLedger(options: StreamLedgerOptions): StreamLedger {
   const { clock, random, home } = options;
+
+  const submit = (operation: LedgerOperation) =>
+    withTimeout(home.submit(operation), {
+      clock,
+      limit: LEDGER_CONFIRM_TIMEOUT_MILLISECONDS,
+      onTimeout: () => new LedgerUnavailableError("no confirmation in time"),
+    });
+
   return {
     async claim({ key, fingerprint }) {
-      const reply = await home.submit({
+      const reply = await submit({
         kind: "claimStream",
         key,
         fingerprint,
@@ -79,13 +92,13 @@
     },
     async place(key, placement) {
       const operation = { kind: "placeStream", key, placement } as const;
-      const reply = await home.submit(operation);
+      const reply = await submit(operation);
       if (reply.kind === "done") return true;
       if (reply.kind === "superseded") return false;
       throw unexpected(reply);
     },
     async finish(key, attempt) {
-      await home.submit({ kind: "finishStream", key, attempt });
+      await submit({ kind: "finishStream", key, attempt });
     },
   };
 }
--- a/src/support/metrics.ts
+++ b/src/support/metrics.ts
@@ -18,6 +18,12 @@
   readonly runningRequests: Gauge;
   readonly sheetRevision: Gauge;
   readonly connectedVms: Gauge;
+  /// Ledger operations that wait on this VM or are being written.
+  readonly ledgerPending: Gauge;
+  /// Ledger writes that lost against another VM's, since the start.
+  readonly ledgerConflicts: Gauge;
+  /// Ledger operations written here because the home did not answer.
+  readonly ledgerFallbacks: Gauge;
 }
 
 const FIRST_TOKEN_BUCKETS_SECONDS = [
@@ -74,5 +80,20 @@
       help: "Other VMs with a working link",
       registers,
     }),
+    ledgerPending: new Gauge({
+      name: "sequoiaturn_ledger_pending",
+      help: "Ledger operations that wait or are being written",
+      registers,
+    }),
+    ledgerConflicts: new Gauge({
+      name: "sequoiaturn_ledger_conflicts",
+      help: "Ledger writes that lost against another VM's since the start",
+      registers,
+    }),
+    ledgerFallbacks: new Gauge({
+      name: "sequoiaturn_ledger_fallbacks",
+      help: "Ledger operations written here for want of their home",
+      registers,
+    }),
   };
 }
--- a/stand_ins/measurements/ledger.ts
+++ b/stand_ins/measurements/ledger.ts
@@ -20,6 +20,8 @@
 const ENTRIES = 9;
 const SECONDS = 20;
 const STORE_MILLISECONDS = 3;
+/// Far above the load, so that the ledger alone bounds it.
+const CUSTOMER_REQUESTS_PER_SECOND = 100_000;
 const ORDER = { service: "desk", method: "POST", path: "/orders" } as const;
 const LARGEST_VALUE_BYTES = 1_048_576;
 /// Time for what is under way to end, with the outcomes recorded.
@@ -63,8 +65,13 @@
 }
 
 async function runCase(given: Case): Promise<CaseResult> {
+  const sheet = sampleSheet({ engines: 1 });
+  const customers = sheet.customers.map((customer) => ({
+    ...customer,
+    requestsPerSecond: CUSTOMER_REQUESTS_PER_SECOND,
+  }));
   const fleet = await startFleet({
-    sheet: sampleSheet({ engines: 1 }),
+    sheet: { ...sheet, customers },
     entries: ENTRIES,
     seed: SEED,
   });
