--- a/src/administration/administration_schemas.ts
+++ b/src/administration/administration_schemas.ts
@@ -114,6 +114,14 @@
     sheetRevision: Type.Optional(Type.Integer()),
   })),
   engines: Type.Array(UpstreamState),
+  /// State of the steward role, where this VM may hold it.
+  steward: Type.Optional(Type.Object({
+    region: Type.String(),
+    /// Fencing number while this VM is the steward.
+    fencing: Type.Optional(Type.Integer()),
+    /// Engines that keep a last ready copy and can't be changed yet.
+    blocked: Type.Array(Type.String()),
+  })),
 });
 export type StatusReply = Static<typeof StatusReply>;
 
@@ -135,6 +143,11 @@
 });
 export type RequestsReply = Static<typeof RequestsReply>;
 
+/// Names an upstream that is to get no new work.
+export const UpstreamDrainBody = Type.Object({
+  name: Type.String({ minLength: 1 }),
+}, { additionalProperties: false });
+
 export const DrainReply = Type.Object({ draining: Type.Boolean() });
 
 /// An error of the administration API.
--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -3,10 +3,12 @@
 import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { EngineView } from "../upstreams/engine_directory.ts";
+import type { Steward } from "../upstreams/steward.ts";
 import {
   DrainReply,
   RequestsReply,
   StatusReply,
+  UpstreamDrainBody,
   UpstreamsReply,
 } from "./administration_schemas.ts";
 import { BurnReport } from "./burn_schemas.ts";
@@ -14,6 +16,14 @@
 
 /// Operations that show what this VM sees and does, and the drain.
 
+/// The sheet has no upstream of this name.
+export class UpstreamUnknownError extends Error {
+  override readonly name = "UpstreamUnknownError";
+  constructor(upstream: string) {
+    super(`no upstream is called ${upstream}`);
+  }
+}
+
 export interface StateRoutesOptions {
   readonly clock: Clock;
   readonly links: Links;
@@ -38,6 +48,12 @@
   };
 }
 
+function describeSteward(steward: Steward | undefined) {
+  if (!steward) return undefined;
+  const { region, fencing, blocked } = steward.status();
+  return { region, fencing, blocked: [...blocked] };
+}
+
 export function createStateRoutes(
   options: StateRoutesOptions,
 ): readonly Route[] {
@@ -63,6 +79,7 @@
               sheetRevision: revisions.get(peer.vm),
             })),
           engines: engines.all().map(describeEngine),
+          steward: describeSteward(entry.steward),
         };
       },
     }),
@@ -99,6 +116,19 @@
       reply: BurnReport,
       handle: () => entry.burn.report(),
     }),
+    defineRoute("POST /v1/upstreams/drain", {
+      summary: "Gives an upstream no new work, on every VM",
+      role: "operate",
+      body: UpstreamDrainBody,
+      reply: DrainReply,
+      errors: ["not_found"],
+      handle({ operator, body }) {
+        const draining = entry.leavingUpstreams.mark(body.name);
+        audit.info("upstream drain", { ...operator, ...body, draining });
+        if (!draining) throw new UpstreamUnknownError(body.name);
+        return { draining };
+      },
+    }),
     defineRoute("POST /v1/drain", {
       summary: "Shuts this VM down gracefully",
       role: "operate",
--- a/src/administration/tool_state.ts
+++ b/src/administration/tool_state.ts
@@ -81,8 +81,14 @@
       formatTable(["ended", "requests"], Object.entries(ended)),
     ].join("\n"));
 
-export const drain: ToolCommand = async (context) =>
-  show(context, await context.client.drain(), () => "draining");
+/// Drains the named upstream, or the daemon when none is named.
+export const drain: ToolCommand = async (context) => {
+  const [upstream] = context.operands;
+  const reply = upstream === undefined
+    ? await context.client.drain()
+    : await context.client.drainUpstream(upstream);
+  return show(context, reply, () => "draining");
+};
 
 /// Creates a customer's key without any daemon. Only its hash is ever stored.
 export const createKey: ToolCommand = (context) => {
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -149,7 +149,8 @@
     const signal = AbortSignal.any([deadline.signal, caller.received.gone]);
     let release = () => {};
     try {
-      const ticket = admission.admit({ ...work, customer: caller.customer });
+      const { customer } = caller;
+      const ticket = await admission.admit({ ...work, customer });
       release = () => ticket.release();
       open.update({ state: "admitted" });
       const result = await action({ open, deadline, signal });
@@ -260,7 +261,7 @@
     },
     issueKey(received) {
       const { customer } = authenticate(received);
-      admission.admit({ customer, tokens: 0, isLong: false }).release();
+      admission.admitShort(customer, 0).release();
       return options.issuedKeys.issue();
     },
   };
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -9,6 +9,7 @@
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
   sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
+  limits: async () => (await import("./measurements/limits.ts")).measureLimits,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
--- a/test/administration/administration_api_test.ts
+++ b/test/administration/administration_api_test.ts
@@ -82,6 +82,7 @@
     "/v1/sheet/revisions",
     "/v1/status",
     "/v1/upstreams",
+    "/v1/upstreams/drain",
   ]);
   t.deepEqual(
     Object.keys(document.paths["/v1/sheet"]!.put!.responses),
@@ -191,6 +192,7 @@
   ["sheet apply", {}, EXIT.usage, /expected a file/],
   ["sheet apply day.csv", { applyId: "x" }, EXIT.usage, /needs --base/],
   ["sheet burn", {}, EXIT.usage, /expected one of/],
+  ["drain nobody", {}, EXIT.failed, /no upstream is called nobody/],
   ["drain", { token: VIEW_TOKEN }, EXIT.failed, /role operate/],
   ["status", { addresses: ["127.0.0.1:1"] }, EXIT.unreachable, /reached/],
 ];
