--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -8,7 +8,7 @@
   DrainReply,
   RequestsReply,
   StatusReply,
-  UpstreamDrainBody,
+  UpstreamDrainRequest,
   UpstreamsReply,
 } from "./administration_schemas.ts";
 import { BurnReport } from "./burn_schemas.ts";
@@ -50,8 +50,8 @@
 
 function describeSteward(steward: Steward | undefined) {
   if (!steward) return undefined;
-  const { region, fencing, blocked } = steward.status();
-  return { region, fencing, blocked: [...blocked] };
+  const { region, fencing, underWay, blocked } = steward.status();
+  return { region, fencing, underWay: [...underWay], blocked: [...blocked] };
 }
 
 export function createStateRoutes(
@@ -119,13 +119,13 @@
     defineRoute("POST /v1/upstreams/drain", {
       summary: "Gives an upstream no new work, on every VM",
       role: "operate",
-      body: UpstreamDrainBody,
+      body: UpstreamDrainRequest,
       reply: DrainReply,
       errors: ["not_found"],
-      handle({ operator, body }) {
-        const draining = entry.leavingUpstreams.mark(body.name);
-        audit.info("upstream drain", { ...operator, ...body, draining });
-        if (!draining) throw new UpstreamUnknownError(body.name);
+      handle({ body: { name }, operator }) {
+        const draining = entry.leavingUpstreams.mark(name);
+        audit.info("upstream drain", { ...operator, upstream: name, draining });
+        if (!draining) throw new UpstreamUnknownError(name);
         return { draining };
       },
     }),
--- a/src/contracts/sheet_store.ts
+++ b/src/contracts/sheet_store.ts
@@ -5,7 +5,7 @@
   StoreOutcomeUnknownError,
   StoreUnavailableError,
 } from "../platform/key_value_store.ts";
-import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Clock } from "../support/clock.ts";
 import type { Sheet } from "./sheet.ts";
 import { readIndex, readRoot, splitSheet } from "./sheet_chunks.ts";
 import { outcomeOf, SheetHead, succeedHead } from "./sheet_head.ts";
@@ -238,7 +238,7 @@
       let unknown = false;
       let cause: unknown;
       for (let count = 0; count < MAXIMUM_TRIES; count++) {
-        if (count > 0) await clock.sleep(RETRY_MILLISECONDS as Milliseconds);
+        if (count > 0) await clock.sleep(RETRY_MILLISECONDS);
         try {
           const decided = await tryOnce(proposal);
           if (decided) return decided;
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -33,6 +33,8 @@
   createRequestRegistry,
   type RequestRegistry,
 } from "./requests/request_registry.ts";
+import { createResumableStreams } from "./requests/resumable_stream.ts";
+import { createStreamLedger } from "./requests/stream_ledger.ts";
 import { createServiceRunner } from "./requests/service_run.ts";
 import type { Clock, Milliseconds } from "./support/clock.ts";
 import type { Logger } from "./support/log.ts";
@@ -51,13 +53,14 @@
   createLeavingUpstreams,
   type LeavingUpstreams,
 } from "./upstreams/leaving_upstreams.ts";
+import { createSharedLoadReports } from "./upstreams/shared_load_reports.ts";
 import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
-import type { VmIdentity } from "./vms/identity.ts";
 import { startSteward, type Steward } from "./upstreams/steward.ts";
 import { mayBeSteward } from "./upstreams/steward_candidates.ts";
+import type { VmIdentity } from "./vms/identity.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
@@ -143,9 +146,11 @@
     links,
     sheets,
   });
+  const reports = createSharedLoadReports({ clock, links, membership });
   const engines = createEngineDirectory({
     clock,
     book,
+    reports,
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
   });
@@ -156,6 +161,7 @@
     links,
     clientOf,
     engineNames: () => engines.all().map((engine) => engine.upstream.name),
+    isHeldHere: holdings.isHeld,
   });
   const quarantine = createQuarantine({ clock, links });
   const services = createServiceDirectory({
@@ -165,11 +171,12 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
-  const burn = startBurn({ clock, links, membership, registry, engines });
   const limits = createCustomerLimits({ clock, links, membership, book });
+  const burn = startBurn({ clock, links, membership, registry, engines });
   const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
+  const streamLedger = createStreamLedger({ clock, random, home: ledgerHome });
   const issuedKeys = createIssuedKeys({ clock, random, links });
   const ledger = createLedger({ clock, links, home: ledgerHome, issuedKeys });
   const handler = createRequestHandler({
@@ -185,6 +192,7 @@
       holdings,
       placement,
       quarantine,
+      resumables: createResumableStreams({ clock, ledger: streamLedger }),
     }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
@@ -239,6 +247,7 @@
       keeper.close();
       holdings.close();
       collector.close();
+      reports.close();
       engines.close();
     },
   };
