--- a/src/administration/administration_api.ts
+++ b/src/administration/administration_api.ts
@@ -21,7 +21,7 @@
   createSheetRoutes,
   MalformedDocumentError,
 } from "./sheet_routes.ts";
-import { createStateRoutes } from "./state_routes.ts";
+import { createStateRoutes, UpstreamUnknownError } from "./state_routes.ts";
 
 /// The interface towards operators, health checks and metrics.
 
@@ -47,6 +47,7 @@
   if (error instanceof MalformedDocumentError) return "malformed";
   if (error instanceof SheetFaultsError) return "invalid_sheet";
   if (error instanceof ApplyConflictError) return "conflict";
+  if (error instanceof UpstreamUnknownError) return "not_found";
   if (error instanceof SheetUndecidedError) return "undecided";
   if (error instanceof StoreUnavailableError) return "unavailable";
   const { statusCode = 500 } = error as { statusCode?: number };
--- a/src/administration/tool_state.ts
+++ b/src/administration/tool_state.ts
@@ -87,12 +87,7 @@
   const reply = upstream === undefined
     ? await context.client.drain()
     : await context.client.drainUpstream(upstream);
-  return show(
-    context,
-    reply,
-    ({ draining }) =>
-      draining ? "draining" : `no upstream is called ${upstream}`,
-  );
+  return show(context, reply, () => "draining");
 };
 
 /// Creates a customer's key without any daemon. Only its hash is ever stored.
--- a/test/administration/administration_api_test.ts
+++ b/test/administration/administration_api_test.ts
@@ -192,6 +192,7 @@
   ["sheet apply", {}, EXIT.usage, /expected a file/],
   ["sheet apply day.csv", { applyId: "x" }, EXIT.usage, /needs --base/],
   ["sheet burn", {}, EXIT.usage, /expected one of/],
+  ["drain nobody", {}, EXIT.failed, /no upstream is called nobody/],
   ["drain", { token: VIEW_TOKEN }, EXIT.failed, /role operate/],
   ["status", { addresses: ["127.0.0.1:1"] }, EXIT.unreachable, /reached/],
 ];
