--- a/src/administration/administration_schemas.ts
+++ b/src/administration/administration_schemas.ts
@@ -114,15 +114,12 @@
     sheetRevision: Type.Optional(Type.Integer()),
   })),
   engines: Type.Array(UpstreamState),
-  /// What this VM knows as the steward of its region.
+  /// State of the steward role, where this VM may hold it.
   steward: Type.Optional(Type.Object({
     region: Type.String(),
+    /// Fencing number while this VM is the steward.
     fencing: Type.Optional(Type.Integer()),
-    underWay: Type.Array(Type.Object({
-      engine: Type.String(),
-      model: Type.String(),
-      version: Type.String(),
-    })),
+    /// Engines that keep a last ready copy and can't be changed yet.
     blocked: Type.Array(Type.String()),
   })),
 });
@@ -146,9 +143,10 @@
 });
 export type RequestsReply = Static<typeof RequestsReply>;
 
-export const UpstreamDrainRequest = Type.Object({ name: Type.String() }, {
-  additionalProperties: false,
-});
+/// Names an upstream that is to get no new work.
+export const UpstreamDrainBody = Type.Object({
+  name: Type.String({ minLength: 1 }),
+}, { additionalProperties: false });
 
 export const DrainReply = Type.Object({ draining: Type.Boolean() });
 
--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -8,7 +8,7 @@
   DrainReply,
   RequestsReply,
   StatusReply,
-  UpstreamDrainRequest,
+  UpstreamDrainBody,
   UpstreamsReply,
 } from "./administration_schemas.ts";
 import { BurnReport } from "./burn_schemas.ts";
@@ -42,8 +42,8 @@
 
 function describeSteward(steward: Steward | undefined) {
   if (!steward) return undefined;
-  const { region, fencing, underWay, blocked } = steward.status();
-  return { region, fencing, underWay: [...underWay], blocked: [...blocked] };
+  const { region, fencing, blocked } = steward.status();
+  return { region, fencing, blocked: [...blocked] };
 }
 
 export function createStateRoutes(
@@ -109,13 +109,15 @@
       handle: () => entry.burn.report(),
     }),
     defineRoute("POST /v1/upstreams/drain", {
-      summary: "Gives an upstream no new work, at any VM; false if unknown",
+      summary: "Gives an upstream no new work, on every VM",
       role: "operate",
-      body: UpstreamDrainRequest,
+      body: UpstreamDrainBody,
       reply: DrainReply,
-      handle({ body: { name }, operator }) {
-        audit.info("upstream drain", { ...operator, upstream: name });
-        return { draining: entry.leavingUpstreams.mark(name) };
+      errors: ["not_found"],
+      handle({ operator, body }) {
+        const draining = entry.leavingUpstreams.mark(body.name);
+        audit.info("upstream drain", { ...operator, ...body, draining });
+        return { draining };
       },
     }),
     defineRoute("POST /v1/drain", {
--- a/src/bin/sequoiaturn.ts
+++ b/src/bin/sequoiaturn.ts
@@ -22,7 +22,7 @@
   upstreams            Engines and services
   requests             Running requests, and ended ones by reason
   burn                 How fast the error budgets are spent
-  drain                Shut the daemon down gracefully
+  drain [upstream]     Give an upstream no new work, or shut the daemon down
   keys <customer>      Create a customer key; needs no daemon
 
 Flags
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -56,9 +56,9 @@
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
+import type { VmIdentity } from "./vms/identity.ts";
 import { startSteward, type Steward } from "./upstreams/steward.ts";
 import { mayBeSteward } from "./upstreams/steward_candidates.ts";
-import type { VmIdentity } from "./vms/identity.ts";
 import { createMembership, type Membership } from "./vms/membership.ts";
 
 /// Everything one entry VM decides, wired together without any socket. The
@@ -168,8 +168,8 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
-  const limits = createCustomerLimits({ clock, links, membership, book });
   const burn = startBurn({ clock, links, membership, registry, engines });
+  const limits = createCustomerLimits({ clock, links, membership, book });
   const admission = createAdmission(limits);
   const placement = new ShortestWaitPlacement(random);
   const ledgerHome = createLedgerHome({ clock, random, links, store });
--- a/stand_ins/measure.ts
+++ b/stand_ins/measure.ts
@@ -8,10 +8,10 @@
   ledger: async () => (await import("./measurements/ledger.ts")).measureLedger,
   overhead: async () =>
     (await import("./measurements/overhead.ts")).measureOverhead,
+  sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
   limits: async () => (await import("./measurements/limits.ts")).measureLimits,
   control: async () =>
     (await import("./measurements/control.ts")).measureControl,
-  sheet: async () => (await import("./measurements/sheet.ts")).measureSheet,
 };
 
 const [name = "", ...options] = process.argv.slice(2);
