Take over an engine's load reports before it counts as lost

With more than 80 engines the next VM waited for four long intervals, 9 s at 660 engines, while placement stops using an engine after 5 s without a report; a VM that could not reach an engine thus took it from everyone. The wait is now one and a half intervals, at least 1 s.

--- a/src/upstreams/shared_load_reports.ts
+++ b/src/upstreams/shared_load_reports.ts
@@ -18,10 +18,12 @@
 const GROUP_LIMIT = 32;
 /// Engines that are asked at the shortest interval.
 const ENGINES_AT_FULL_RATE = 80;
-/// Intervals without a report after which the next VM by rank asks.
-const STALE_INTERVALS = 4;
-/// Further intervals for each rank after that.
-const RANK_INTERVALS = 2;
+/// Time without a report after which the next VM by rank asks, and at least
+/// this many intervals.
+const STALE_MILLISECONDS = 1_000;
+const STALE_INTERVALS = 1.5;
+/// Further time for each rank.
+const RANK_MILLISECONDS = 500;
 /// Time in which reports are gathered into one message.
 const GATHER_MILLISECONDS = 25;
 const FACT_INTERVAL_MILLISECONDS = 10_000;
@@ -118,8 +120,9 @@
     const rank = rankOf(engine);
     const pause = interval();
     if (engine.asking || now - engine.lastAskedAt < pause) return false;
-    const patience = STALE_INTERVALS + rank * RANK_INTERVALS;
-    return rank === 0 || now - engine.lastReportAt > patience * pause;
+    const stale = Math.max(STALE_MILLISECONDS, STALE_INTERVALS * pause);
+    const patience = stale + rank * RANK_MILLISECONDS;
+    return rank === 0 || now - engine.lastReportAt > patience;
   };
 
   const ask = async (engine: FollowedEngine) => {
--- a/test/upstreams/shared_load_reports_test.ts
+++ b/test/upstreams/shared_load_reports_test.ts
@@ -13,10 +13,15 @@
 const ENGINE = "engine-1";
 const SECONDS = 10;
 
-async function startVms(count: number) {
+/// Time without a report after which placement doesn't use an engine.
+const USABLE_MILLISECONDS = 5_000;
+
+async function startVms(count: number, otherEngines = 0) {
   const clock = createFakeClock();
   const network = createLocalNetwork(clock, { detectionMilliseconds: 3_200 });
   const vmList = createLocalVmList(clock);
+  /// VMs that can't reach the engine.
+  const stuck = new Set<string>();
   const asked = new Map<string, number>();
   const received = new Map<string, LoadReport[]>();
   let version = "1";
@@ -33,6 +38,7 @@
       peers: links,
     });
     const load = (): Promise<LoadReport> => {
+      if (stuck.has(vm)) return Promise.reject(new Error("no way there"));
       asked.set(vm, (asked.get(vm) ?? 0) + 1);
       return Promise.resolve({
         age: 100,
@@ -48,7 +54,13 @@
     };
     const reports: LoadReport[] = [];
     received.set(vm, reports);
-    createSharedLoadReports({ clock, links, membership }).follow(
+    const shared = createSharedLoadReports({ clock, links, membership });
+    const ignore = { onReport: () => {}, onFailure: () => {} };
+    const silent = { load: () => new Promise(() => {}) };
+    for (let index = 0; index < otherEngines; index++) {
+      shared.follow(`other-${index}`, silent as EngineClient, ignore);
+    }
+    shared.follow(
       ENGINE,
       { load } as EngineClient,
       {
@@ -64,7 +76,7 @@
   };
   forget();
   const load = (next: string) => void (version = next);
-  return { clock, network, names, asked, received, forget, load };
+  return { clock, network, names, asked, stuck, received, forget, load };
 }
 
 const total = (counts: ReadonlyMap<string, number>) =>
@@ -87,6 +99,20 @@
   }
 });
 
+test("among 660 engines another VM asks before one counts as lost", async (t) => {
+  const vms = await startVms(3, 659);
+  await vms.clock.advance(10_000);
+  const [first] = [...vms.asked].sort(([, left], [, right]) =>
+    right - left
+  )[0]!;
+  vms.stuck.add(first);
+  vms.forget();
+  await vms.clock.advance(USABLE_MILLISECONDS);
+  for (const vm of vms.names.filter((name) => name !== first)) {
+    t.true(vms.received.get(vm)!.length > 0, vm);
+  }
+});
+
 test("another VM asks when the reports of the first stop", async (t) => {
   const vms = await startVms(3);
   await vms.clock.advance(1_000);
