Cause every fault at every step and check what must hold

Cause: faults were tested one mechanism at a time; nothing caused each fault at each step of a request over whole entries. The first run never came to an end: the silence watch set a timer for a rest of time too small to move the clock, again and again; it now rounds up.

--- a/src/requests/silence_watch.ts
+++ b/src/requests/silence_watch.ts
@@ -37,7 +37,7 @@
   const check = async () => {
     const silent = clock.now() - lastChunkAt;
     if (silent < SILENCE_LIMIT_MILLISECONDS) {
-      return start(SILENCE_LIMIT_MILLISECONDS - silent);
+      return start(Math.ceil(SILENCE_LIMIT_MILLISECONDS - silent));
     }
     const isNormal = await mayBeSilent();
     if (stopped) return;
--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -27,6 +27,23 @@
 /// Several entries with stand-ins for everything around them, in one process
 /// under the fake clock, for tests of failures and for measurements.
 
+/// Something that an entry does with the store or an upstream.
+export interface FleetEvent {
+  readonly vm: string;
+  /// Name of the engine or service, or "store".
+  readonly target: string;
+  /// Name of the client's method.
+  readonly call: string;
+  readonly phase: "call" | "result" | "chunk";
+  readonly values: readonly unknown[];
+  /// The result or the chunk.
+  readonly result: unknown;
+}
+
+/// Sees every event. An error that it returns takes the place of the call,
+/// its result or the rest of its stream.
+export type FleetObserver = (event: FleetEvent) => Error | undefined;
+
 export interface FleetOptions {
   readonly sheet: Sheet;
   readonly entries: number;
@@ -38,6 +55,7 @@
   readonly vmListLagMilliseconds?: number;
   /// Without it the entries give no orders.
   readonly weightStore?: WeightStore;
+  readonly observe?: FleetObserver;
 }
 
 /// What a caller had received when its request ended.
@@ -143,7 +161,8 @@
     };
     const stop = new AbortController();
     const gate = createPauseGate(clock);
-    const life = { stopped: stop.signal, gate };
+    const observe = options.observe ?? (() => undefined);
+    const life: VmLife = { vm, stopped: stop.signal, gate, observe };
     vmList.set({
       name: vm,
       dataCentre: identity.dataCentre,
@@ -155,13 +174,14 @@
       random,
       logFor: createSilentLogger,
       links: gate.holdLinks(network.join(identity)),
-      store: untilStopped(store.connect(), life),
-      vmList: untilStopped(vmList, life),
+      store: untilStopped(store.connect(), life, "store"),
+      vmList: untilStopped(vmList, life, "vmList"),
       weightStore: options.weightStore,
       onExpelled: () => void expelled.push(vm),
-      createEngineClient: ({ name }) => untilStopped(engines.get(name)!, life),
+      createEngineClient: ({ name }) =>
+        untilStopped(engines.get(name)!, life, name),
       createServiceClient: ({ serves }) =>
-        untilStopped(services.get(serves)!.connect(), life),
+        untilStopped(services.get(serves)!.connect(), life, serves),
     });
     gates.set(vm, gate);
     entries.set(vm, entry);
@@ -269,8 +289,10 @@
 }
 
 interface VmLife {
+  readonly vm: string;
   readonly stopped: AbortSignal;
   readonly gate: PauseGate;
+  readonly observe: FleetObserver;
 }
 
 /// A client whose calls never settle once its VM has stopped, as those of a
@@ -278,31 +300,87 @@
 function untilStopped<Client extends object>(
   client: Client,
   life: VmLife,
+  name: string,
 ): Client {
+  const { vm, stopped, gate } = life;
   return new Proxy(client, {
-    get(target, name) {
-      const member = Reflect.get(target, name) as unknown;
+    get(target, property) {
+      const member = Reflect.get(target, property) as unknown;
       if (typeof member !== "function") return member;
       return (...values: unknown[]) => {
-        if (life.stopped.aborted) return new Promise(() => {});
-        return holdResult(member.apply(target, values), life.gate);
+        if (stopped.aborted) return new Promise(() => {});
+        const call = String(property);
+        const observe = (phase: FleetEvent["phase"], result?: unknown) => {
+          const event = { vm, target: name, call, phase, values, result };
+          const error = life.observe(event);
+          if (error) throw error;
+        };
+        return observedCall(call, () => member.apply(target, values), {
+          observe,
+          gate,
+        });
       };
     },
   });
 }
 
-function holdResult(result: unknown, gate: PauseGate): unknown {
-  if (result instanceof Promise) return gate.hold(result);
+interface CallObserver {
+  readonly observe: (phase: FleetEvent["phase"], result?: unknown) => void;
+  readonly gate: PauseGate;
+}
+
+/// Calls that answer with a stream.
+const STREAM_CALLS = new Set(["complete", "resume", "watch"]);
+
+function failedCall(name: string, failure: Error): unknown {
+  if (!STREAM_CALLS.has(name)) return Promise.reject(failure);
+  const next = () => Promise.reject(failure);
+  return { [Symbol.asyncIterator]: () => ({ next }) };
+}
+
+function observedCall(
+  name: string,
+  call: () => unknown,
+  observer: CallObserver,
+): unknown {
+  const { observe, gate } = observer;
+  let failure: Error | undefined;
+  try {
+    observe("call");
+  } catch (error) {
+    failure = error as Error;
+  }
+  if (failure) return failedCall(name, failure);
+  const result = call();
+  if (result instanceof Promise) {
+    return gate.hold(result.then((value) => {
+      observe("result", value);
+      return value;
+    }));
+  }
   const isStream = typeof result === "object" && result !== null &&
     Symbol.asyncIterator in result;
   if (!isStream) return result;
-  const source = result as AsyncIterable<unknown>;
+  return observedStream(result as AsyncIterable<unknown>, observer);
+}
+
+function observedStream(
+  source: AsyncIterable<unknown>,
+  { observe, gate }: CallObserver,
+): AsyncIterable<unknown> {
   return {
     [Symbol.asyncIterator]() {
       const iterator = source[Symbol.asyncIterator]();
+      const next = async () => {
+        const item = await iterator.next();
+        if (!item.done) observe("chunk", item.value);
+        return item;
+      };
       return {
-        next: () => gate.hold(iterator.next()),
-        return: () => iterator.return?.() ?? Promise.resolve({ done: true }),
+        next: () => gate.hold(next()),
+        return: () =>
+          iterator.return?.() ??
+            Promise.resolve({ done: true, value: undefined }),
       };
     },
   };
