--- a/src/administration/state_routes.ts
+++ b/src/administration/state_routes.ts
@@ -16,6 +16,14 @@
 
 /// Operations that show what this VM sees and does, and the drain.
 
+/// The sheet has no upstream of this name.
+export class UpstreamUnknownError extends Error {
+  override readonly name = "UpstreamUnknownError";
+  constructor(upstream: string) {
+    super(`no upstream is called ${upstream}`);
+  }
+}
+
 export interface StateRoutesOptions {
   readonly clock: Clock;
   readonly links: Links;
@@ -109,13 +117,16 @@
       handle: () => entry.burn.report(),
     }),
     defineRoute("POST /v1/upstreams/drain", {
-      summary: "Gives an upstream no new work, at any VM; false if unknown",
+      summary: "Gives an upstream no new work, on every VM",
       role: "operate",
       body: UpstreamDrainRequest,
       reply: DrainReply,
+      errors: ["not_found"],
       handle({ body: { name }, operator }) {
-        audit.info("upstream drain", { ...operator, upstream: name });
-        return { draining: entry.leavingUpstreams.mark(name) };
+        const draining = entry.leavingUpstreams.mark(name);
+        audit.info("upstream drain", { ...operator, upstream: name, draining });
+        if (!draining) throw new UpstreamUnknownError(name);
+        return { draining };
       },
     }),
     defineRoute("POST /v1/drain", {
--- a/src/requests/ledger_home.ts
+++ b/src/requests/ledger_home.ts
@@ -58,6 +58,8 @@
 
 export const LEDGER_SHARD_PREFIX = "sequoiaturn/ledger/";
 export const LEDGER_SHARDS = 64;
+/// How long somebody waits for a confirmation at most.
+export const LEDGER_CONFIRM_TIMEOUT_MILLISECONDS = 2_500;
 /// Writes of all VMs together in any one second.
 export const LEDGER_WRITES_PER_SECOND = 256;
 
--- a/test/requests/stream_ledger_test.ts
+++ b/test/requests/stream_ledger_test.ts
@@ -46,10 +46,13 @@
   t.is((await run(second.claim(other))).kind, "differentRequest");
 });
 
-test("no attempt starts while the store is down", async (t) => {
-  const { clock, memory, first } = startLedgers();
-  memory.setDown(true);
-  await t.throwsAsync(clock.advanceUntil(first.claim(CLAIM), 5_000), {
-    instanceOf: LedgerUnavailableError,
+for (const fault of ["down", "silent"]) {
+  test(`no attempt starts while the store is ${fault}`, async (t) => {
+    const { clock, memory, first } = startLedgers();
+    if (fault === "down") memory.setDown(true);
+    else memory.setLatency(60_000);
+    await t.throwsAsync(clock.advanceUntil(first.claim(CLAIM), 3_000), {
+      instanceOf: LedgerUnavailableError,
+    });
   });
-});
+}
