--- a/src/entry.ts
+++ b/src/entry.ts
@@ -33,17 +33,27 @@
   createRequestRegistry,
   type RequestRegistry,
 } from "./requests/request_registry.ts";
+import { createRequestQueues } from "./requests/request_queues.ts";
 import { createResumableStreams } from "./requests/resumable_stream.ts";
 import { createStreamLedger } from "./requests/stream_ledger.ts";
 import { createServiceRunner } from "./requests/service_run.ts";
+import { createStartGate } from "./requests/start_gate.ts";
 import type { Clock, Milliseconds } from "./support/clock.ts";
 import type { Logger } from "./support/log.ts";
 import type { RandomSource } from "./support/random.ts";
+import { createDemandMeter } from "./upstreams/demand_meter.ts";
 import type { EngineClient } from "./upstreams/engine_client.ts";
 import {
   createEngineDirectory,
   type EngineDirectory,
 } from "./upstreams/engine_directory.ts";
+import { startLoadDigests } from "./upstreams/load_digest.ts";
+import {
+  type PlacementPolicy,
+  ShortestWaitPlacement,
+} from "./upstreams/placement.ts";
+import { createPrefillBook } from "./upstreams/prefill_book.ts";
+import type { describePrompt } from "./upstreams/prompt_blocks.ts";
 import {
   createEngineHoldings,
   type EngineHoldings,
@@ -54,7 +64,6 @@
   type LeavingUpstreams,
 } from "./upstreams/leaving_upstreams.ts";
 import { createSharedLoadReports } from "./upstreams/shared_load_reports.ts";
-import { ShortestWaitPlacement } from "./upstreams/placement.ts";
 import type { ServiceClient } from "./upstreams/service_client.ts";
 import { createServiceDirectory } from "./upstreams/service_directory.ts";
 import { createTokenEstimator } from "./upstreams/token_estimator.ts";
@@ -67,6 +76,15 @@
 /// daemon gives it real connections; tests and measurements give it stand-ins
 /// and a clock of their own.
 
+/// Parts of the policy that a comparison may leave out.
+export type Mechanism =
+  | "announcements"
+  | "lengthPriority"
+  | "queues"
+  | "feasibility"
+  | "slowness"
+  | "cacheView";
+
 export interface EntryOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -81,6 +99,10 @@
   readonly onExpelled: () => void;
   readonly createEngineClient: (upstream: Upstream) => EngineClient;
   readonly createServiceClient: (upstream: Upstream) => ServiceClient;
+  /// Replaces the placement, for comparisons.
+  readonly createPlacement?: (random: RandomSource) => PlacementPolicy;
+  readonly describePrompt?: typeof describePrompt;
+  readonly disabled?: readonly Mechanism[];
 }
 
 export interface Entry {
@@ -132,6 +154,11 @@
     sheets,
     book,
   });
+  const prefills = createPrefillBook();
+  const has = (mechanism: Mechanism) => !options.disabled?.includes(mechanism);
+  const stopDigests = has("announcements")
+    ? startLoadDigests({ clock, links, prefills })
+    : () => {};
   const leavingUpstreams = createLeavingUpstreams({
     clock,
     log: logFor("upstreams"),
@@ -150,6 +177,9 @@
   const engines = createEngineDirectory({
     clock,
     book,
+    prefills,
+    learnsSlowness: has("slowness"),
+    followsCaches: has("cacheView"),
     reports,
     isLeaving: leavingUpstreams.isLeaving,
     createClient: options.createEngineClient,
@@ -171,10 +201,21 @@
     createClient: options.createServiceClient,
   });
   const registry = createRequestRegistry(clock);
-  const limits = createCustomerLimits({ clock, links, membership, book });
+  const queues = createRequestQueues({
+    clock,
+    gate: createStartGate(engines),
+    demand: createDemandMeter(clock),
+    vmCount: () => links.peers().length + 1,
+    refusesInfeasible: has("feasibility"),
+  });
+  const placement = options.createPlacement?.(random) ??
+    new ShortestWaitPlacement(random);
   const burn = startBurn({ clock, links, membership, registry, engines });
-  const admission = createAdmission(limits);
-  const placement = new ShortestWaitPlacement(random);
+  const limits = createCustomerLimits({ clock, links, membership, book });
+  const admission = createAdmission(
+    limits,
+    has("queues") ? queues : undefined,
+  );
   const ledgerHome = createLedgerHome({ clock, random, links, store });
   const streamLedger = createStreamLedger({ clock, random, home: ledgerHome });
   const issuedKeys = createIssuedKeys({ clock, random, links });
@@ -196,6 +237,8 @@
     }),
     services: createServiceRunner({ clock, random, services, ledger }),
     estimator: createTokenEstimator(),
+    describePrompt: options.describePrompt,
+    ordersByLength: has("lengthPriority"),
     issuedKeys,
   });
   const steward = options.weightStore && startSteward({
@@ -243,6 +286,7 @@
       steward?.close();
       leavingUpstreams.close();
       follower.close();
+      stopDigests();
       quarantine.close();
       keeper.close();
       holdings.close();
--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -11,8 +11,10 @@
 import type {
   EngineDirectory,
   EngineView,
+  SendRecord,
 } from "../upstreams/engine_directory.ts";
 import type { EngineHoldings, Holding } from "../upstreams/engine_holdings.ts";
+import { expectedFirstToken, uncachedTokens } from "../upstreams/placement.ts";
 import { checkedChunks } from "./attempt.ts";
 import type { CompletionRequest, RunContext } from "./completion_request.ts";
 import {
@@ -78,6 +80,8 @@
   readonly engine: string;
   readonly client: EngineClient;
   readonly holding: Holding;
+  /// Counts it at the engine.
+  readonly send: SendRecord;
   /// Set if another try may take the stream over. One over several engines
   /// ends with its entry: nobody could take over the reservations.
   readonly resumable?: ResumableRun;
@@ -94,7 +98,7 @@
   /// normal before the first token, as long as the engine answers.
   async function* deliver(
     source: AsyncIterable<EngineChunk>,
-    { client, holding }: EngineStream,
+    { client, holding, send }: EngineStream,
     { state, context }: AttemptRuntime,
   ): AsyncIterable<EngineChunk> {
     const { attempt, offset } = state;
@@ -111,6 +115,7 @@
         if (seen === undefined && chunk.tokens > 0) {
           const firstTokenAt = clock.now();
           context.open.update({ state: "streaming", firstTokenAt });
+          send.prefillEnded();
         }
         state.offset += chunk.tokens;
         yield chunk;
@@ -205,14 +210,22 @@
     `${state.name}.${state.attempt}`;
 
   return {
-    async *runOnEngine({ client, upstream }, runtime) {
+    async *runOnEngine(engine, runtime) {
+      const { client, upstream } = engine;
       const { name } = upstream;
-      const send = engines.recordSend(name, runtime.request.prompt.tokens);
+      const { request } = runtime;
+      const { prompt, priority, isLong } = request;
+      const send = engines.recordSend(name, uncachedTokens(engine, prompt), {
+        priority,
+        isLong,
+        expectedMilliseconds: expectedFirstToken(engine, request) /
+          engine.slowness,
+      });
       const holding = holdStream(name, runtime);
       const call = toCall(holding.id, runtime);
       const open = () => client.complete(call, runtime.context.signal);
       const { resumable } = runtime.state;
-      const stream = { engine: name, client, holding, resumable, open };
+      const stream = { engine: name, client, holding, resumable, open, send };
       try {
         yield* runStream(stream, runtime);
       } finally {
@@ -226,7 +239,7 @@
       const holding = holdings.adopt(name, streamId, { graceMilliseconds });
       const open = () => resumption({ client, holding }, runtime);
       const { resumable } = runtime.state;
-      const stream = { engine: name, client, holding, resumable, open };
+      const stream = { engine: name, client, holding, resumable, open, send };
       try {
         yield* runStream(stream, runtime);
       } finally {
@@ -235,8 +248,11 @@
     },
     async *runOverSpans(usable, runtime) {
       const name = nameOf(runtime);
+      const { priority } = runtime.request;
       const spans = await prefillSpans(runtime.request, {
         clock,
+        recordSend: (engine, tokens) =>
+          engines.recordSend(engine, tokens, { priority, isLong: true }),
         holdings,
         engines: usable,
         name,
@@ -246,7 +262,7 @@
       });
       try {
         const { client, upstream } = spans.engine;
-        const { prompt, context, reservation } = spans;
+        const { prompt, context, reservation, send } = spans;
         const holding = holdings.hold(upstream.name, "stream", name);
         const { signal } = runtime.context;
         const call = {
@@ -257,7 +273,7 @@
         };
         const open = () => client.complete(call, signal);
         const engine = upstream.name;
-        yield* runStream({ engine, client, holding, open }, runtime);
+        yield* runStream({ engine, client, holding, open, send }, runtime);
       } finally {
         await spans.release();
       }
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -21,9 +21,11 @@
 import type { CompletionRequest, RunContext } from "./completion_request.ts";
 import type { CompletionRunner } from "./completion_run.ts";
 import { startDeadline } from "./deadline.ts";
+import { enginePriority } from "./engine_priority.ts";
 import type { IssuedKeys } from "./issued_keys.ts";
 import { fingerprintOf } from "./quarantine.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
+import type { QueueNeed } from "./request_queues.ts";
 import type { OpenRequest, RequestRegistry } from "./request_registry.ts";
 import type { ServiceRunner } from "./service_run.ts";
 
@@ -40,6 +42,10 @@
   readonly completions: CompletionRunner;
   readonly services: ServiceRunner;
   readonly estimator: TokenEstimator;
+  /// Whether shorter prompts go first at the engines; true unless given.
+  readonly ordersByLength?: boolean;
+  /// Measurements give prompts a length without giving them a text.
+  readonly describePrompt?: typeof describePrompt;
   readonly issuedKeys: IssuedKeys;
 }
 
@@ -78,10 +84,7 @@
   issueKey(received: ReceivedRequest): string;
 }
 
-const PRIORITY_STEP = 10;
 const MAXIMUM_KEY_LENGTH = 160;
-/// Added to the engine priority of long prompts.
-const LONG_PRIORITY_OFFSET = 5;
 
 interface Authenticated {
   readonly received: ReceivedRequest;
@@ -94,6 +97,7 @@
   readonly caller: Authenticated;
   readonly tokens: number;
   readonly isLong: boolean;
+  readonly need?: QueueNeed;
   /// Time until its deadline.
   readonly limit: Milliseconds;
 }
@@ -142,6 +146,7 @@
   options: RequestHandlerOptions,
 ): RequestHandler {
   const { clock, random, book, registry, admission, log, estimator } = options;
+  const describe = options.describePrompt ?? describePrompt;
 
   const authenticate = (received: ReceivedRequest): Authenticated => {
     const contracts = book.current();
@@ -161,9 +166,13 @@
     const signal = AbortSignal.any([deadline.signal, caller.received.gone]);
     let release = () => {};
     try {
+      const { tokens, isLong, need, limit } = work;
+      const engines = need && { need, remaining: limit };
       const { customer } = caller;
-      const ticket = await admission.admit({ ...work, customer });
+      const question = { customer, tokens, isLong, engines };
+      const ticket = await admission.admit(question);
       release = () => ticket.release();
+      await ticket.whenReady(signal);
       open.update({ state: "admitted" });
       const result = await action({ open, deadline, signal });
       open.end();
@@ -192,7 +201,7 @@
     const shares = contracts.sharesOf(customer.name, model);
     if (shares.length === 0) throw new RequestError("model_not_allowed");
     const bytesPerToken = estimator.bytesPerToken(model);
-    const prompt = describePrompt(completion.prompt, bytesPerToken);
+    const prompt = describe(completion.prompt, bytesPerToken);
     const isLong = prompt.tokens >= contracts.options.longPromptTokens;
     const level = PRIORITIES.indexOf(effectivePriority(caller));
     return {
@@ -207,7 +216,12 @@
       version: chooseVersion(shares, random),
       prompt,
       maximumTokens,
-      priority: level * PRIORITY_STEP + (isLong ? LONG_PRIORITY_OFFSET : 0),
+      priority: enginePriority({
+        ...contracts.options,
+        level,
+        tokens: prompt.tokens,
+        byLength: options.ordersByLength ?? true,
+      }),
       isLong,
       resumable: resumableBy(caller, isLong),
     };
@@ -243,7 +257,8 @@
         isLong,
       });
       const tokens = promptTokens + plan.maximumTokens;
-      const work = { open, caller, tokens, isLong, limit };
+      const need = { ...plan, weight: caller.customer.weight };
+      const work = { open, caller, tokens, isLong, limit, need };
       await carryOut(work, async (context) => {
         const answer = options.completions.run(plan, context);
         await sink(learnUsage(answer, plan), context.signal);
--- a/src/requests/span_prefill.ts
+++ b/src/requests/span_prefill.ts
@@ -7,7 +7,7 @@
   EngineRefusedError,
   type Prompt,
 } from "../upstreams/engine_client.ts";
-import type { EngineView } from "../upstreams/engine_directory.ts";
+import type { EngineView, SendRecord } from "../upstreams/engine_directory.ts";
 import type { EngineHoldings, Holding } from "../upstreams/engine_holdings.ts";
 import { describePrompt } from "../upstreams/prompt_blocks.ts";
 import type { CompletionRequest } from "./completion_request.ts";
@@ -32,6 +32,8 @@
   /// Names the try; unique on this VM.
   readonly name: string;
   readonly attempt: number;
+  /// Counts a span at its engine.
+  readonly recordSend: (engine: string, tokens: number) => SendRecord;
   /// Called before a part of the prompt goes out.
   readonly onSend: () => void;
   readonly signal: AbortSignal;
@@ -44,6 +46,8 @@
   readonly prompt: Prompt;
   readonly context: readonly CacheReference[];
   readonly reservation: string;
+  /// Counts the last span at its engine.
+  readonly send: SendRecord;
   /// Frees all exports and reservations in the background. Resolves when the
   /// engines have confirmed, or after a short time.
   release(): Promise<void>;
@@ -139,7 +143,11 @@
   const { signal } = options;
   const context: CacheReference[] = [];
   const prefilled: Holding[] = [];
+  const sends = held.map(({ engine }, index) =>
+    options.recordSend(engine.upstream.name, spans[index]!.tokens)
+  );
   const release = async () => {
+    sends.forEach((send) => send.end());
     const released = Promise.all([
       ...prefilled.map((span) => span.release()),
       ...held.map((reservation) => reservation.release()),
@@ -167,6 +175,7 @@
         const prefill = engine.client.prefillSpan(call, signal);
         context.push(await raceAbort(prefill, signal));
         prefilled.push(span);
+        sends[index]!.prefillEnded();
       } catch (error) {
         span.release({ mayStartLate: true });
         throw error;
@@ -182,6 +191,7 @@
     prompt: spans.at(-1)!,
     context,
     reservation: last.id,
+    send: sends.at(-1)!,
     release,
   };
 }
--- a/stand_ins/engine_model.ts
+++ b/stand_ins/engine_model.ts
@@ -98,6 +98,8 @@
   remainingPrefill: number;
   generated: number;
   admitted: boolean;
+  /// Whether its blocks are in the prefix cache.
+  stored: boolean;
   end?: StreamEnd;
   lost?: Error;
   waiters: (() => void)[];
@@ -122,6 +124,8 @@
   retainMilliseconds: 30_000,
 };
 const KEPT_CACHE_EVENTS = 4_096;
+/// Outdated snapshots that are dropped together.
+const SNAPSHOT_PRUNE_COUNT = 64;
 /// Shortest step that the reported rate assumes.
 const MINIMUM_STEP_MILLISECONDS = 0.01;
 /// Share of the memory that cached prefixes of ended streams may fill.
@@ -151,6 +155,8 @@
   const options = { ...DEFAULTS, ...given };
   const { clock, name } = options;
   const streams = new Map<string, StreamRecord>();
+  /// Streams that have neither ended nor been lost, oldest first.
+  const live = new Set<StreamRecord>();
   const reservations = new Map<string, { tokens: number; timer: Timer }>();
   const exports = new Map<string, StreamRecord>();
   const cachedBlocks = new Map<string, true>();
@@ -181,35 +187,31 @@
     acceptedOrders: [],
   };
 
-  const sum = (values: Iterable<number>) => {
-    let total = 0;
-    for (const value of values) total += value;
-    return total;
-  };
-
-  const active = () =>
-    [...streams.values()].filter((stream) => !stream.end && !stream.lost);
-
   /// A reservation pays for the memory of its streams and exports as long as
   /// it is there.
   const isPaid = ({ call }: StreamRecord) =>
     call.reservation !== undefined && reservations.has(call.reservation);
 
   const heldTokens = () => {
-    const held = [...active(), ...exports.values()]
-      .filter((stream) => stream.admitted && !isPaid(stream));
-    return sum(held.map((stream) => stream.heldTokens)) +
-      sum([...reservations.values()].map((entry) => entry.tokens));
+    let held = 0;
+    const count = (stream: StreamRecord) => {
+      if (stream.admitted && !isPaid(stream)) held += stream.heldTokens;
+    };
+    live.forEach(count);
+    exports.forEach(count);
+    for (const reservation of reservations.values()) held += reservation.tokens;
+    return held;
   };
 
   const freeTokens = () => options.memoryTokens - heldTokens();
 
   const recordSnapshot = () => {
-    const running = active();
     const time = clock.now();
+    let queuedTokens = 0;
+    for (const stream of live) queuedTokens += stream.remainingPrefill;
     const report = {
-      queuedTokens: sum(running.map((stream) => stream.remainingPrefill)),
-      runningStreams: running.length,
+      queuedTokens,
+      runningStreams: live.size,
       freeTokens: freeTokens(),
       memoryTokens: options.memoryTokens,
       prefillTokensPerSecond: 1_000 * options.prefillTokensPerStep /
@@ -222,7 +224,7 @@
     const keepFrom = snapshots.findLastIndex((entry) =>
       entry.time <= time - reportLag
     );
-    if (keepFrom > 0) snapshots = snapshots.slice(keepFrom);
+    if (keepFrom >= SNAPSHOT_PRUNE_COUNT) snapshots = snapshots.slice(keepFrom);
   };
 
   const publish = (kind: CacheEvent["kind"], block: string) => {
@@ -273,6 +275,7 @@
         cachedTokens: stream.cachedTokens,
       },
     };
+    live.delete(stream);
     counters.finished++;
     if (stream.exported) {
       exports.set(stream.call.streamId, stream);
@@ -283,12 +286,16 @@
     });
   };
 
+  const inOrderOfUrgency = (included: (stream: StreamRecord) => boolean) => {
+    const found: StreamRecord[] = [];
+    for (const stream of live) if (included(stream)) found.push(stream);
+    return found.sort((left, right) =>
+      left.call.priority - right.call.priority || left.order - right.order
+    );
+  };
+
   const admitWaiting = () => {
-    const waiting = active()
-      .filter((stream) => !stream.admitted)
-      .sort((left, right) =>
-        left.call.priority - right.call.priority || left.order - right.order
-      );
+    const waiting = inOrderOfUrgency((stream) => !stream.admitted);
     for (const stream of waiting) {
       if (!isPaid(stream) && stream.heldTokens > freeTokens()) return;
       stream.admitted = true;
@@ -297,11 +304,9 @@
 
   const prefill = (): number => {
     let budget = options.prefillTokensPerStep;
-    const pending = active()
-      .filter((stream) => stream.admitted && stream.remainingPrefill > 0)
-      .sort((left, right) =>
-        left.call.priority - right.call.priority || left.order - right.order
-      );
+    const pending = inOrderOfUrgency((stream) =>
+      stream.admitted && stream.remainingPrefill > 0
+    );
     for (const stream of pending) {
       const tokens = Math.min(budget, stream.remainingPrefill);
       stream.remainingPrefill -= tokens;
@@ -319,9 +324,10 @@
       if (stream.generated >= stream.call.maximumTokens) finish(stream);
       wake(stream);
     }
-    for (const stream of active()) {
+    for (const stream of live) {
       if (!stream.admitted || stream.remainingPrefill > 0) continue;
-      storeBlocks(stream.call.prompt.blocks);
+      if (!stream.stored) storeBlocks(stream.call.prompt.blocks);
+      stream.stored = true;
       if (stream.call.maximumTokens === 0) {
         finish(stream);
         wake(stream);
@@ -332,7 +338,7 @@
 
   const step = () => {
     admitWaiting();
-    const running = active().filter((stream) => stream.admitted);
+    const running = [...live].filter((stream) => stream.admitted);
     if (running.length === 0) {
       stepping = false;
       return;
@@ -356,6 +362,7 @@
     });
   };
 
+  /// Goes on after work came or memory was freed.
   const startStepping = () => {
     recordSnapshot();
     if (stepping) return;
@@ -368,10 +375,11 @@
     generation++;
     down = true;
     stepping = false;
-    for (const stream of active()) {
+    for (const stream of live) {
       stream.lost = new EngineLostError(`${name} crashed`);
       wake(stream);
     }
+    live.clear();
     for (const entry of reservations.values()) entry.timer.cancel();
     streams.clear();
     reservations.clear();
@@ -415,9 +423,11 @@
       remainingPrefill: call.prompt.tokens - cachedTokens,
       generated: 0,
       admitted: reserved,
+      stored: false,
       waiters: [],
     };
     streams.set(call.streamId, stream);
+    live.add(stream);
     counters.started++;
     startStepping();
     return stream;
@@ -428,10 +438,11 @@
     if (streams.get(streamId) !== stream) return;
     streams.delete(streamId);
     if (stream.end) return;
+    live.delete(stream);
     counters.cancelled++;
     stream.lost = new EngineLostError("cancelled");
     wake(stream);
-    recordSnapshot();
+    startStepping();
   };
 
   const wait = (stream: StreamRecord, signal: AbortSignal) =>
@@ -512,7 +523,10 @@
 
   const startLease = (id: string, tokens: number, duration: number) => {
     reservations.get(id)?.timer.cancel();
-    const timer = clock.schedule(duration, () => reservations.delete(id));
+    const timer = clock.schedule(duration, () => {
+      reservations.delete(id);
+      startStepping();
+    });
     reservations.set(id, { tokens, timer });
     recordSnapshot();
   };
@@ -570,7 +584,7 @@
   const listStreams = (): ListedStream[] => {
     requireUp();
     if (!options.listsStreams) return [];
-    return active().map((stream) => ({
+    return [...live].map((stream) => ({
       streamId: stream.call.streamId,
       attempt: stream.attempt,
       tokens: stream.heldTokens,
@@ -582,7 +596,7 @@
     name,
     counters,
     heldTokens,
-    runningStreams: () => active().length,
+    runningStreams: () => live.size,
     crash,
     restart() {
       down = false;
@@ -608,17 +622,23 @@
     release: (reservation) =>
       control("release", () => {
         reservations.get(reservation)?.timer.cancel();
-        reservations.delete(reservation);
+        if (reservations.delete(reservation)) startStepping();
       }),
     dropExport: (exportId) =>
-      control("dropExport", () => void exports.delete(exportId)),
+      control("dropExport", () => {
+        if (exports.delete(exportId)) startStepping();
+      }),
     order: async (given) => await Promise.resolve().then(() => obey(given)),
     load: async () => await Promise.resolve().then(load),
     cacheEvents: async (after) => {
       await Promise.resolve().then(requireUp);
       const visible = clock.now() - reportLag;
+      const from = cacheEvents.findLastIndex((event) =>
+        event.sequence <= after
+      );
       return cacheEvents
-        .filter((event) => event.sequence > after && event.time <= visible)
+        .slice(from + 1)
+        .filter((event) => event.time <= visible)
         .map(({ sequence, kind, block }) => ({ sequence, kind, block }));
     },
   };
