--- a/stand_ins/measurements/hedging.ts
+++ b/stand_ins/measurements/hedging.ts
@@ -128,7 +128,12 @@
     const startCopy = (copy: number) => {
       const candidates = directory.enginesOf("text", "1")
         .filter(({ usable, upstream }) => usable && !used.has(upstream.name));
-      const question = { prompt, maximumTokens: ANSWER_TOKENS, isLong: false };
+      const question = {
+        prompt,
+        maximumTokens: ANSWER_TOKENS,
+        isLong: false,
+        priority: 0,
+      };
       const engine = placement.choose({ ...question, candidates });
       if (!engine) return Promise.resolve();
       used.add(engine.upstream.name);
