--- a/stand_ins/measurement.ts
+++ b/stand_ins/measurement.ts
@@ -34,7 +34,8 @@
 
 const DIRECTORY = "docs/measurements";
 
-function toMarkdownTable({ title, columns, rows }: ResultTable): string {
+/// One table as Markdown, under its title.
+export function toMarkdownTable({ title, columns, rows }: ResultTable): string {
   const line = (cells: readonly Cell[]) => `| ${cells.join(" | ")} |`;
   const rule = line(columns.map(() => "---"));
   return [`### ${title}`, "", line(columns), rule, ...rows.map(line)]
