Write long prompts to engines piece by piece

Cause: the JSON text of a call stayed in memory beside its prompt for as long as the request ran; and the memory rows of the overhead measurement held fewer requests than they said, since early refusal turned away requests that engines with a minute-long prefill could not finish.

--- a/src/upstreams/http_engine_client.ts
+++ b/src/upstreams/http_engine_client.ts
@@ -1,4 +1,5 @@
 import { Pool } from "undici";
+import { toJsonBody } from "./json_body.ts";
 import {
   type CacheEvent,
   type CacheReference,
@@ -148,7 +149,7 @@
       method,
       path,
       headers: options.body ? { "content-type": "application/json" } : {},
-      body: options.body ? JSON.stringify(options.body) : undefined,
+      body: options.body ? toJsonBody(options.body) : undefined,
       signal: options.signal,
     });
     if (response.statusCode < 300) return response.body;
--- a/stand_ins/measurements/overhead.ts
+++ b/stand_ins/measurements/overhead.ts
@@ -35,12 +35,15 @@
   prefillTokensPerStep: 1_000_000,
   retainMilliseconds: 100,
 };
-/// Engines that answer the first token only after minutes.
+/// Engines that prefill fast and then decode a token in seconds, so that
+/// requests are admitted and stay.
 const HOLDING_ENGINE = {
   memoryTokens: 30_000_000,
-  prefillTokensPerStep: 1,
-  stepMilliseconds: 1_000,
+  prefillTokensPerStep: 2_000_000,
+  prefillMillisecondsPerToken: 0,
+  stepMilliseconds: 5_000,
 };
+const HELD_ANSWER_TOKENS = 100;
 
 /// A sheet whose limits and deadlines don't end the held requests.
 function generousSheet(engines: number): Sheet {
@@ -162,7 +165,7 @@
     callers[count % callers.length]!.complete({
       model: "text",
       prompt: options.prompt,
-      maximumTokens: 4,
+      maximumTokens: HELD_ANSWER_TOKENS,
     }).catch(() => {});
     if (count % 100 === 99) await new Promise((done) => setTimeout(done, 20));
   }
--- a/stand_ins/sample_sheet.ts
+++ b/stand_ins/sample_sheet.ts
@@ -61,7 +61,7 @@
         upstream("service", "desk", `desk-${number}`)
       ),
     ],
-    operations: [
+    operations: replicas === 0 ? [] : [
       {
         service: "desk",
         method: "GET",
--- /dev/null
+++ b/test/upstreams/json_body_test.ts
@@ -0,0 +1,20 @@
+import test from "ava";
+import { toJsonBody } from "../../src/upstreams/json_body.ts";
+
+const CASES: readonly [string, string][] = [
+  ["a short prompt", "hello"],
+  ["a long prompt", "word ".repeat(50_000)],
+  ["quotes and line ends", '"\\\n'.repeat(40_000)],
+  ["pairs of surrogates across pieces", "x" + "\u{1F600}".repeat(70_000)],
+];
+
+for (const [name, prompt] of CASES) {
+  test(`a body with ${name} reads back the same`, async (t) => {
+    const body = { model: "text", stream: true, prompt };
+    const written = toJsonBody(body);
+    let text = "";
+    if (typeof written === "string") text = written;
+    else for await (const piece of written) text += piece;
+    t.deepEqual(JSON.parse(text), body);
+  });
+}
