End and freeze daemons that are processes of their own

Cause: kills and freezes were caused under the fake clock only. The service stand-in tells how often a key ran. The first form of the kill test asked for the recorded outcome at once; killed right after its answer, an entry may not have written the outcome, and the other entries rightly say "unknown" with the status path, so the test reads the run count from the status operation instead.

--- a/stand_ins/caller.ts
+++ b/stand_ins/caller.ts
@@ -9,6 +9,7 @@
   /// More members of the body.
   readonly extra?: Readonly<Record<string, unknown>>;
   readonly headers?: Readonly<Record<string, string>>;
+  readonly onFirstToken?: () => void;
 }
 
 export interface ServiceCallOptions {
@@ -22,7 +23,7 @@
 export interface CallerResult {
   readonly status: number;
   readonly text: string;
-  /// Whether the answer came to its end marker.
+  /// Whether the answer came to its end marker; not if the connection broke.
   readonly complete: boolean;
   readonly firstTokenMilliseconds: number;
   readonly totalMilliseconds: number;
@@ -54,7 +55,9 @@
   };
 
   return {
-    async complete({ model, prompt, maximumTokens, extra, headers }) {
+    async complete(options) {
+      const { model, prompt, maximumTokens, extra, headers } = options;
+      const { onFirstToken } = options;
       const started = performance.now();
       const response = await agent.request({
         origin,
@@ -78,20 +81,25 @@
       let rest = "";
       let text = "";
       let complete = false;
-      for await (const part of response.body) {
-        const lines = (rest + part).split("\n");
-        rest = lines.pop() ?? "";
-        for (const line of lines) {
-          if (line === "data: [DONE]") complete = true;
-          else if (line.startsWith("data: ") && status === 200) {
-            const event = JSON.parse(line.slice(6)) as AnswerEvent;
-            const piece = event.choices?.[0]?.text ?? "";
-            if (text === "" && piece !== "") {
-              firstToken = performance.now() - started;
-            }
-            text += piece;
-          }
+      const readLine = (line: string) => {
+        if (line === "data: [DONE]") complete = true;
+        if (!line.startsWith("data: {") || status !== 200) return;
+        const event = JSON.parse(line.slice(6)) as AnswerEvent;
+        const piece = event.choices?.[0]?.text ?? "";
+        if (text === "" && piece !== "") {
+          firstToken = performance.now() - started;
+          onFirstToken?.();
         }
+        text += piece;
+      };
+      try {
+        for await (const part of response.body) {
+          const lines = (rest + part).split("\n");
+          rest = lines.pop() ?? "";
+          lines.forEach(readLine);
+        }
+      } catch {
+        complete = false;
       }
       return {
         status,
--- a/stand_ins/process_deployment.ts
+++ b/stand_ins/process_deployment.ts
@@ -81,10 +81,11 @@
       token: OPERATE_TOKEN,
     }),
     async stop(signal) {
-      if (child.exitCode !== null) return child.exitCode;
-      const ended = once(child, "exit");
+      const ended = child.exitCode !== null || child.signalCode !== null;
+      if (ended) return child.exitCode;
+      const exit = once(child, "exit");
       child.kill(signal);
-      const [code] = await ended as [number | null];
+      const [code] = await exit as [number | null];
       return code;
     },
   };
--- a/stand_ins/service_model.ts
+++ b/stand_ins/service_model.ts
@@ -43,7 +43,8 @@
   const execute = (call: ServiceCall): ServiceAnswer => {
     if (call.method === "GET") {
       const key = new URLSearchParams(call.query).get("key") ?? "";
-      return toAnswer({ key, executed: runs.has(key) });
+      const count = runs.get(key) ?? 0;
+      return toAnswer({ key, executed: count > 0, runs: count });
     }
     const key = call.idempotencyKey ?? "none";
     const run = (runs.get(key) ?? 0) + 1;
