Split the engine stand-in and the fleet

Change: the engine's answers and its prefix cache, and the fleet's observed clients, have files of their own.

--- a/stand_ins/demonstration.ts
+++ b/stand_ins/demonstration.ts
@@ -4,7 +4,7 @@
 import { createKey } from "../src/requests/idempotency_key.ts";
 import { type Caller, type CallerResult, createCaller } from "./caller.ts";
 import { type Deployment, startDeployment } from "./deployment.ts";
-import { expectedAnswer } from "./engine_model.ts";
+import { expectedAnswer } from "./engine_answer.ts";
 
 /// Runs the main job for both deployments' shapes and prints what each caller
 /// got.
--- a/stand_ins/engine_model.ts
+++ b/stand_ins/engine_model.ts
@@ -1,6 +1,6 @@
-import { createHash } from "node:crypto";
+import { seedOf, tokenText } from "./engine_answer.ts";
+import { createPrefixCache } from "./engine_prefix_cache.ts";
 import {
-  type CacheEvent,
   type CacheReference,
   type CompletionCall,
   type EngineChunk,
@@ -123,7 +123,6 @@
   listsStreams: true,
   retainMilliseconds: 30_000,
 };
-const KEPT_CACHE_EVENTS = 4_096;
 /// Outdated snapshots that are dropped together.
 const SNAPSHOT_PRUNE_COUNT = 64;
 /// Shortest step that the reported rate assumes.
@@ -131,26 +130,6 @@
 /// Share of the memory that cached prefixes of ended streams may fill.
 const PREFIX_CACHE_SHARE = 0.25;
 
-/// Text of the token at `index` of the answer to the prompt with this seed.
-export function tokenText(seed: string, index: number): string {
-  return ` ${seed.slice(0, 4)}${index}`;
-}
-
-/// Seed of the answer to a prompt.
-export function seedOf(text: string): string {
-  return createHash("sha256").update(text).digest("hex").slice(0, 8);
-}
-
-/// The whole answer of `tokens` tokens to a prompt.
-export function expectedAnswer(prompt: string, tokens: number): string {
-  const seed = seedOf(prompt);
-  const pieces = Array.from(
-    { length: tokens },
-    (_, index) => tokenText(seed, index),
-  );
-  return pieces.join("");
-}
-
 export function createEngineModel(given: EngineModelOptions): EngineModel {
   const options = { ...DEFAULTS, ...given };
   const { clock, name } = options;
@@ -159,14 +138,16 @@
   const live = new Set<StreamRecord>();
   const reservations = new Map<string, { tokens: number; timer: Timer }>();
   const exports = new Map<string, StreamRecord>();
-  const cachedBlocks = new Map<string, true>();
-  let cacheEvents: (CacheEvent & { readonly time: number })[] = [];
+  const cache = createPrefixCache({
+    clock,
+    limitBlocks: options.memoryTokens * PREFIX_CACHE_SHARE / BLOCK_TOKENS,
+    lostEventInterval: options.lostCacheEventInterval,
+  });
   let snapshots: LoadSnapshot[] = [];
   let model = options.model;
   let version = options.version;
   let highestFencing = 0;
   let order = 0;
-  let eventSequence = 0;
   let reportLag = options.reportLagMilliseconds;
   let slowdown = 1;
   let stalledUntil = 0;
@@ -227,39 +208,6 @@
     if (keepFrom >= SNAPSHOT_PRUNE_COUNT) snapshots = snapshots.slice(keepFrom);
   };
 
-  const publish = (kind: CacheEvent["kind"], block: string) => {
-    const sequence = ++eventSequence;
-    const interval = options.lostCacheEventInterval;
-    if (interval > 0 && sequence % interval === 0) return;
-    cacheEvents.push({ sequence, kind, block, time: clock.now() });
-    if (cacheEvents.length > 2 * KEPT_CACHE_EVENTS) {
-      cacheEvents = cacheEvents.slice(-KEPT_CACHE_EVENTS);
-    }
-  };
-
-  const storeBlocks = (blocks: readonly string[]) => {
-    for (const block of blocks) {
-      if (cachedBlocks.delete(block)) {
-        cachedBlocks.set(block, true);
-        continue;
-      }
-      cachedBlocks.set(block, true);
-      publish("stored", block);
-    }
-    const limit = options.memoryTokens * PREFIX_CACHE_SHARE / BLOCK_TOKENS;
-    for (const block of cachedBlocks.keys()) {
-      if (cachedBlocks.size <= limit) break;
-      cachedBlocks.delete(block);
-      publish("evicted", block);
-    }
-  };
-
-  const cachedTokensOf = (blocks: readonly string[]) => {
-    let count = 0;
-    while (count < blocks.length && cachedBlocks.has(blocks[count]!)) count++;
-    return count * BLOCK_TOKENS;
-  };
-
   const wake = (stream: StreamRecord) => {
     const { waiters } = stream;
     stream.waiters = [];
@@ -326,7 +274,7 @@
     }
     for (const stream of live) {
       if (!stream.admitted || stream.remainingPrefill > 0) continue;
-      if (!stream.stored) storeBlocks(stream.call.prompt.blocks);
+      if (!stream.stored) cache.store(stream.call.prompt.blocks);
       stream.stored = true;
       if (stream.call.maximumTokens === 0) {
         finish(stream);
@@ -384,7 +332,7 @@
     streams.clear();
     reservations.clear();
     exports.clear();
-    cachedBlocks.clear();
+    cache.clear();
   };
 
   const requireUp = () => {
@@ -409,7 +357,7 @@
       throw new EngineRefusedError("prompt exceeds memory");
     }
     const cachedTokens = Math.min(
-      cachedTokensOf(call.prompt.blocks),
+      cache.cachedTokens(call.prompt.blocks),
       call.prompt.tokens - 1,
     );
     const stream: StreamRecord = {
@@ -632,14 +580,7 @@
     load: async () => await Promise.resolve().then(load),
     cacheEvents: async (after) => {
       await Promise.resolve().then(requireUp);
-      const visible = clock.now() - reportLag;
-      const from = cacheEvents.findLastIndex((event) =>
-        event.sequence <= after
-      );
-      return cacheEvents
-        .slice(from + 1)
-        .filter((event) => event.time <= visible)
-        .map(({ sequence, kind, block }) => ({ sequence, kind, block }));
+      return cache.eventsAfter(after, clock.now() - reportLag);
     },
   };
 }
--- a/stand_ins/fault_matrix/row.ts
+++ b/stand_ins/fault_matrix/row.ts
@@ -1,12 +1,8 @@
 import { createKey } from "../../src/requests/idempotency_key.ts";
 import { EngineLostError } from "../../src/upstreams/engine_client.ts";
 import { ServiceLostError } from "../../src/upstreams/service_client.ts";
-import {
-  type Fleet,
-  type FleetEvent,
-  type FleetObserver,
-  startFleet,
-} from "../fleet.ts";
+import { type Fleet, startFleet } from "../fleet.ts";
+import type { FleetEvent, FleetObserver } from "../vm_clients.ts";
 import { sampleSheet } from "../sample_sheet.ts";
 import { checkRow } from "./checks.ts";
 import { FAULTS, type FaultTarget } from "./faults.ts";
--- a/stand_ins/fault_matrix/scenarios.ts
+++ b/stand_ins/fault_matrix/scenarios.ts
@@ -1,6 +1,6 @@
 import type { RequestError } from "../../src/requests/request_error.ts";
 import type { CallerHeaders } from "../../src/requests/caller_headers.ts";
-import { expectedAnswer } from "../engine_model.ts";
+import { expectedAnswer } from "../engine_answer.ts";
 import type { Fleet, FleetCall } from "../fleet.ts";
 import type { Step } from "./steps.ts";
 
--- a/stand_ins/fault_matrix/steps.ts
+++ b/stand_ins/fault_matrix/steps.ts
@@ -1,7 +1,7 @@
 import { LEDGER_SHARD_PREFIX } from "../../src/requests/ledger_home.ts";
 import type { WriteOperation } from "../../src/platform/key_value_store.ts";
 import type { EngineChunk } from "../../src/upstreams/engine_client.ts";
-import type { FleetEvent } from "../fleet.ts";
+import type { FleetEvent } from "../vm_clients.ts";
 
 /// The steps of a request at which a fault can be caused, and how each shows
 /// in what the entries do.
--- a/test/processes_test.ts
+++ b/test/processes_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { createKey } from "../src/requests/idempotency_key.ts";
 import { type Caller, createCaller } from "../stand_ins/caller.ts";
-import { expectedAnswer } from "../stand_ins/engine_model.ts";
+import { expectedAnswer } from "../stand_ins/engine_answer.ts";
 import {
   type ProcessDeployment,
   startProcessDeployment,
--- a/test/requests/caller_api_test.ts
+++ b/test/requests/caller_api_test.ts
@@ -6,7 +6,7 @@
   type Deployment,
   startDeployment,
 } from "../../stand_ins/deployment.ts";
-import { expectedAnswer } from "../../stand_ins/engine_model.ts";
+import { expectedAnswer } from "../../stand_ins/engine_answer.ts";
 import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
 
 /// The callers' interface over real sockets.
--- a/test/requests/completion_faults_test.ts
+++ b/test/requests/completion_faults_test.ts
@@ -7,10 +7,8 @@
   EngineNotReachedError,
   EngineRefusedError,
 } from "../../src/upstreams/engine_client.ts";
-import {
-  type EngineModel,
-  expectedAnswer,
-} from "../../stand_ins/engine_model.ts";
+import { expectedAnswer } from "../../stand_ins/engine_answer.ts";
+import { type EngineModel } from "../../stand_ins/engine_model.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import { type Fleet, startFleet } from "../../stand_ins/fleet.ts";
 import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
--- a/test/requests/completion_run_test.ts
+++ b/test/requests/completion_run_test.ts
@@ -11,10 +11,8 @@
 import { createEngineHoldings } from "../../src/upstreams/engine_holdings.ts";
 import { ShortestWaitPlacement } from "../../src/upstreams/placement.ts";
 import { describePrompt } from "../../src/upstreams/prompt_blocks.ts";
-import {
-  createEngineModel,
-  expectedAnswer,
-} from "../../stand_ins/engine_model.ts";
+import { expectedAnswer } from "../../stand_ins/engine_answer.ts";
+import { createEngineModel } from "../../stand_ins/engine_model.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import { createLocalNetwork } from "../../stand_ins/local_links.ts";
 import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
--- a/test/requests/engine_memory_property_test.ts
+++ b/test/requests/engine_memory_property_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
-import { expectedAnswer } from "../../stand_ins/engine_model.ts";
+import { expectedAnswer } from "../../stand_ins/engine_answer.ts";
 import {
   type PlayedRequest,
   playSchedule,
--- a/test/requests/quarantine_test.ts
+++ b/test/requests/quarantine_test.ts
@@ -1,8 +1,6 @@
 import test from "ava";
-import {
-  type EngineModel,
-  expectedAnswer,
-} from "../../stand_ins/engine_model.ts";
+import { expectedAnswer } from "../../stand_ins/engine_answer.ts";
+import { type EngineModel } from "../../stand_ins/engine_model.ts";
 import { type Fleet, startFleet } from "../../stand_ins/fleet.ts";
 import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
 
--- a/test/upstreams/engine_keeper_test.ts
+++ b/test/upstreams/engine_keeper_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { describePrompt } from "../../src/upstreams/prompt_blocks.ts";
-import { expectedAnswer } from "../../stand_ins/engine_model.ts";
+import { expectedAnswer } from "../../stand_ins/engine_answer.ts";
 import { startFleet } from "../../stand_ins/fleet.ts";
 import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
 
