--- a/stand_ins/fault_matrix/faults.ts
+++ b/stand_ins/fault_matrix/faults.ts
@@ -86,7 +86,8 @@
     heal(target, () => target.fleet.store.setLatency(0));
   },
   storeAnswerLost: ({ fleet }) => fleet.store.loseAnswers(1),
-  storeConflict: ({ fleet }) => void touchShards(fleet),
+  /// A store that is down at the same time has no conflicts.
+  storeConflict: ({ fleet }) => void touchShards(fleet).catch(() => {}),
   linkCutOneWay: (target) => cutLinks(target, ["out"]),
   linkCutBothWays: (target) => cutLinks(target, ["out", "in"]),
   vmListStale(target) {
