--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -5,7 +5,9 @@
   type LimitTicket,
 } from "../contracts/customer_limits.ts";
 import type { Customer } from "../contracts/sheet.ts";
+import type { Milliseconds } from "../support/clock.ts";
 import { RequestError } from "./request_error.ts";
+import type { QueueNeed, RequestQueues } from "./request_queues.ts";
 
 /// Decides whether a request may start. A request that is refused here has
 /// not run.
@@ -15,10 +17,15 @@
   /// Prompt and requested tokens.
   readonly tokens: number;
   readonly isLong: boolean;
+  /// What a completion needs of the engines; services have none.
+  readonly engines?: { need: QueueNeed; remaining: Milliseconds };
 }
 
 /// A place that an admitted request holds until `release`.
 export interface AdmissionTicket {
+  /// Resolves when the engines have room. Throws `RequestError` if `signal`
+  /// aborts before.
+  whenReady(signal: AbortSignal): Promise<void>;
   release(): void;
 }
 
@@ -34,8 +41,12 @@
 /// Requests that one VM runs at once.
 const RUNNING_LIMIT = 20_000;
 
-/// Admission by the limits of the contract.
-export function createAdmission(limits: CustomerLimits): Admission {
+/// Admission by the limits of the contract, then by the queues in front of the
+/// engines.
+export function createAdmission(
+  limits: CustomerLimits,
+  queues?: RequestQueues,
+): Admission {
   let running = 0;
   let stopped = false;
 
@@ -46,7 +57,10 @@
     }
   };
 
-  const toTicket = (result: LimitTicket | LimitRefusal): AdmissionTicket => {
+  const toTicket = (
+    result: LimitTicket | LimitRefusal,
+    engines?: AdmissionQuestion["engines"],
+  ): AdmissionTicket => {
     if (isRefusal(result)) {
       const seconds = Math.ceil(result.retryAfterMilliseconds / 1_000);
       const retryAfterSeconds = Math.max(1, seconds);
@@ -55,6 +69,9 @@
     running++;
     let released = false;
     return {
+      async whenReady(signal) {
+        if (engines) await queues?.enter(engines.need, signal);
+      },
       release() {
         if (released) return;
         released = true;
@@ -71,10 +88,13 @@
 
   return {
     admitShort,
-    async admit({ customer, tokens, isLong }) {
-      if (!isLong) return admitShort(customer, tokens);
+    async admit({ customer, tokens, isLong, engines }) {
       requireOpen();
-      return toTicket(await limits.takeLong(customer, tokens));
+      if (engines) queues?.check(engines.need, engines.remaining);
+      const result = isLong
+        ? await limits.takeLong(customer, tokens)
+        : limits.take(customer, tokens);
+      return toTicket(result, engines);
     },
     stop: () => void (stopped = true),
   };
--- a/stand_ins/fake_clock.ts
+++ b/stand_ins/fake_clock.ts
@@ -97,16 +97,21 @@
     return heap[0]?.due ?? Infinity;
   };
 
-  const advance = async (duration: number) => {
-    const end = time + duration;
-    await settle();
-    while (nextDue() <= end) {
+  /// Runs the timers due by `end` until there are no more or `stopped`.
+  const runUntil = async (end: number, stopped: () => boolean) => {
+    while (!stopped() && nextDue() <= end) {
       const timer = pop()!;
       time = timer.due;
       timer.cancelled = true;
       timer.callback();
       if (nextDue() > time) await turn();
     }
+  };
+
+  const advance = async (duration: number) => {
+    const end = time + duration;
+    await settle();
+    await runUntil(end, () => false);
     time = end;
     await settle();
   };
@@ -117,7 +122,9 @@
     const end = time + limit;
     await settle();
     while (!settled && time < end) {
-      await advance(Math.max(0, Math.min(nextDue(), end) - time));
+      await runUntil(end, () => settled);
+      await settle();
+      if (!settled && nextDue() > end) time = end;
     }
     if (!settled) throw new Error(`not settled after ${limit} ms`);
     return promise;
--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { Sheet } from "../src/contracts/sheet.ts";
-import { createEntry, type Entry } from "../src/entry.ts";
+import { createEntry, type Entry, type EntryOptions } from "../src/entry.ts";
 import type { CallerCompletion } from "../src/requests/caller_body.ts";
 import type { CallerHeaders } from "../src/requests/caller_headers.ts";
 import {
@@ -10,7 +10,7 @@
 import type { WeightStore } from "../src/platform/weight_store.ts";
 import { createSilentLogger } from "../src/support/log.ts";
 import { createSeededRandom } from "../src/support/random.ts";
-import type { StreamEnd } from "../src/upstreams/engine_client.ts";
+import type { EngineChunk, StreamEnd } from "../src/upstreams/engine_client.ts";
 import type { ServiceAnswer } from "../src/upstreams/service_client.ts";
 import {
   createEngineModel,
@@ -51,6 +51,8 @@
   readonly engine?: Partial<EngineModelOptions>;
   /// Data centres that the entries are spread over.
   readonly dataCentres?: readonly string[];
+  /// Parts of every entry that a comparison replaces.
+  readonly entry?: Partial<EntryOptions>;
   /// Age of what the platform's VM list shows.
   readonly vmListLagMilliseconds?: number;
   /// Without it the entries give no orders.
@@ -78,6 +80,8 @@
   readonly headers?: Partial<CallerHeaders>;
   /// Aborts when the caller goes away.
   readonly gone?: AbortSignal;
+  /// Sees every chunk as it arrives.
+  readonly onChunk?: (chunk: EngineChunk) => void;
 }
 
 export interface Fleet {
@@ -182,6 +186,7 @@
         untilStopped(engines.get(name)!, life, name),
       createServiceClient: ({ serves }) =>
         untilStopped(services.get(serves)!.connect(), life, serves),
+      ...options.entry,
     });
     gates.set(vm, gate);
     entries.set(vm, entry);
@@ -249,6 +254,7 @@
           },
           async (answer) => {
             for await (const chunk of answer) {
+              call.onChunk?.(chunk);
               text += chunk.text;
               end = chunk.end;
             }
