--- a/src/entry.ts
+++ b/src/entry.ts
@@ -82,7 +82,6 @@
   | "lengthPriority"
   | "queues"
   | "feasibility"
-  | "slowness"
   | "cacheView";
 
 export interface EntryOptions {
@@ -178,7 +177,6 @@
     clock,
     book,
     prefills,
-    learnsSlowness: has("slowness"),
     followsCaches: has("cacheView"),
     reports,
     isLeaving: leavingUpstreams.isLeaving,
--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -14,7 +14,7 @@
   SendRecord,
 } from "../upstreams/engine_directory.ts";
 import type { EngineHoldings, Holding } from "../upstreams/engine_holdings.ts";
-import { expectedFirstToken, uncachedTokens } from "../upstreams/placement.ts";
+import { uncachedTokens } from "../upstreams/placement.ts";
 import { checkedChunks } from "./attempt.ts";
 import type { CompletionRequest, RunContext } from "./completion_request.ts";
 import {
@@ -218,8 +218,6 @@
       const send = engines.recordSend(name, uncachedTokens(engine, prompt), {
         priority,
         isLong,
-        expectedMilliseconds: expectedFirstToken(engine, request) /
-          engine.slowness,
       });
       const holding = holdStream(name, runtime);
       const call = toCall(holding.id, runtime);
--- a/src/requests/start_gate.ts
+++ b/src/requests/start_gate.ts
@@ -68,7 +68,7 @@
       const usable = usableOf(need);
       if (usable.length === 0) return 0;
       const rates = usable.map((engine) =>
-        engine.report!.prefillTokensPerSecond / engine.slowness
+        engine.report!.prefillTokensPerSecond
       );
       const total = rates.reduce((sum, rate) => sum + rate, 0);
       const left = 1 - overtakingTokensPerSecond / total;
--- a/src/upstreams/engine_directory.ts
+++ b/src/upstreams/engine_directory.ts
@@ -23,12 +23,6 @@
 /// An engine whose reports stopped for this long is not chosen.
 const REPORT_LIMIT_MILLISECONDS = 5_000;
 
-/// Weight of one request in an engine's running slowness.
-const SLOWNESS_LEARNING_RATE = 0.2;
-const SLOWNESS_BOUNDS = { least: 1, most: 8 };
-/// Prefills expected to take less than this say little about an engine.
-const SLOWNESS_FLOOR_MILLISECONDS = 50;
-
 /// A request sent to an engine that no report covers yet.
 interface RecentSend {
   readonly sentAt: Milliseconds;
@@ -51,8 +45,6 @@
   readonly prefills: readonly PrefillGroup[];
   /// Tokens of the known prefills when the last report was true.
   readonly knownAtReport: number;
-  /// Measured times to first token over the expected ones; 1 is as expected.
-  readonly slowness: number;
   /// Tokens of a prompt with these blocks that its cache is thought to hold.
   readonly cachedTokens: (blocks: readonly string[]) => number;
   readonly usable: boolean;
@@ -62,9 +54,6 @@
 export interface SendOptions {
   readonly priority?: number;
   readonly isLong?: boolean;
-  /// Time to first token that was expected of the engine, had it its usual
-  /// speed.
-  readonly expectedMilliseconds?: Milliseconds;
 }
 
 /// A request counted at an engine.
@@ -96,8 +85,6 @@
   readonly book: ContractBook;
   readonly createClient: (upstream: Upstream) => EngineClient;
   readonly prefills?: PrefillBook;
-  /// Whether engines that answer late are estimated slower; true unless given.
-  readonly learnsSlowness?: boolean;
   /// Whether cache events are read; true unless given.
   readonly followsCaches?: boolean;
   /// Engines that leave get no new work.
@@ -117,7 +104,6 @@
   outstandingRequests: number;
   outstandingTokens: number;
   restUntil: Milliseconds;
-  slowness: number;
   readonly cache: CacheView;
   /// Ends the reading of its cache events.
   readonly stop: AbortController;
@@ -150,18 +136,6 @@
   const knownAt = ({ upstream }: EngineState) =>
     prefills.at(upstream.name).reduce((sum, group) => sum + group.tokens, 0);
 
-  const learnSlowness = (
-    state: EngineState,
-    times: { expected: Milliseconds; measured: Milliseconds },
-  ) => {
-    if (options.learnsSlowness === false) return;
-    if (!(times.expected >= SLOWNESS_FLOOR_MILLISECONDS)) return;
-    const { least, most } = SLOWNESS_BOUNDS;
-    const ratio = times.measured / times.expected;
-    const bounded = Math.min(most, Math.max(least, ratio));
-    state.slowness += SLOWNESS_LEARNING_RATE * (bounded - state.slowness);
-  };
-
   const followCache = async (state: EngineState) => {
     const { signal } = state.stop;
     const { cache, client } = state;
@@ -186,7 +160,6 @@
       outstandingRequests: 0,
       outstandingTokens: 0,
       restUntil: 0,
-      slowness: 1,
       cache: createCacheView(),
       stop: new AbortController(),
       knownTokens: [],
@@ -244,7 +217,6 @@
     unreportedRequests: state.recentSends.length,
     prefills: prefills.at(state.upstream.name),
     knownAtReport: state.knownTokens[0]?.tokens ?? 0,
-    slowness: state.slowness,
     cachedTokens: state.cache.cachedTokens,
     usable: isUsable(state),
   });
@@ -278,12 +250,7 @@
       state.outstandingTokens += uncachedTokens;
       let ended = false;
       return {
-        prefillEnded() {
-          removePrefill();
-          const expected = details.expectedMilliseconds;
-          if (expected === undefined) return;
-          learnSlowness(state, { expected, measured: clock.now() - sentAt });
-        },
+        prefillEnded: removePrefill,
         end() {
           if (ended) return;
           ended = true;
--- a/src/upstreams/placement.ts
+++ b/src/upstreams/placement.ts
@@ -89,7 +89,7 @@
   const tokens = tokensAhead(engine, priority) + uncachedTokens(engine, prompt);
   const prefill = 1_000 * tokens / report.prefillTokensPerSecond;
   const running = report.runningStreams + engine.unreportedRequests;
-  return engine.slowness * (prefill + running * report.decodeMilliseconds);
+  return prefill + running * report.decodeMilliseconds;
 }
 
 /// Chooses the engine with the shortest expected time to first token among a
