Hold different short requests in the overhead measurement

Cause: the measurement held 10,000 requests with one prompt; the bound on requests that may crash engines lets two of a kind run until one has ended, so all but two waited, and arrivals above the daemon's rate were cut off. Ruled out: the queues (their limit of 256 was not reached). Change: every held request has its own prompt, and 500 arrive a second.

--- a/stand_ins/measurements/overhead.ts
+++ b/stand_ins/measurements/overhead.ts
@@ -23,6 +23,9 @@
 const LONG_PROMPT = "word".repeat(1_000_000);
 const HOLD_POLL_MILLISECONDS = 250;
 const HOLD_POLLS = 120;
+/// Arrivals stay below the rate that one daemon carries.
+const ARRIVAL_BATCH = 50;
+const ARRIVAL_MILLISECONDS = 100;
 const MEDIAN_TARGET_MILLISECONDS = 1;
 const P99_TARGET_MILLISECONDS = 5;
 const MEMORY_TARGET_MEGABYTES = 256;
@@ -76,6 +79,9 @@
 
 let nextStream = 0;
 
+const pause = (milliseconds: number) =>
+  new Promise<void>((done) => setTimeout(done, milliseconds));
+
 async function callOnce(caller: Caller): Promise<void> {
   const answer = await caller.complete({
     model: "text",
@@ -164,15 +170,16 @@
   for (let count = 0; count < options.requests; count++) {
     callers[count % callers.length]!.complete({
       model: "text",
-      prompt: options.prompt,
+      // Equal requests would wait until one of them has run to its end.
+      prompt: `${count} ${options.prompt}`,
       maximumTokens: HELD_ANSWER_TOKENS,
     }).catch(() => {});
-    if (count % 100 === 99) await new Promise((done) => setTimeout(done, 20));
+    if (count % ARRIVAL_BATCH === 0) await pause(ARRIVAL_MILLISECONDS);
   }
   const running = () => readMetric(daemon, "sequoiaturn_running_requests");
   for (let poll = 0; poll < HOLD_POLLS; poll++) {
     if (await running() >= options.requests) break;
-    await new Promise((done) => setTimeout(done, HOLD_POLL_MILLISECONDS));
+    await pause(HOLD_POLL_MILLISECONDS);
   }
   const held = {
     name,
