State the sections' schemas and the link handlers' types once

Cause: reading the whole change again, the map from a section of the sheet to the schema of its rows stood both where CSV is read and where chunks are cut, and the message router repeated two signatures of the links. Change: the map stands beside the schemas; the router takes the signatures from the links. No behaviour, bound or assertion changes. Conclusion: the other pairs looked at are imports, constants and option lists alike in shape only.

--- a/src/contracts/sheet.ts
+++ b/src/contracts/sheet.ts
@@ -109,3 +109,12 @@
   upstreams: [],
   operations: [],
 };
+
+/// Schema of the rows of each section.
+export const SECTION_SCHEMAS = {
+  options: SheetOptions,
+  customers: Customer,
+  models: ModelShare,
+  upstreams: Upstream,
+  operations: ServiceOperation,
+} as const;
--- a/src/contracts/sheet_chunks.ts
+++ b/src/contracts/sheet_chunks.ts
@@ -2,15 +2,7 @@
 import type { TSchema } from "@sinclair/typebox";
 import { type TypeCheck, TypeCompiler } from "@sinclair/typebox/compiler";
 import { Value } from "@sinclair/typebox/value";
-import {
-  Customer,
-  EMPTY_SHEET,
-  ModelShare,
-  ServiceOperation,
-  type Sheet,
-  SheetOptions,
-  Upstream,
-} from "./sheet.ts";
+import { EMPTY_SHEET, SECTION_SCHEMAS, type Sheet } from "./sheet.ts";
 
 /// A sheet as a tree of content-addressed chunks: a root names index chunks,
 /// these name row chunks. Bounds depend on the rows' names only, so that an
@@ -41,17 +33,17 @@
 
 /// Sections in the order they are written in; `columns` identify a row.
 export const SECTIONS: readonly Section[] = [
-  { name: "options", schema: SheetOptions, columns: [] },
-  { name: "customers", schema: Customer, columns: ["name"] },
+  { name: "options", schema: SECTION_SCHEMAS.options, columns: [] },
+  { name: "customers", schema: SECTION_SCHEMAS.customers, columns: ["name"] },
   {
     name: "models",
-    schema: ModelShare,
+    schema: SECTION_SCHEMAS.models,
     columns: ["customer", "model", "version"],
   },
-  { name: "upstreams", schema: Upstream, columns: ["name"] },
+  { name: "upstreams", schema: SECTION_SCHEMAS.upstreams, columns: ["name"] },
   {
     name: "operations",
-    schema: ServiceOperation,
+    schema: SECTION_SCHEMAS.operations,
     columns: ["service", "method", "path"],
   },
 ];
--- a/src/contracts/sheet_csv.ts
+++ b/src/contracts/sheet_csv.ts
@@ -1,15 +1,7 @@
 import type { TObject, TSchema } from "@sinclair/typebox";
 import { type TypeCheck, TypeCompiler } from "@sinclair/typebox/compiler";
 import { CsvError, parse } from "csv-parse/sync";
-import {
-  Customer,
-  EMPTY_SHEET,
-  ModelShare,
-  ServiceOperation,
-  type Sheet,
-  SheetOptions,
-  Upstream,
-} from "./sheet.ts";
+import { EMPTY_SHEET, SECTION_SCHEMAS, type Sheet } from "./sheet.ts";
 import {
   checkReferences,
   type LooseSheet,
@@ -17,14 +9,7 @@
   SheetFaultsError,
 } from "./sheet_check.ts";
 
-const SECTIONS = {
-  options: SheetOptions,
-  customers: Customer,
-  models: ModelShare,
-  upstreams: Upstream,
-  operations: ServiceOperation,
-} as const;
-type SectionName = keyof typeof SECTIONS;
+type SectionName = keyof typeof SECTION_SCHEMAS;
 
 const LIST_SEPARATOR = /\s+/;
 
@@ -42,7 +27,7 @@
   const rows: Record<string, Record<string, unknown>[]> = {};
   for (const [name, records] of sections) {
     rows[name] = records.map((record) =>
-      readRecord(SECTIONS[name], record, faults)
+      readRecord(SECTION_SCHEMAS[name], record, faults)
     );
   }
   for (const record of sections.get("options")?.slice(1) ?? []) {
@@ -128,8 +113,8 @@
 ): SheetRecord[] {
   const records: SheetRecord[] = [];
   const { row, faults } = place;
-  if (!(title in SECTIONS)) {
-    const expected = Object.keys(SECTIONS).join(", ");
+  if (!(title in SECTION_SCHEMAS)) {
+    const expected = Object.keys(SECTION_SCHEMAS).join(", ");
     const message = `unknown section ${title}; expected one of ${expected}`;
     faults.push({ row, column: 1, message });
     return records;
--- a/src/links/message_router.ts
+++ b/src/links/message_router.ts
@@ -1,19 +1,10 @@
 import type { TSchema } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
 import type { VmIdentity } from "../vms/identity.ts";
-import type { CallHandler, MessageHandler } from "./links.ts";
-import type { CallType, MessageType } from "./message.ts";
+import type { Links } from "./links.ts";
 
 /// Hands what arrives over a link to whoever registered for it.
-export interface MessageRouter {
-  onMessage<Schema extends TSchema>(
-    type: MessageType<Schema>,
-    handler: MessageHandler<Schema>,
-  ): void;
-  onCall<Request extends TSchema, Reply extends TSchema>(
-    type: CallType<Request, Reply>,
-    handler: CallHandler<Request, Reply>,
-  ): void;
+export interface MessageRouter extends Pick<Links, "onMessage" | "onCall"> {
   /// Delivers a message. Unknown names are ignored, so that a newer peer may
   /// send messages that this version lacks.
   deliver(name: string, value: unknown, from: VmIdentity): void;
