--- a/src/administration/administration_api.ts
+++ b/src/administration/administration_api.ts
@@ -4,7 +4,7 @@
 import { SheetUndecidedError } from "../contracts/sheet_store.ts";
 import type { Entry } from "../entry.ts";
 import type { Links } from "../links/links.ts";
-import { StoreUnavailableError } from "../platform/key_value_store.ts";
+import { StoreUnavailableError } from "../infrastructure/key_value_store.ts";
 import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { Metrics } from "../support/metrics.ts";
--- /dev/null
+++ b/src/bin/gateway.ts
@@ -0,0 +1,80 @@
+#!/usr/bin/env node
+import { readFileSync } from "node:fs";
+import meow from "meow";
+import { fleetDocuments } from "../../platform/fleet_documents.ts";
+import { httpDialect } from "../../platform/http_dialect.ts";
+import { reservationClient } from "../../platform/reservations.ts";
+import { createStoreClient } from "../../platform/store_client.ts";
+import { startGateway } from "../gateway/gateway.ts";
+import {
+  GatewaySettingsError,
+  readGatewaySettings,
+} from "../gateway/gateway_settings.ts";
+import { createSystemClock } from "../support/clock.ts";
+import { createDecisionLogger, createLineSink } from "../support/log.ts";
+import { createSystemRandom } from "../support/random.ts";
+
+/// Exit code for wrong settings.
+const EXIT_USAGE = 2;
+
+const command = meow(
+  `
+Usage
+  $ sequoiaturn-gateway [--settings FILE]
+
+Serves callers on the platform. The settings file is JSON; without the flag,
+its path is taken from SEQUOIATURN_CONFIG.
+
+  --settings FILE    Settings file
+  --check            Check the settings file and exit
+`,
+  {
+    importMeta: import.meta,
+    flags: { settings: { type: "string" }, check: { type: "boolean" } },
+  },
+);
+
+async function main(): Promise<void> {
+  const path = command.flags.settings ?? process.env["SEQUOIATURN_CONFIG"];
+  if (!path) {
+    throw new GatewaySettingsError(
+      "no settings file: set --settings or SEQUOIATURN_CONFIG",
+    );
+  }
+  const settings = readGatewaySettings(readFileSync(path, "utf8"));
+  if (command.flags.check) return;
+  const sink = createLineSink(process.stdout);
+  const log = createDecisionLogger("gateway", { vm: settings.vm }, sink);
+  const clock = createSystemClock();
+  const gateway = await startGateway({
+    settings,
+    platform: {
+      dialect: httpDialect,
+      documents: fleetDocuments,
+      reservations: reservationClient,
+      store: createStoreClient(settings.storeAddress),
+    },
+    clock,
+    random: createSystemRandom(),
+    log,
+    sink,
+  });
+  process.on("SIGTERM", () => {
+    gateway.drain().then(() => process.exit(0));
+  });
+  process.on("SIGHUP", () => {
+    try {
+      readGatewaySettings(readFileSync(path, "utf8"));
+      log.info("settings file read again; addresses change at a restart");
+    } catch (error) {
+      log.warn("settings file not usable", {
+        reason: (error as Error).message,
+      });
+    }
+  });
+}
+
+main().catch((error: unknown) => {
+  process.stderr.write(`${(error as Error).message}\n`);
+  process.exit(error instanceof GatewaySettingsError ? EXIT_USAGE : 1);
+});
--- a/src/contracts/sheet_store.ts
+++ b/src/contracts/sheet_store.ts
@@ -4,7 +4,7 @@
   type StoredValue,
   StoreOutcomeUnknownError,
   StoreUnavailableError,
-} from "../platform/key_value_store.ts";
+} from "../infrastructure/key_value_store.ts";
 import type { Clock } from "../support/clock.ts";
 import type { Sheet } from "./sheet.ts";
 import { readIndex, readRoot, splitSheet } from "./sheet_chunks.ts";
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,189 @@
+import type { Milliseconds, Timer } from "../support/clock.ts";
+import type { Helper } from "./dialect.ts";
+import { createEventCutter } from "./event_stream.ts";
+import { type Exchange, type HeaderFields, startExchange } from "./exchange.ts";
+import type { GatewayRequest, RequestContext } from "./request_context.ts";
+import type { Upstream } from "./upstream.ts";
+
+/// One try of a request at one upstream.
+
+const EVENT_STREAM = "text/event-stream";
+/// An answer that is collected before it is passed on; longer ones are taken
+/// for wrong bytes. Services answer with some kilobytes.
+const LARGEST_ANSWER_BYTES = 16_777_216;
+/// A kept connection that has been idle for longer may have been closed by
+/// the upstream; a request that must run once isn't risked on it.
+const ONCE_IDLE_MILLISECONDS: Milliseconds = 1_000;
+
+/// How a try ended.
+export type AttemptResult =
+  /// The upstream's own whole answer.
+  | {
+    readonly kind: "answered";
+    readonly status: number;
+    readonly headers: HeaderFields;
+    readonly body: Buffer;
+  }
+  /// Every event was passed on.
+  | { readonly kind: "streamed" }
+  /// The request has certainly not run.
+  | {
+    readonly kind: "not_run";
+    readonly reason: string;
+    /// Address of another engine that was at fault.
+    readonly faultAddress?: string;
+  }
+  /// The request may have run.
+  | { readonly kind: "failed"; readonly reason: string }
+  /// The run was ended from here.
+  | { readonly kind: "aborted" };
+
+export interface AttemptPlan {
+  readonly upstream: Upstream;
+  readonly helpers: readonly Helper[];
+  readonly urgency: number | undefined;
+  readonly remaining: Milliseconds;
+  readonly resumeAfter: string | undefined;
+  /// Silence after which the try is given up, if `mayGiveUp` allows it.
+  readonly firstLimit: Milliseconds;
+  readonly pauseLimit: Milliseconds;
+  readonly mayGiveUp: () => boolean;
+  /// Takes whole events. Returns false to be paused.
+  readonly onEvents: (
+    bytes: Buffer,
+    head: { readonly status: number; readonly headers: HeaderFields },
+    lastId: string | undefined,
+  ) => boolean;
+}
+
+export interface Attempt {
+  readonly result: Promise<AttemptResult>;
+  abort(): void;
+  resume(): void;
+}
+
+function isEventStream(headers: HeaderFields): boolean {
+  return String(headers["content-type"] ?? "").startsWith(EVENT_STREAM);
+}
+
+export function startAttempt(
+  context: RequestContext,
+  request: GatewayRequest,
+  plan: AttemptPlan,
+): Attempt {
+  const { clock, dialect } = context;
+  const { attemptId } = request.facts;
+  const cutter = createEventCutter();
+  const pieces: Buffer[] = [];
+  let size = 0;
+  let head: { status: number; headers: HeaderFields } | undefined;
+  let isStream = false;
+  let isPaused = false;
+  let timer: Timer | undefined;
+  let exchange: Exchange | undefined;
+  let settle: (result: AttemptResult) => void = () => {};
+  const result = new Promise<AttemptResult>((resolve) => {
+    settle = (value) => {
+      timer?.cancel();
+      resolve(value);
+    };
+  });
+
+  const fail = (reason: string) => {
+    exchange?.abort();
+    settle({ kind: "failed", reason });
+  };
+
+  const watchSilence = (limit: Milliseconds) => {
+    timer?.cancel();
+    timer = clock.schedule(limit, () => {
+      if (isPaused || !plan.mayGiveUp()) return watchSilence(limit);
+      fail(`silent for ${Math.round(limit)} ms`);
+    });
+  };
+
+  const finish = () => {
+    if (!head) return fail("an answer without a head");
+    const facts = dialect.readUpstream(head.status, head.headers, attemptId);
+    if (facts.hasNotRun) {
+      const reason = facts.isWrongUpstream
+        ? "another upstream has the address"
+        : `refused with ${head.status}`;
+      const { faultAddress } = facts;
+      return settle({ kind: "not_run", reason, faultAddress });
+    }
+    if (!isStream) {
+      const body = Buffer.concat(pieces);
+      return settle({ kind: "answered", ...head, body });
+    }
+    if (cutter.rest().length > 0) return fail("ended within an event");
+    // A stream without any event still has a head to pass on.
+    if (cutter.count() === 0) {
+      plan.onEvents(Buffer.alloc(0), head, undefined);
+    }
+    settle({ kind: "streamed" });
+  };
+
+  exchange = startExchange(context.connections, {
+    address: plan.upstream.address,
+    method: request.method,
+    target: request.target,
+    headers: dialect.upstreamHeaders(request.headers, {
+      upstream: plan.upstream,
+      remaining: plan.remaining,
+      customer: request.customer,
+      hidesKey: request.hidesKey,
+      urgency: plan.urgency,
+      resumeAfter: plan.resumeAfter,
+      helpers: plan.helpers,
+    }),
+    body: request.body.length > 0 ? request.body : undefined,
+    maximumIdle: request.route.kind === "once"
+      ? ONCE_IDLE_MILLISECONDS
+      : undefined,
+  }, {
+    onHead(status, headers) {
+      const facts = dialect.readUpstream(status, headers, attemptId);
+      if (facts.isForeign) return fail("an answer to another request");
+      if (!facts.hasNotRun && !facts.isGenuine) {
+        return fail(`an answer ${status} that the upstream didn't sign`);
+      }
+      head = { status, headers };
+      isStream = !facts.hasNotRun && status < 300 && isEventStream(headers);
+    },
+    onData(chunk) {
+      if (!head) return;
+      if (!isStream) {
+        pieces.push(chunk);
+        size += chunk.length;
+        if (size > LARGEST_ANSWER_BYTES) fail("an answer without end");
+        return;
+      }
+      watchSilence(plan.pauseLimit);
+      const events = cutter.push(chunk);
+      if (!events) return;
+      if (plan.onEvents(events, head, cutter.lastId())) return;
+      isPaused = true;
+      exchange?.pause();
+    },
+    onEnd: finish,
+    onFailure({ wasSent, reason }) {
+      if (wasSent) settle({ kind: "failed", reason });
+      else settle({ kind: "not_run", reason: `not connected: ${reason}` });
+    },
+  });
+  watchSilence(plan.firstLimit);
+
+  return {
+    result,
+    abort() {
+      exchange?.abort();
+      settle({ kind: "aborted" });
+    },
+    resume() {
+      if (!isPaused) return;
+      isPaused = false;
+      exchange?.resume();
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/caller_answer.ts
@@ -0,0 +1,82 @@
+import type { ServerResponse } from "node:http";
+
+/// The one answer to a caller's request.
+
+type AnswerHeaders = readonly [string, string | string[]][];
+
+export interface CallerAnswer {
+  /// Whether the caller has closed its connection.
+  isGone(): boolean;
+  /// Whether bytes of the answer have been sent.
+  isStarted(): boolean;
+  /// Sends an upstream's answer with its whole body.
+  sendWhole(status: number, headers: AnswerHeaders, body: Buffer): void;
+  /// Sends an answer of the gateway's own.
+  sendOwn(status: number, text: string, retryAfterSeconds?: number): void;
+  startStream(status: number, headers: AnswerHeaders): void;
+  /// Returns false when the caller reads slower than it is written to.
+  write(bytes: Buffer): boolean;
+  endStream(): void;
+  /// Closes the connection, so that what was sent doesn't look complete.
+  breakOff(): void;
+  onDrain(listener: () => void): void;
+  /// Calls `listener` if the caller goes away before the answer has ended.
+  onGone(listener: () => void): void;
+}
+
+export interface CallerAnswerOptions {
+  /// Whether the connection is to be closed behind the answer.
+  readonly closes: () => boolean;
+}
+
+export function createCallerAnswer(
+  response: ServerResponse,
+  { closes }: CallerAnswerOptions,
+): CallerAnswer {
+  let isGone = false;
+  const goneListeners: (() => void)[] = [];
+  response.on("close", () => {
+    if (response.writableFinished) return;
+    isGone = true;
+    for (const listener of goneListeners) listener();
+  });
+  response.on("error", () => {
+    // The connection broke; "close" follows and is handled there.
+  });
+  const writeHead = (status: number, headers: AnswerHeaders) => {
+    if (closes()) response.setHeader("Connection", "close");
+    for (const [name, value] of headers) response.setHeader(name, value);
+    response.writeHead(status);
+  };
+  return {
+    isGone: () => isGone,
+    isStarted: () => response.headersSent,
+    sendWhole(status, headers, body) {
+      if (isGone || response.headersSent) return;
+      const length = String(body.length);
+      writeHead(status, [...headers, ["Content-Length", length]]);
+      response.end(body);
+    },
+    sendOwn(status, text, retryAfterSeconds) {
+      if (isGone || response.headersSent) return;
+      const headers: [string, string][] = [
+        ["Content-Type", "text/plain"],
+        ["Content-Length", String(Buffer.byteLength(text))],
+      ];
+      if (retryAfterSeconds !== undefined) {
+        headers.push(["Retry-After", retryAfterSeconds.toFixed(2)]);
+      }
+      writeHead(status, headers);
+      response.end(text);
+    },
+    startStream(status, headers) {
+      if (isGone || response.headersSent) return;
+      writeHead(status, headers);
+    },
+    write: (bytes) => isGone || response.write(bytes),
+    endStream: () => void response.end(),
+    breakOff: () => void response.destroy(),
+    onDrain: (listener) => void response.on("drain", listener),
+    onGone: (listener) => void goneListeners.push(listener),
+  };
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,266 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { KeyValueStore } from "../infrastructure/key_value_store.ts";
+import { createLinkMesh } from "../links/link_mesh.ts";
+import { createCrashMarks } from "../requests/crash_marks.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { LineSink, Logger } from "../support/log.ts";
+import type { RandomSource } from "../support/random.ts";
+import type {
+  FleetDocuments,
+  GatewayDialect,
+  ReservationClient,
+} from "./dialect.ts";
+import { createFleetView } from "./fleet_view.ts";
+import { createFrontServer } from "./front_server.ts";
+import { createGatewayMetrics } from "./gateway_metrics.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import { createRepeatBudget } from "./repeat_budget.ts";
+import { createUpstreamConnections } from "./upstream_connections.ts";
+import { createUpstreamHealth } from "./upstream_health.ts";
+import { createVmDirectory, startRegistration } from "./vm_directory.ts";
+import { startViewFollower } from "./view_follower.ts";
+import { startViewSharing } from "./view_sharing.ts";
+import { createWorkBoard } from "./work_board.ts";
+
+/// One gateway process: its view of the fleet, its requests and its links.
+
+/// VMs that share the allowance of repeats until the links show how many
+/// there are: cautious, since too small a share only costs repeats.
+const ASSUMED_VMS = 8;
+/// Time for which this VM goes on taking callers after the request to stop:
+/// the entry asks once a second and takes a VM out after two misses.
+const LEAVE_ENTRY_MILLISECONDS: Milliseconds = 2_600;
+/// Part of the stopping time in which requests may end; the rest is for
+/// closing.
+const ENDING_SHARE = 0.93;
+const END_CHECK_MILLISECONDS: Milliseconds = 50;
+/// Connections kept to upstreams that are gone are closed this often.
+const PRUNE_MILLISECONDS: Milliseconds = 5_000;
+/// Begins the name by which links prove that they belong together. All VMs
+/// of a deployment share the network behind the entry; the links carry no
+/// prompt and no key.
+const LINK_SECRET = "sequoiaturn-gateway-links";
+
+/// What the gateway needs of the platform that it runs on.
+export interface GatewayPlatform {
+  readonly dialect: GatewayDialect;
+  readonly documents: FleetDocuments;
+  readonly reservations: ReservationClient;
+  readonly store: KeyValueStore;
+}
+
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly platform: GatewayPlatform;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Logger;
+  readonly sink?: LineSink;
+}
+
+export interface Gateway {
+  /// Stops taking callers, ends what runs and closes everything.
+  drain(): Promise<void>;
+  /// Closes everything at once.
+  close(): void;
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const separator = address.lastIndexOf(":");
+  const host = address.slice(0, separator);
+  const port = Number(address.slice(separator + 1));
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => {
+      server.removeListener("error", reject);
+      resolve();
+    });
+  });
+}
+
+export async function startGateway(options: GatewayOptions): Promise<Gateway> {
+  const { settings, platform, clock, random, log } = options;
+  const { store } = platform;
+  const incarnation = random.hex(8);
+  const metrics = createGatewayMetrics();
+  const view = createFleetView(clock);
+  const vms = createVmDirectory(log);
+  const linkServer = createServer((_message, response) => {
+    response.writeHead(404).end();
+  });
+  const links = createLinkMesh({
+    clock,
+    random,
+    log,
+    identity: {
+      vm: settings.vm,
+      incarnation,
+      dataCentre: settings.dataCentre,
+    },
+    secrets: [LINK_SECRET],
+    vmList: vms,
+    server: linkServer,
+  });
+  let mostVms = ASSUMED_VMS;
+  links.onPeersChange(() => {
+    mostVms = Math.max(
+      links.peers().length + 1,
+      links.peers().length > 0 ? 2 : ASSUMED_VMS,
+    );
+    metrics.peers.set(links.peers().length);
+  });
+  const health = createUpstreamHealth(clock);
+  const connections = createUpstreamConnections(clock);
+  const front = createFrontServer({
+    clock,
+    random,
+    log,
+    metrics,
+    dialect: platform.dialect,
+    reservations: platform.reservations,
+    view,
+    health,
+    board: createWorkBoard({ clock, links }),
+    budget: createRepeatBudget({
+      clock,
+      limits: {
+        ratio: settings.repeatRatio,
+        allowance: settings.repeatAllowance,
+        window: settings.repeatWindowSeconds * 1_000,
+      },
+      vmCount: () => mostVms,
+    }),
+    connections,
+    crashMarks: createCrashMarks({ clock, links }),
+    dataCentre: settings.dataCentre,
+    reservationPrefix: `${settings.vm}-${incarnation}`,
+    longestHold: settings.longestHoldMilliseconds,
+  });
+
+  view.onChange(({ what, detail, source }) => {
+    log.info(`${what} changed`, {
+      detail,
+      source: source.kind,
+      revision: source.revision,
+    });
+    const table = view.table();
+    if (what === "configuration" && table) {
+      front.applyLimits(table.configuration.limits);
+      metrics.configurationVersion.set(table.configuration.version);
+    }
+    metrics.upstreams.set(view.upstreams().length);
+  });
+
+  const follower = startViewFollower({
+    clock,
+    log,
+    store,
+    documents: platform.documents,
+    view,
+    vms,
+    onConnected: (isConnected) =>
+      metrics.storeConnected.set(isConnected ? 1 : 0),
+  });
+  startViewSharing({ clock, log, links, view, onBehind: follower.refresh });
+
+  let isLeaving = false;
+  const answerReadiness = (
+    _message: IncomingMessage,
+    response: ServerResponse,
+  ) => {
+    const isReady = !isLeaving && view.table() !== undefined;
+    response.writeHead(isReady ? 200 : 503, { "Content-Length": 0 }).end();
+  };
+  const answerMetrics = async (
+    _message: IncomingMessage,
+    response: ServerResponse,
+  ) => {
+    metrics.running.set(front.running());
+    metrics.connectionsOpened.set(connections.opened());
+    metrics.logLinesDropped.set(options.sink?.dropped() ?? 0);
+    const { registry } = metrics;
+    const text = await registry.metrics();
+    response.setHeader("Content-Type", registry.contentType);
+    response.end(text);
+  };
+  const readinessServer = createServer(answerReadiness);
+  const metricsServer = createServer((message, response) => {
+    answerMetrics(message, response).catch((error: Error) => {
+      log.warn("metrics not written", { reason: error.message });
+      response.destroy();
+    });
+  });
+  await Promise.all([
+    listen(front.server, settings.callerAddress),
+    listen(readinessServer, settings.readinessAddress),
+    listen(linkServer, settings.linkAddress),
+    listen(metricsServer, settings.metricsAddress),
+  ]);
+  const registration = startRegistration({
+    clock,
+    log,
+    store,
+    vm: settings.vm,
+    entry: {
+      dataCentre: settings.dataCentre,
+      linkAddress: settings.linkAddress,
+    },
+  });
+  const stop = new AbortController();
+  const prune = async () => {
+    while (!stop.signal.aborted) {
+      await clock.sleep(PRUNE_MILLISECONDS, stop.signal).catch(() => {
+        // Closed while waiting; the loop ends.
+      });
+      connections.prune(
+        new Set(view.upstreams().map(({ address }) => address)),
+      );
+    }
+  };
+  void prune();
+  log.info("started", { incarnation, callerAddress: settings.callerAddress });
+
+  const close = () => {
+    stop.abort(new Error("closed"));
+    follower.close();
+    links.close();
+    connections.close();
+    for (
+      const server of [
+        front.server,
+        readinessServer,
+        linkServer,
+        metricsServer,
+      ]
+    ) {
+      server.close();
+      server.closeAllConnections();
+    }
+  };
+
+  return {
+    close,
+    async drain() {
+      const stopAt = clock.now() +
+        settings.stopSeconds * 1_000 * ENDING_SHARE;
+      isLeaving = true;
+      front.startClosing();
+      log.info("stopping", { running: front.running() });
+      await clock.sleep(LEAVE_ENTRY_MILLISECONDS);
+      front.server.close();
+      front.server.closeIdleConnections();
+      while (front.running() > 0 && clock.now() < stopAt) {
+        await clock.sleep(END_CHECK_MILLISECONDS);
+        front.server.closeIdleConnections();
+      }
+      log.info("stopped", { unfinished: front.running() });
+      await registration.close();
+      close();
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/gateway_metrics.ts
@@ -0,0 +1,72 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/// Counters and latencies of one gateway process. Labels take few values.
+export interface GatewayMetrics {
+  readonly registry: Registry;
+  readonly ended: Counter<"route_kind" | "outcome">;
+  readonly repeats: Counter<"reason">;
+  readonly firstByteSeconds: Histogram<"route_kind">;
+  readonly durationSeconds: Histogram<"route_kind" | "outcome">;
+  readonly running: Gauge;
+  readonly configurationVersion: Gauge;
+  readonly upstreams: Gauge;
+  readonly peers: Gauge;
+  readonly storeConnected: Gauge;
+  readonly connectionsOpened: Gauge;
+  readonly logLinesDropped: Gauge;
+}
+
+/// From a fast answer of a service to the longest deadline.
+const SECONDS = [0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 6, 10, 15, 30];
+
+export function createGatewayMetrics(): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const gauge = (name: string, help: string) =>
+    new Gauge({ name: `sequoiaturn_gateway_${name}`, help, registers });
+  return {
+    registry,
+    ended: new Counter({
+      name: "sequoiaturn_gateway_requests_ended_total",
+      help: "Requests that ended, by kind of route and outcome",
+      labelNames: ["route_kind", "outcome"],
+      registers,
+    }),
+    repeats: new Counter({
+      name: "sequoiaturn_gateway_repeats_total",
+      help: "Requests sent to a further upstream, by reason",
+      labelNames: ["reason"],
+      registers,
+    }),
+    firstByteSeconds: new Histogram({
+      name: "sequoiaturn_gateway_first_byte_seconds",
+      help: "Time from arrival to the first byte of a good answer",
+      labelNames: ["route_kind"],
+      buckets: SECONDS,
+      registers,
+    }),
+    durationSeconds: new Histogram({
+      name: "sequoiaturn_gateway_duration_seconds",
+      help: "Time from arrival to the end, by outcome",
+      labelNames: ["route_kind", "outcome"],
+      buckets: SECONDS,
+      registers,
+    }),
+    running: gauge("running_requests", "Requests that have not ended"),
+    configurationVersion: gauge(
+      "configuration_version",
+      "Version of the configuration in force",
+    ),
+    upstreams: gauge("upstreams", "Upstreams that are listed"),
+    peers: gauge("peers", "Other VMs with a working link"),
+    storeConnected: gauge("store_connected", "1 while the store answers"),
+    connectionsOpened: gauge(
+      "upstream_connections_opened",
+      "Connections made to upstreams since the start",
+    ),
+    logLinesDropped: gauge(
+      "log_lines_dropped",
+      "Log lines that were dropped because the reader was slow",
+    ),
+  };
+}
--- /dev/null
+++ b/src/gateway/placement.ts
@@ -0,0 +1,262 @@
+import type { Milliseconds } from "../support/clock.ts";
+import type { EngineProfile } from "./configuration.ts";
+import { passTime, readTime } from "./engine_cost.ts";
+import type { Upstream } from "./upstream.ts";
+import type { UpstreamWork } from "./work_board.ts";
+
+/// Where a request goes. Short prompts share few engines, so that the others
+/// are free for long ones; a long prompt is read by several engines, as many
+/// as shorten it without making streams there pause for too long.
+
+/// An upstream that could take the request, and what it has to do.
+export interface Candidate {
+  readonly upstream: Upstream;
+  readonly work: UpstreamWork;
+  /// Share of its recent answers that failed, 0 to 1.
+  readonly failureShare: number;
+  /// Whether it has been unreachable lately.
+  readonly isSuspended: boolean;
+  /// Whether it is in this VM's data centre.
+  readonly isNear: boolean;
+}
+
+export interface PromptSize {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+export interface EngineRequest extends PromptSize {
+  /// Time to the first event that the caller counts as good.
+  readonly objective: Milliseconds;
+  /// Shortest pause that streams on these engines count as good.
+  readonly pause: Milliseconds;
+}
+
+/// Engines for one prompt.
+export interface EnginePlan {
+  readonly primary: Candidate;
+  /// Engines that read a part each, the primary not among them.
+  readonly helpers: readonly Candidate[];
+  /// Expected time to the first event.
+  readonly firstEvent: Milliseconds;
+  /// Reading time of one part.
+  readonly partTime: Milliseconds;
+}
+
+/// Reading that streams beside it bear: this share of the pause that they
+/// count as good. The rest is for the pass itself and other readers.
+const BORNE_PAUSE_SHARE = 0.5;
+/// Share of an engine's slots up to which short requests are gathered on it.
+const GATHERED_SLOTS_SHARE = 0.6;
+/// Share of the objective that a gathered request may be expected to take.
+const GATHERED_OBJECTIVE_SHARE = 0.45;
+/// Engines that one prompt may be read by; the platform allows 16 beside the
+/// first.
+const MOST_PARTS = 17;
+/// A smaller part costs an engine more in passes than it saves.
+const SMALLEST_PART_TOKENS = 2_048;
+/// Share of the memory that placement fills, for output that was estimated.
+const USED_MEMORY_SHARE = 0.95;
+/// Delay that stands for certain failure, in the comparison of upstreams.
+const FAILURE_MILLISECONDS: Milliseconds = 1_000;
+const SUSPENSION_MILLISECONDS: Milliseconds = 60_000;
+/// Delay that stands for another data centre: a round trip and its bytes.
+const FAR_MILLISECONDS: Milliseconds = 2;
+/// Output tokens weigh as ten prompt tokens, as engines spend on them.
+const OUTPUT_WEIGHT = 10;
+/// Size of a short request, in weighted tokens, which a pause harms.
+const SHORT_REQUEST_WEIGHT = 20_000;
+
+/// Whether reading the prompt in one piece would make streams beside it pause
+/// for too long.
+export function isLong(profile: EngineProfile, request: EngineRequest) {
+  const borne = request.pause * BORNE_PAUSE_SHARE;
+  return readTime(profile, request.promptTokens) > borne;
+}
+
+export function memoryOf({ promptTokens, outputTokens }: PromptSize): number {
+  return promptTokens + outputTokens;
+}
+
+function freeMemory(profile: EngineProfile, candidate: Candidate): number {
+  return profile.memoryTokens * USED_MEMORY_SHARE -
+    candidate.work.memoryTokens;
+}
+
+/// Delay that stands for what is wrong with an upstream.
+function penaltyOf(candidate: Candidate): Milliseconds {
+  return candidate.failureShare * FAILURE_MILLISECONDS +
+    (candidate.isSuspended ? SUSPENSION_MILLISECONDS : 0) +
+    (candidate.isNear ? 0 : FAR_MILLISECONDS);
+}
+
+function passOf(profile: EngineProfile, { work }: Candidate): Milliseconds {
+  return passTime(profile, {
+    writers: Math.min(work.requests + 1, profile.slots),
+    contextTokens: work.memoryTokens,
+  });
+}
+
+/// Time until an engine begins to read something new.
+function waitOf(profile: EngineProfile, candidate: Candidate): Milliseconds {
+  const { requests, readMilliseconds } = candidate.work;
+  const excess = Math.max(0, requests + 1 - profile.slots);
+  const pass = passOf(profile, candidate);
+  const residual = requests > 0 ? pass / 2 : 0;
+  // A request that finds no slot waits for others to end.
+  return readMilliseconds + residual + excess * pass * 2;
+}
+
+function leastOf<Item>(
+  items: readonly Item[],
+  cost: (item: Item) => number,
+): Item | undefined {
+  let best: Item | undefined;
+  let least = Infinity;
+  for (const item of items) {
+    const value = cost(item);
+    if (value < least) [best, least] = [item, value];
+  }
+  return best;
+}
+
+const byId = (left: Candidate, right: Candidate) =>
+  left.upstream.id < right.upstream.id ? -1 : 1;
+
+/// Chooses the engine for a prompt that is read in one piece.
+export function placeShort(
+  profile: EngineProfile,
+  request: EngineRequest,
+  candidates: readonly Candidate[],
+): EnginePlan | undefined {
+  const own = readTime(profile, request.promptTokens);
+  const expected = (candidate: Candidate) =>
+    waitOf(profile, candidate) + own + passOf(profile, candidate);
+  const memory = memoryOf(request);
+  const fitting = candidates.filter((candidate) =>
+    memory <= freeMemory(profile, candidate)
+  );
+  const planOf = (primary: Candidate): EnginePlan => ({
+    primary,
+    helpers: [],
+    firstEvent: expected(primary),
+    partTime: own,
+  });
+  // All VMs gather on the same engines, in the order of their ids.
+  const gathered = [...fitting].sort(byId).find((candidate) =>
+    candidate.work.requests < profile.slots * GATHERED_SLOTS_SHARE &&
+    candidate.failureShare < 0.3 && !candidate.isSuspended &&
+    expected(candidate) <= request.objective * GATHERED_OBJECTIVE_SHARE
+  );
+  if (gathered) return planOf(gathered);
+  const best = leastOf(
+    fitting.length > 0 ? fitting : candidates,
+    (candidate) => expected(candidate) + penaltyOf(candidate),
+  );
+  return best && planOf(best);
+}
+
+/// Chance that something with a bound is late if it is expected to take this
+/// share of the bound.
+function lateChance(share: number): number {
+  return Math.min(1, Math.max(0, (share - 0.6) / 0.4)) + 0.05 * share;
+}
+
+/// Chooses the engines for a prompt that is worth reading in parts.
+export function placeLong(
+  profile: EngineProfile,
+  request: EngineRequest,
+  candidates: readonly Candidate[],
+): EnginePlan | undefined {
+  const whole = readTime(profile, request.promptTokens);
+  const own = request.promptTokens + OUTPUT_WEIGHT * request.outputTokens;
+  const costs = new Map(candidates.map((candidate) => [
+    candidate,
+    waitOf(profile, candidate) + penaltyOf(candidate),
+  ]));
+  const harmed = (candidate: Candidate) =>
+    candidate.work.requests * SHORT_REQUEST_WEIGHT / own * request.objective;
+  // Free engines first, from the end where short requests come last.
+  const sorted = [...candidates].sort((left, right) =>
+    costs.get(left)! + harmed(left) - costs.get(right)! - harmed(right) ||
+    byId(right, left)
+  );
+  const most = Math.min(
+    MOST_PARTS,
+    sorted.length,
+    Math.max(1, Math.floor(request.promptTokens / SMALLEST_PART_TOKENS)),
+  );
+  let best: { cost: number; count: number; firstEvent: number } | undefined;
+  let wait = 0;
+  for (let count = 1; count <= most; count++) {
+    const last = sorted[count - 1]!;
+    if (last.isSuspended && count > 1) break;
+    wait = Math.max(wait, costs.get(last)!);
+    const part = whole / count;
+    const firstEvent = wait + part + passOf(profile, sorted[0]!);
+    let harm = 0;
+    for (const candidate of sorted.slice(0, count)) {
+      const pause = part + passOf(profile, candidate);
+      harm += candidate.work.requests * SHORT_REQUEST_WEIGHT *
+        lateChance(pause / request.pause);
+    }
+    const cost = own * lateChance(firstEvent / request.objective) + harm;
+    if (!best || cost < best.cost) best = { cost, count, firstEvent };
+  }
+  if (!best) return undefined;
+  const chosen = sorted.slice(0, best.count);
+  const primary = leastOf(
+    chosen,
+    (candidate) => -freeMemory(profile, candidate),
+  )!;
+  return {
+    primary,
+    helpers: chosen.filter((candidate) => candidate !== primary),
+    firstEvent: best.firstEvent,
+    partTime: whole / best.count,
+  };
+}
+
+/// A share of a prompt's memory to be reserved on a helper.
+export interface MemoryShare {
+  readonly candidate: Candidate;
+  readonly tokens: number;
+}
+
+/// Shares of a prompt that the primary can't hold alone, or undefined if all
+/// engines together can't; empty if the primary can.
+export function shareMemory(
+  profile: EngineProfile,
+  request: PromptSize,
+  plan: EnginePlan,
+): readonly MemoryShare[] | undefined {
+  const atPrimary = freeMemory(profile, plan.primary);
+  let missing = memoryOf(request) - Math.max(0, atPrimary);
+  const shares: MemoryShare[] = [];
+  const byRoom = [...plan.helpers].sort((left, right) =>
+    freeMemory(profile, right) - freeMemory(profile, left)
+  );
+  for (const candidate of byRoom) {
+    if (missing <= 0) break;
+    const tokens = Math.floor(
+      Math.min(missing, freeMemory(profile, candidate)),
+    );
+    if (tokens <= 0) continue;
+    shares.push({ candidate, tokens });
+    missing -= tokens;
+  }
+  return missing > 0 ? undefined : shares;
+}
+
+/// Chooses the upstream for a call of a service without a cost model.
+export function placeCall(
+  candidates: readonly Candidate[],
+  callTime: Milliseconds,
+): Candidate | undefined {
+  return leastOf(candidates, ({ upstream, work, ...candidate }) => {
+    const share = work.requests / Math.max(1, upstream.slots);
+    const queued = Math.max(0, work.requests + 1 - upstream.slots);
+    return penaltyOf({ upstream, work, ...candidate }) +
+      callTime * (share + queued);
+  });
+}
--- /dev/null
+++ b/src/gateway/request_context.ts
@@ -0,0 +1,54 @@
+import type { CrashMarks } from "../requests/crash_marks.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
+import type { RandomSource } from "../support/random.ts";
+import type { Route, Service } from "./configuration.ts";
+import type {
+  CallerFacts,
+  GatewayDialect,
+  ReservationClient,
+} from "./dialect.ts";
+import type { FleetView } from "./fleet_view.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { RepeatBudget } from "./repeat_budget.ts";
+import type { UpstreamConnections } from "./upstream_connections.ts";
+import type { UpstreamHealth } from "./upstream_health.ts";
+import type { WorkBoard } from "./work_board.ts";
+
+/// What every request of a gateway works with.
+export interface RequestContext {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Logger;
+  readonly metrics: GatewayMetrics;
+  readonly dialect: GatewayDialect;
+  readonly reservations: ReservationClient;
+  readonly view: FleetView;
+  readonly health: UpstreamHealth;
+  readonly board: WorkBoard;
+  readonly budget: RepeatBudget;
+  readonly connections: UpstreamConnections;
+  readonly crashMarks: CrashMarks;
+  readonly dataCentre: string;
+  /// Begins the ids of this process's memory reservations.
+  readonly reservationPrefix: string;
+  readonly longestHold: Milliseconds;
+}
+
+/// A request that has been read, recognised and allowed.
+export interface GatewayRequest {
+  readonly facts: CallerFacts;
+  readonly route: Route;
+  readonly service: Service;
+  readonly customer: string | undefined;
+  readonly hidesKey: boolean;
+  readonly method: string;
+  readonly target: string;
+  /// Names and values by turns.
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly arrivedAt: Milliseconds;
+  /// Same for the same path, caller and body.
+  readonly fingerprint: string;
+  readonly configurationVersion: number;
+}
--- /dev/null
+++ b/src/gateway/request_run.ts
@@ -0,0 +1,412 @@
+import type { Milliseconds } from "../support/clock.ts";
+import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
+import type { EngineProfile } from "./configuration.ts";
+import type { Helper } from "./dialect.ts";
+import { readTime } from "./engine_cost.ts";
+import { type MemoryReservations, reserveMemory } from "./memory_reservations.ts";
+import {
+  type Candidate,
+  type EnginePlan,
+  type EngineRequest,
+  isLong,
+  memoryOf,
+  placeCall,
+  placeLong,
+  placeShort,
+  shareMemory,
+} from "./placement.ts";
+import type { GatewayRequest, RequestContext } from "./request_context.ts";
+import type { Upstream } from "./upstream.ts";
+import type { WorkItem } from "./work_board.ts";
+
+/// The life of one request: tries at upstreams until one answers, the time is
+/// up or nothing more may be tried, and exactly one end.
+
+/// Crashes after which a request is taken to be their cause.
+const CRASHES_UNTIL_REFUSED = 3;
+/// Refusals by upstreams after which the request is refused: they have no
+/// room, and further tries only add to their work.
+const REFUSALS_TRIED = 3;
+/// Time below which a further try can't succeed.
+const SHORTEST_TRY_MILLISECONDS: Milliseconds = 20;
+/// Pause before a try at upstreams that have all been tried.
+const AGAIN_MILLISECONDS: Milliseconds = 60;
+/// Time to come back in when nothing is known of a better one: about one pass
+/// of the platform's upstream list.
+const RETRY_AFTER_SECONDS = 0.4;
+/// Time of a call of a service whose costs aren't known, for the comparison
+/// of its upstreams.
+const CALL_MILLISECONDS: Milliseconds = 25;
+/// Silence of an engine that is taken for its loss: this many times the
+/// expected time, and a fixed part for what the estimate leaves out.
+const EXPECTED_TIME_FACTOR = 3;
+const UNEXPECTED_MILLISECONDS: Milliseconds = 500;
+/// Share of the objective after which a safe call is tried elsewhere: the
+/// first upstream has already missed it.
+const SAFE_CALL_PATIENCE = 2;
+/// Pauses of a stream, in multiples of the longest good one, that are taken
+/// for the loss of the engine.
+const LOST_STREAM_PAUSES = 2.5;
+const SHORTEST_LOST_STREAM_MILLISECONDS: Milliseconds = 900;
+/// Urgencies of prompts, by reading time: the shorter, the sooner.
+const URGENCIES: readonly { upTo: Milliseconds; urgency: number }[] = [
+  { upTo: 150, urgency: 2 },
+  { upTo: 900, urgency: 4 },
+  { upTo: Infinity, urgency: 6 },
+];
+
+/// How a request ended, for logs and metrics.
+export interface RunOutcome {
+  readonly outcome:
+    | "served"
+    | "upstream_failure"
+    | "refused"
+    | "failed"
+    | "timed_out"
+    | "caller_gone"
+    | "broken_off";
+  readonly status: number | undefined;
+  readonly reason: string;
+  readonly tries: number;
+}
+
+interface Placement {
+  readonly upstream: Upstream;
+  readonly plan?: EnginePlan;
+}
+
+function urgencyOf(profile: EngineProfile, promptTokens: number): number {
+  const time = readTime(profile, promptTokens);
+  return URGENCIES.find(({ upTo }) => time <= upTo)!.urgency;
+}
+
+/// Runs a request to its end.
+export async function runRequest(
+  context: RequestContext,
+  request: GatewayRequest,
+  answer: CallerAnswer,
+): Promise<RunOutcome> {
+  const { clock, view, health, board, budget, dialect, log, metrics } = context;
+  const { route, service, facts } = request;
+  const allowed = Math.min(
+    facts.patience ?? Infinity,
+    route.timeoutMilliseconds,
+  );
+  const deadline = request.arrivedAt + allowed;
+  const mayContinue = route.kind === "stream" && route.isResumable;
+  const mayRepeat = route.kind === "safe" || mayContinue;
+  const profile = service.engine;
+
+  let attempt: Attempt | undefined;
+  let isTimedOut = false;
+  let tries = 0;
+  let refusals = 0;
+  let mayHaveRun = false;
+  let lastId: string | undefined;
+  let lastReason = "no upstream is listed";
+  let lastAnswer: (AttemptResult & { kind: "answered" }) | undefined;
+  /// Upstreams that may have run the request.
+  const ran: Upstream[] = [];
+  const avoided = new Set<string>();
+
+  const remaining = () => deadline - clock.now();
+  const timer = clock.schedule(Math.max(0, remaining()), () => {
+    isTimedOut = true;
+    attempt?.abort();
+  });
+  answer.onGone(() => attempt?.abort());
+  answer.onDrain(() => attempt?.resume());
+
+  const isStillThere = (upstream: Upstream) => {
+    const listed = view.upstream(upstream.id);
+    return listed !== undefined && listed.startedAt === upstream.startedAt;
+  };
+
+  const mayRunOnAnother = () =>
+    ran.filter(isStillThere).length < route.maxUpstreams;
+
+  const candidates = (): Candidate[] => {
+    const listed = view.available(service.name);
+    const fresh = listed.filter(({ id }) => !avoided.has(id));
+    return (fresh.length > 0 ? fresh : listed).map((upstream) => ({
+      upstream,
+      work: board.of(upstream.id),
+      failureShare: health.failureShare(upstream.id),
+      isSuspended: health.isSuspended(upstream.id),
+      isNear: upstream.dataCentre === context.dataCentre,
+    }));
+  };
+
+  const engineRequest: EngineRequest = {
+    promptTokens: facts.promptTokens,
+    outputTokens: facts.outputTokens,
+    objective: route.objectiveMilliseconds,
+    pause: view.table()?.shortestPause(service.name) ?? Infinity,
+  };
+
+  const place = (): Placement | undefined => {
+    const choices = candidates();
+    if (!profile) {
+      const chosen = placeCall(choices, CALL_MILLISECONDS);
+      return chosen && { upstream: chosen.upstream };
+    }
+    const plan = isLong(profile, engineRequest)
+      ? placeLong(profile, engineRequest, choices)
+      : placeShort(profile, engineRequest, choices);
+    return plan && { upstream: plan.primary.upstream, plan };
+  };
+
+  const noteWork = (
+    { upstream, plan }: Placement,
+  ): { readDone(): void; end(): void } => {
+    const partTime = plan?.partTime ?? CALL_MILLISECONDS;
+    const items: WorkItem[] = [
+      board.start(upstream.id, {
+        requests: 1,
+        memoryTokens: profile ? memoryOf(engineRequest) : 0,
+        readMilliseconds: partTime,
+      }),
+    ];
+    for (const helper of plan?.helpers ?? []) {
+      items.push(board.start(helper.upstream.id, {
+        requests: 0,
+        memoryTokens: 0,
+        readMilliseconds: partTime,
+      }));
+    }
+    return {
+      readDone: () => items.forEach((item) => item.readDone()),
+      end: () => items.forEach((item) => item.end()),
+    };
+  };
+
+  /// Silence after which the upstream counts as lost, before the first byte.
+  const firstLimit = ({ plan }: Placement): Milliseconds => {
+    if (!plan) return SAFE_CALL_PATIENCE * route.objectiveMilliseconds;
+    return UNEXPECTED_MILLISECONDS + EXPECTED_TIME_FACTOR * plan.firstEvent;
+  };
+
+  const onEvents = (work: { readDone(): void }): Parameters<
+    typeof startAttempt
+  >[2]["onEvents"] =>
+  (bytes, head, id) => {
+    work.readDone();
+    if (!answer.isStarted()) {
+      metrics.firstByteSeconds.observe(
+        { route_kind: route.kind },
+        (clock.now() - request.arrivedAt) / 1_000,
+      );
+      answer.startStream(head.status, dialect.callerHeaders(head.headers));
+    }
+    if (id !== undefined) lastId = id;
+    return bytes.length === 0 || answer.write(bytes);
+  };
+
+  const tryAt = async (
+    placement: Placement,
+    helpers: readonly Helper[],
+  ): Promise<AttemptResult> => {
+    const { upstream } = placement;
+    const work = noteWork(placement);
+    health.noteSent(upstream.id);
+    const sentAt = clock.now();
+    attempt = startAttempt(context, request, {
+      upstream,
+      helpers,
+      urgency: profile && urgencyOf(profile, facts.promptTokens),
+      remaining: remaining(),
+      resumeAfter: answer.isStarted() ? lastId : undefined,
+      firstLimit: firstLimit(placement),
+      pauseLimit: Math.max(
+        SHORTEST_LOST_STREAM_MILLISECONDS,
+        LOST_STREAM_PAUSES * route.pauseMilliseconds,
+      ),
+      mayGiveUp: () => mayRepeat && ran.length + 1 < route.maxUpstreams,
+      onEvents: onEvents(work),
+    });
+    const result = await attempt.result;
+    attempt = undefined;
+    work.end();
+    noteResult(upstream, result, clock.now() - sentAt);
+    return result;
+  };
+
+  const noteResult = (
+    upstream: Upstream,
+    result: AttemptResult,
+    took: Milliseconds,
+  ) => {
+    if (result.kind === "streamed") return health.noteSuccess(upstream.id);
+    if (result.kind === "aborted") return;
+    if (result.kind === "answered") {
+      if (result.status < 500) health.noteSuccess(upstream.id);
+      else health.noteFailure(upstream.id);
+      if (result.status < 300) return;
+    }
+    if (result.kind === "failed") {
+      health.noteUnreachable(upstream.id);
+      void context.crashMarks.mark(request.fingerprint);
+    }
+    if (result.kind === "not_run") {
+      const isUnreachable = result.reason.startsWith("not connected");
+      if (isUnreachable) health.noteUnreachable(upstream.id);
+      else health.noteFailure(upstream.id);
+    }
+    log.warn("try ended", {
+      request: facts.attemptId,
+      route: route.name,
+      upstream: upstream.id,
+      address: upstream.address,
+      try: tries,
+      result: result.kind,
+      status: result.kind === "answered" ? result.status : undefined,
+      reason: "reason" in result ? result.reason : undefined,
+      took: Math.round(took),
+      remaining: Math.round(remaining()),
+      eventsUpTo: lastId,
+      viewRevision: view.revision(),
+    });
+  };
+
+  const end = (
+    outcome: RunOutcome["outcome"],
+    status: number | undefined,
+    reason: string,
+  ): RunOutcome => {
+    timer.cancel();
+    return { outcome, status, reason, tries };
+  };
+
+  /// The end when nothing more is tried.
+  const giveUp = (): RunOutcome => {
+    if (answer.isGone()) return end("caller_gone", undefined, lastReason);
+    if (answer.isStarted()) {
+      answer.breakOff();
+      const outcome = isTimedOut ? "timed_out" : "broken_off";
+      return end(outcome, undefined, lastReason);
+    }
+    if (lastAnswer) {
+      const headers = dialect.callerHeaders(lastAnswer.headers);
+      answer.sendWhole(lastAnswer.status, headers, lastAnswer.body);
+      return end("upstream_failure", lastAnswer.status, "upstream's answer");
+    }
+    if (!mayHaveRun) {
+      answer.sendOwn(503, `not run: ${lastReason}\n`, RETRY_AFTER_SECONDS);
+      return end("refused", 503, lastReason);
+    }
+    const status = isTimedOut ? 504 : 502;
+    answer.sendOwn(status, `${lastReason}\n`);
+    return end(isTimedOut ? "timed_out" : "failed", status, lastReason);
+  };
+
+  const isOver = () => answer.isGone() || isTimedOut;
+
+  while (true) {
+    if (isOver() || remaining() < SHORTEST_TRY_MILLISECONDS) return giveUp();
+    if (
+      context.crashMarks.count(request.fingerprint) >= CRASHES_UNTIL_REFUSED
+    ) {
+      lastReason = "upstreams crashed with this request";
+      return giveUp();
+    }
+    const placement = place();
+    if (!placement) {
+      lastReason = "no upstream is listed";
+      return giveUp();
+    }
+    if (tries > 0 && !budget.take(service.name)) {
+      lastReason = `${lastReason}; no repeats are left`;
+      return giveUp();
+    }
+    if (tries === 0) budget.noteRequest(service.name);
+    let reservations: MemoryReservations | undefined;
+    let helpers: readonly Helper[] = (placement.plan?.helpers ?? []).map(
+      ({ upstream }) => ({ address: upstream.address }),
+    );
+    if (profile && placement.plan) {
+      const shares = shareMemory(profile, engineRequest, placement.plan);
+      if (!shares) {
+        lastReason = "the engines' memory has no room for the prompt";
+        return giveUp();
+      }
+      if (shares.length > 0) {
+        reservations = await reserveMemory(context, placement.plan, {
+          shares,
+          remaining: remaining(),
+          attemptId: facts.attemptId,
+        });
+        if (!reservations) {
+          lastReason = "memory could not be reserved";
+          refusals += 1;
+          if (refusals >= REFUSALS_TRIED || isOver()) return giveUp();
+          await clock.sleep(AGAIN_MILLISECONDS);
+          continue;
+        }
+        helpers = reservations.helpers;
+      }
+    }
+    if (isOver()) {
+      await reservations?.release();
+      return giveUp();
+    }
+    tries += 1;
+    if (tries > 1) metrics.repeats.inc({ reason: answer.isStarted() ? "resume" : "repeat" });
+    const result = await tryAt(placement, helpers);
+    void reservations?.release();
+
+    const { upstream } = placement;
+    if (result.kind === "aborted") {
+      // The upstream may still be at it.
+      mayHaveRun = true;
+      lastReason = answer.isGone() ? "the caller left" : "the time is up";
+      return giveUp();
+    }
+    if (result.kind === "streamed") {
+      answer.endStream();
+      context.crashMarks.clear(request.fingerprint);
+      return end("served", 200, "");
+    }
+    if (result.kind === "answered") {
+      if (result.status < 500 && !answer.isStarted()) {
+        const headers = dialect.callerHeaders(result.headers);
+        answer.sendWhole(result.status, headers, result.body);
+        context.crashMarks.clear(request.fingerprint);
+        metrics.firstByteSeconds.observe(
+          { route_kind: route.kind },
+          (clock.now() - request.arrivedAt) / 1_000,
+        );
+        return end("served", result.status, "");
+      }
+      mayHaveRun = true;
+      lastAnswer = result;
+      lastReason = `the upstream answered ${result.status}`;
+      ran.push(upstream);
+      avoided.add(upstream.id);
+      if (!mayRepeat || !mayRunOnAnother()) return giveUp();
+      continue;
+    }
+    lastReason = result.reason;
+    avoided.add(upstream.id);
+    if (result.kind === "not_run") {
+      if (result.faultAddress !== undefined) {
+        const fault = view.available(service.name).find(({ address }) =>
+          address === result.faultAddress
+        );
+        if (fault) {
+          avoided.add(fault.id);
+          health.noteUnreachable(fault.id);
+        }
+      }
+      refusals += 1;
+      if (refusals >= REFUSALS_TRIED) return giveUp();
+      if (avoided.size >= view.available(service.name).length) {
+        await clock.sleep(AGAIN_MILLISECONDS);
+      }
+      continue;
+    }
+    mayHaveRun = true;
+    ran.push(upstream);
+    if (!mayRepeat || !mayRunOnAnother()) return giveUp();
+  }
+}
--- /dev/null
+++ b/src/gateway/view_sharing.ts
@@ -0,0 +1,117 @@
+import { Type } from "@sinclair/typebox";
+import type { Links } from "../links/links.ts";
+import { defineCall, defineMessage } from "../links/message.ts";
+import type { Clock, Milliseconds, Timer } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
+import { Configuration } from "./configuration.ts";
+import type { FleetView } from "./fleet_view.ts";
+import { Upstream } from "./upstream.ts";
+
+/// VMs tell each other how far their views are. One that the store turns away,
+/// or whose watch is silent, asks another VM for what it lacks.
+
+/// Time in which changes are gathered before others hear of them.
+const GATHER_MILLISECONDS: Milliseconds = 20;
+/// Time that the store's own news may take longer than a peer's word of it.
+const LAG_MILLISECONDS: Milliseconds = 250;
+
+const digestMessage = defineMessage(
+  "gateway.view",
+  Type.Object({ version: Type.Number(), revision: Type.Number() }),
+  { replaceKey: () => "view" },
+);
+
+const readCall = defineCall("gateway.view.read", {
+  request: Type.Object({ version: Type.Number(), revision: Type.Number() }),
+  reply: Type.Object({
+    revision: Type.Number(),
+    configuration: Type.Optional(Configuration),
+    upstreams: Type.Optional(Type.Array(Upstream)),
+  }),
+});
+
+export interface ViewSharingOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly links: Links;
+  readonly view: FleetView;
+  /// Called when a peer has been ahead for a while.
+  readonly onBehind: () => void;
+}
+
+export function startViewSharing(options: ViewSharingOptions): void {
+  const { clock, log, links, view } = options;
+  let timer: Timer | undefined;
+  let known = new Set<string>();
+  const checking = new Set<string>();
+
+  const digest = () => ({
+    version: view.table()?.configuration.version ?? -1,
+    revision: view.revision(),
+  });
+
+  const isBehind = (other: { version: number; revision: number }) => {
+    const own = digest();
+    return other.version > own.version || other.revision > own.revision;
+  };
+
+  const catchUp = async (vm: string) => {
+    const reply = await links.call(vm, readCall, digest());
+    const source = { kind: "peer" as const, revision: reply.revision };
+    if (reply.configuration) view.setConfiguration(reply.configuration, source);
+    if (reply.upstreams && reply.revision > view.revision()) {
+      view.setUpstreams(reply.upstreams, source);
+      view.advance(reply.revision);
+    }
+    log.info("view taken from a peer", { peer: vm, ...digest() });
+  };
+
+  links.onMessage(digestMessage, (other, from) => {
+    if (!isBehind(other) || checking.has(from.vm)) return;
+    checking.add(from.vm);
+    const wait = view.table() ? LAG_MILLISECONDS : 0;
+    clock.schedule(wait, () => {
+      checking.delete(from.vm);
+      if (!isBehind(other)) return;
+      options.onBehind();
+      catchUp(from.vm).catch((error: Error) =>
+        log.warn("view not taken from a peer", {
+          peer: from.vm,
+          reason: error.message,
+        })
+      );
+    });
+  });
+
+  links.onCall(readCall, (other) => {
+    const table = view.table();
+    const own = digest();
+    return Promise.resolve({
+      revision: own.revision,
+      configuration: own.version > other.version
+        ? table?.configuration
+        : undefined,
+      upstreams: own.revision > other.revision
+        ? [...view.upstreams()]
+        : undefined,
+    });
+  });
+
+  view.onChange(() => {
+    timer ??= clock.schedule(GATHER_MILLISECONDS, () => {
+      timer = undefined;
+      links.broadcast(digestMessage, digest());
+    });
+  });
+
+  links.onPeersChange(() => {
+    const runs = links.peers().map(({ vm, incarnation }) => ({
+      vm,
+      run: `${vm} ${incarnation}`,
+    }));
+    for (const { vm, run } of runs) {
+      if (!known.has(run)) links.send(vm, digestMessage, digest());
+    }
+    known = new Set(runs.map(({ run }) => run));
+  });
+}
--- /dev/null
+++ b/src/gateway/work_board.ts
@@ -0,0 +1,179 @@
+import { type Static, Type } from "@sinclair/typebox";
+import type { Links } from "../links/links.ts";
+import { defineMessage } from "../links/message.ts";
+import type { Clock, Milliseconds, Timer } from "../support/clock.ts";
+
+/// The work that upstreams have been given by all VMs. Each VM counts its own
+/// and tells the others of changes; what another VM has in flight is dropped
+/// with the link to it.
+
+/// Time in which changes are gathered before the other VMs hear of them: well
+/// below the time of one pass of an engine.
+const GATHER_MILLISECONDS: Milliseconds = 20;
+
+const WorkRow = Type.Object({
+  upstream: Type.String(),
+  requests: Type.Number(),
+  memoryTokens: Type.Number(),
+  /// Reading that is still to be done.
+  readMilliseconds: Type.Number(),
+});
+type WorkRow = Static<typeof WorkRow>;
+
+const workMessage = defineMessage(
+  "gateway.work",
+  Type.Object({
+    /// Whether rows that are not named are empty.
+    isWhole: Type.Boolean(),
+    rows: Type.Array(WorkRow),
+  }),
+);
+
+/// What one upstream has to do.
+export interface UpstreamWork {
+  readonly requests: number;
+  readonly memoryTokens: number;
+  /// Reading that is still to be done.
+  readonly readMilliseconds: Milliseconds;
+}
+
+/// A piece of work in flight.
+export interface WorkItem {
+  /// The prompt, or its part, has been read.
+  readDone(): void;
+  end(): void;
+}
+
+export interface WorkBoard {
+  /// Notes work that is being handed to an upstream.
+  start(upstream: string, work: UpstreamWork): WorkItem;
+  /// The work of one upstream, from all VMs.
+  of(upstream: string): UpstreamWork;
+}
+
+/// Work of one VM at one upstream.
+interface Account {
+  requests: number;
+  memoryTokens: number;
+  reads: number;
+  readUntil: Milliseconds;
+}
+
+export interface WorkBoardOptions {
+  readonly clock: Clock;
+  readonly links: Links;
+}
+
+export function createWorkBoard({ clock, links }: WorkBoardOptions): WorkBoard {
+  const own = new Map<string, Account>();
+  const ofPeers = new Map<string, Map<string, Account>>();
+  const changed = new Set<string>();
+  let known = new Set<string>();
+  let timer: Timer | undefined;
+
+  const rowOf = (upstream: string): WorkRow => {
+    const account = own.get(upstream);
+    return {
+      upstream,
+      requests: account?.requests ?? 0,
+      memoryTokens: account?.memoryTokens ?? 0,
+      readMilliseconds: Math.round(
+        Math.max(0, (account?.readUntil ?? 0) - clock.now()),
+      ),
+    };
+  };
+
+  const flush = () => {
+    timer = undefined;
+    const rows = [...changed].map(rowOf);
+    changed.clear();
+    links.broadcast(workMessage, { isWhole: false, rows });
+  };
+
+  const note = (upstream: string) => {
+    changed.add(upstream);
+    timer ??= clock.schedule(GATHER_MILLISECONDS, flush);
+  };
+
+  links.onMessage(workMessage, ({ isWhole, rows }, from) => {
+    const now = clock.now();
+    const accounts = isWhole ? new Map() : ofPeers.get(from.vm) ?? new Map();
+    ofPeers.set(from.vm, accounts);
+    for (const row of rows) {
+      const readUntil = now + row.readMilliseconds;
+      accounts.set(row.upstream, { ...row, reads: 0, readUntil });
+      if (row.requests === 0 && row.readMilliseconds === 0) {
+        accounts.delete(row.upstream);
+      }
+    }
+  });
+
+  links.onPeersChange(() => {
+    const peers = links.peers();
+    const names = new Set(peers.map((peer) => peer.vm));
+    for (const vm of ofPeers.keys()) if (!names.has(vm)) ofPeers.delete(vm);
+    const runs = peers.map(({ vm, incarnation }) => ({
+      vm,
+      run: `${vm} ${incarnation}`,
+    }));
+    for (const { vm, run } of runs) {
+      if (known.has(run)) continue;
+      const rows = [...own.keys()].map(rowOf);
+      links.send(vm, workMessage, { isWhole: true, rows });
+    }
+    known = new Set(runs.map(({ run }) => run));
+  });
+
+  return {
+    start(upstream, work) {
+      const now = clock.now();
+      const account = own.get(upstream) ??
+        { requests: 0, memoryTokens: 0, reads: 0, readUntil: now };
+      own.set(upstream, account);
+      account.requests += work.requests;
+      account.memoryTokens += work.memoryTokens;
+      account.reads += 1;
+      account.readUntil = Math.max(now, account.readUntil) +
+        work.readMilliseconds;
+      note(upstream);
+      let isReading = true;
+      let isOpen = true;
+      const readDone = () => {
+        if (!isReading) return;
+        isReading = false;
+        account.reads -= 1;
+        if (account.reads === 0) account.readUntil = clock.now();
+        note(upstream);
+      };
+      return {
+        readDone,
+        end() {
+          if (!isOpen) return;
+          isOpen = false;
+          readDone();
+          account.requests -= work.requests;
+          account.memoryTokens -= work.memoryTokens;
+          if (account.requests === 0 && account.reads === 0) {
+            own.delete(upstream);
+          }
+          note(upstream);
+        },
+      };
+    },
+    of(upstream) {
+      const now = clock.now();
+      let requests = 0;
+      let memoryTokens = 0;
+      let readMilliseconds = 0;
+      const add = (account: Account | undefined) => {
+        if (!account) return;
+        requests += account.requests;
+        memoryTokens += account.memoryTokens;
+        readMilliseconds += Math.max(0, account.readUntil - now);
+      };
+      add(own.get(upstream));
+      for (const accounts of ofPeers.values()) add(accounts.get(upstream));
+      return { requests, memoryTokens, readMilliseconds };
+    },
+  };
+}
--- a/src/platform/key_value_store.ts
+++ b/src/infrastructure/key_value_store.ts
@@ -88,6 +88,12 @@
   override readonly name: string = "StoreUnavailableError";
 }
 
+/// The store no longer has the changes behind the revision asked for: what is
+/// there now has to be read as a whole.
+export class StoreCompactedError extends StoreUnavailableError {
+  override readonly name = "StoreCompactedError";
+}
+
 /// A write was sent and its answer never came: it may or may not have taken
 /// effect.
 export class StoreOutcomeUnknownError extends Error {
--- a/src/links/link_mesh.ts
+++ b/src/links/link_mesh.ts
@@ -1,6 +1,6 @@
 import type { Server } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
-import type { VmList } from "../platform/vm_list.ts";
+import type { VmList } from "../infrastructure/vm_list.ts";
 import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
--- a/src/requests/ledger_home.ts
+++ b/src/requests/ledger_home.ts
@@ -6,11 +6,11 @@
   LinkUnreachableError,
 } from "../links/links.ts";
 import { defineCall } from "../links/message.ts";
-import type { KeyValueStore } from "../platform/key_value_store.ts";
+import type { KeyValueStore } from "../infrastructure/key_value_store.ts";
 import {
   StoreOutcomeUnknownError,
   StoreUnavailableError,
-} from "../platform/key_value_store.ts";
+} from "../infrastructure/key_value_store.ts";
 import type { Clock } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
 import { rankByRendezvous } from "../vms/rendezvous.ts";
--- a/src/requests/ledger_shard.ts
+++ b/src/requests/ledger_shard.ts
@@ -2,7 +2,7 @@
   type KeyValueStore,
   StoreOutcomeUnknownError,
   StoreUnavailableError,
-} from "../platform/key_value_store.ts";
+} from "../infrastructure/key_value_store.ts";
 import type { Clock } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
 import { withTimeout } from "../support/timeout.ts";
--- a/src/support/log.ts
+++ b/src/support/log.ts
@@ -27,12 +27,64 @@
   return createLoggerOf("audit", base, print);
 }
 
+/// Takes whole lines and never makes the writer wait.
+export interface LineSink {
+  write(line: string): void;
+  /// Lines that were dropped because the reader was slow.
+  dropped(): number;
+}
+
+/// A stream that buffers what its reader has not taken yet.
+export interface BufferingStream {
+  readonly writableLength: number;
+  write(text: string): boolean;
+}
+
+/// Bytes of lines that may wait for a slow reader.
+const WAITING_LOG_BYTES = 262_144;
+
+/// Writes lines to `stream` and drops them while too many wait there. The
+/// first line behind a gap says how many are missing.
+export function createLineSink(stream: BufferingStream): LineSink {
+  let dropped = 0;
+  let missing = 0;
+  return {
+    write(line) {
+      if (stream.writableLength > WAITING_LOG_BYTES) {
+        dropped += 1;
+        missing += 1;
+        return;
+      }
+      if (missing > 0) {
+        const gap = { level: "warn", event: "log lines dropped", missing };
+        stream.write(JSON.stringify(gap) + "\n");
+        missing = 0;
+      }
+      stream.write(line + "\n");
+    },
+    dropped: () => dropped,
+  };
+}
+
+/// A logger of decisions, which is always on and writes to `sink`.
+export function createDecisionLogger(
+  area: string,
+  base: LogFields,
+  sink: LineSink,
+): Logger {
+  const print = debug(`sequoiaturn:${area}`);
+  print.enabled = true;
+  return createLoggerOf(area, base, print, sink.write);
+}
+
 function createLoggerOf(
   area: string,
   base: LogFields,
   print: debug.Debugger,
+  writeLine: (line: string) => void = (line) =>
+    void process.stderr.write(line + "\n"),
 ): Logger {
-  print.log = (line: string) => void process.stderr.write(line + "\n");
+  print.log = writeLine;
   (print as unknown as { useColors: boolean }).useColors = false;
   const write = (level: string, event: string, fields?: LogFields) => {
     if (!print.enabled) return;
@@ -43,7 +95,8 @@
   return {
     info: (event, fields) => write("info", event, fields),
     warn: (event, fields) => write("warn", event, fields),
-    with: (fields) => createLoggerOf(area, { ...base, ...fields }, print),
+    with: (fields) =>
+      createLoggerOf(area, { ...base, ...fields }, print, writeLine),
   };
 }
 
--- a/src/upstreams/leaving_upstreams.ts
+++ b/src/upstreams/leaving_upstreams.ts
@@ -3,7 +3,7 @@
 import type { Upstream } from "../contracts/sheet.ts";
 import type { Links } from "../links/links.ts";
 import { defineMessage } from "../links/message.ts";
-import type { VmList } from "../platform/vm_list.ts";
+import type { VmList } from "../infrastructure/vm_list.ts";
 import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 
--- a/src/upstreams/load_pacer.ts
+++ b/src/upstreams/load_pacer.ts
@@ -1,4 +1,4 @@
-import type { WeightStore } from "../platform/weight_store.ts";
+import type { WeightStore } from "../infrastructure/weight_store.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 
 /// Spaces loads so that the engines read weights no faster than the weight
--- a/src/upstreams/steward.ts
+++ b/src/upstreams/steward.ts
@@ -1,8 +1,8 @@
 import type { ContractBook, Contracts } from "../contracts/contract_book.ts";
 import type { Upstream } from "../contracts/sheet.ts";
 import { regionOf } from "../data_centres/region.ts";
-import type { KeyValueStore } from "../platform/key_value_store.ts";
-import type { WeightStore } from "../platform/weight_store.ts";
+import type { KeyValueStore } from "../infrastructure/key_value_store.ts";
+import type { WeightStore } from "../infrastructure/weight_store.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import { withTimeout } from "../support/timeout.ts";
--- a/src/upstreams/steward_lease.ts
+++ b/src/upstreams/steward_lease.ts
@@ -1,7 +1,7 @@
 import {
   type KeyValueStore,
   StoreOutcomeUnknownError,
-} from "../platform/key_value_store.ts";
+} from "../infrastructure/key_value_store.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { VmIdentity } from "../vms/identity.ts";
--- a/src/upstreams/steward_record.ts
+++ b/src/upstreams/steward_record.ts
@@ -1,6 +1,6 @@
 import { type Static, Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
-import type { KeyValueStore } from "../platform/key_value_store.ts";
+import type { KeyValueStore } from "../infrastructure/key_value_store.ts";
 import { stewardKey, type Tenure } from "./steward_lease.ts";
 
 /// Orders under way, kept in the store so that a new steward counts no engine
--- a/src/vms/membership.ts
+++ b/src/vms/membership.ts
@@ -1,4 +1,4 @@
-import type { ListedVm, VmList } from "../platform/vm_list.ts";
+import type { ListedVm, VmList } from "../infrastructure/vm_list.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { VmIdentity } from "./identity.ts";
--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -7,7 +7,7 @@
   type RequestError,
   toRequestError,
 } from "../src/requests/request_error.ts";
-import type { WeightStore } from "../src/platform/weight_store.ts";
+import type { WeightStore } from "../src/infrastructure/weight_store.ts";
 import { createSilentLogger } from "../src/support/log.ts";
 import { createSeededRandom } from "../src/support/random.ts";
 import type { EngineChunk, StreamEnd } from "../src/upstreams/engine_client.ts";
--- a/stand_ins/key_value_server.ts
+++ b/stand_ins/key_value_server.ts
@@ -1,7 +1,7 @@
 import {
   type StoredValue,
   StoreOutcomeUnknownError,
-} from "../src/platform/key_value_store.ts";
+} from "../src/infrastructure/key_value_store.ts";
 import type { MemoryStore } from "./memory_store.ts";
 import {
   createStandInApplication,
--- a/stand_ins/local_vm_list.ts
+++ b/stand_ins/local_vm_list.ts
@@ -2,7 +2,7 @@
   type ListedVm,
   type VmList,
   VmListUnavailableError,
-} from "../src/platform/vm_list.ts";
+} from "../src/infrastructure/vm_list.ts";
 import type { Clock } from "../src/support/clock.ts";
 
 /// The platform's list of machines in memory. Changes show after a lag.
--- a/stand_ins/memory_store.ts
+++ b/stand_ins/memory_store.ts
@@ -7,7 +7,7 @@
   type TransactionResult,
   type WatchEvent,
   type WriteOperation,
-} from "../src/platform/key_value_store.ts";
+} from "../src/infrastructure/key_value_store.ts";
 import type { Clock, Timer } from "../src/support/clock.ts";
 
 /// The platform's key-value service in memory, with its faults.
--- a/stand_ins/stepped_world.ts
+++ b/stand_ins/stepped_world.ts
@@ -2,7 +2,7 @@
 import {
   type KeyValueStore,
   StoreOutcomeUnknownError,
-} from "../src/platform/key_value_store.ts";
+} from "../src/infrastructure/key_value_store.ts";
 import type { FakeClock } from "./fake_clock.ts";
 import type { MemoryStore } from "./memory_store.ts";
 
--- a/stand_ins/steward_fleet.ts
+++ b/stand_ins/steward_fleet.ts
@@ -1,6 +1,6 @@
 import { createContractBook } from "../src/contracts/contract_book.ts";
 import type { Sheet } from "../src/contracts/sheet.ts";
-import type { KeyValueStore } from "../src/platform/key_value_store.ts";
+import type { KeyValueStore } from "../src/infrastructure/key_value_store.ts";
 import { createSilentLogger } from "../src/support/log.ts";
 import type { EngineOrder } from "../src/upstreams/engine_client.ts";
 import { createEngineDirectory } from "../src/upstreams/engine_directory.ts";
--- a/stand_ins/vm_list_server.ts
+++ b/stand_ins/vm_list_server.ts
@@ -1,4 +1,4 @@
-import type { ListedVm } from "../src/platform/vm_list.ts";
+import type { ListedVm } from "../src/infrastructure/vm_list.ts";
 import type { Clock } from "../src/support/clock.ts";
 import {
   createStandInApplication,
--- a/stand_ins/weight_store_server.ts
+++ b/stand_ins/weight_store_server.ts
@@ -1,7 +1,7 @@
 import type {
   WeightsDescription,
   WeightStore,
-} from "../src/platform/weight_store.ts";
+} from "../src/infrastructure/weight_store.ts";
 import {
   createStandInApplication,
   listen,
--- a/test/contracts/sheet_collector_test.ts
+++ b/test/contracts/sheet_collector_test.ts
@@ -6,7 +6,7 @@
   CHUNK_PREFIX,
   createSheetStore,
 } from "../../src/contracts/sheet_store.ts";
-import type { KeyValueStore } from "../../src/platform/key_value_store.ts";
+import type { KeyValueStore } from "../../src/infrastructure/key_value_store.ts";
 import { createSilentLogger } from "../../src/support/log.ts";
 import { createSeededRandom } from "../../src/support/random.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
--- a/test/contracts/sheet_store_test.ts
+++ b/test/contracts/sheet_store_test.ts
@@ -11,7 +11,7 @@
   type KeyValueStore,
   StoreOutcomeUnknownError,
   StoreUnavailableError,
-} from "../../src/platform/key_value_store.ts";
+} from "../../src/infrastructure/key_value_store.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import { createMemoryStore } from "../../stand_ins/memory_store.ts";
 import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
--- a/test/platform/stores_test.ts
+++ b/test/infrastructure/stores_test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { createEtcdStore } from "../../src/platform/etcd_store.ts";
+import { createEtcdStore } from "../../src/infrastructure/etcd_store.ts";
 import {
   type KeyValueStore,
   StoreOutcomeUnknownError,
   StoreUnavailableError,
-} from "../../src/platform/key_value_store.ts";
+} from "../../src/infrastructure/key_value_store.ts";
 import { createSystemClock } from "../../src/support/clock.ts";
 import { startKeyValueServer } from "../../stand_ins/key_value_server.ts";
 import { createMemoryStore } from "../../stand_ins/memory_store.ts";
--- a/test/platform/weight_store_test.ts
+++ b/test/infrastructure/weight_store_test.ts
@@ -2,7 +2,7 @@
 import {
   createHttpWeightStore,
   WeightStoreUnavailableError,
-} from "../../src/platform/weight_store.ts";
+} from "../../src/infrastructure/weight_store.ts";
 import {
   createLocalWeightStore,
   startWeightStoreServer,
--- a/test/links/mesh_network.ts
+++ b/test/links/mesh_network.ts
@@ -9,7 +9,7 @@
 import { createLinkMesh, type LinkMesh } from "../../src/links/link_mesh.ts";
 import type { VersionRange } from "../../src/links/frame.ts";
 import type { Links } from "../../src/links/links.ts";
-import type { ListedVm } from "../../src/platform/vm_list.ts";
+import type { ListedVm } from "../../src/infrastructure/vm_list.ts";
 import { createSystemClock } from "../../src/support/clock.ts";
 import { createSilentLogger } from "../../src/support/log.ts";
 import { createSystemRandom } from "../../src/support/random.ts";
