--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -166,7 +166,15 @@
       isPaused = true;
       exchange?.pause();
     },
-    onEnd: finish,
+    onEnd(isFramed) {
+      if (isFramed) return finish();
+      // A process that crashes closes its connections too. Only one that is
+      // still there has ended its answer on purpose.
+      context.connections.accepts(plan.upstream.address).then((accepts) => {
+        if (accepts) finish();
+        else fail("the upstream went away at the end of its answer");
+      });
+    },
     onFailure({ wasSent, reason }) {
       if (wasSent) settle({ kind: "failed", reason });
       else settle({ kind: "not_run", reason: `not connected: ${reason}` });
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -32,7 +32,9 @@
 export interface ExchangeHandler {
   onHead(status: number, headers: HeaderFields): void;
   onData(chunk: Buffer): void;
-  onEnd(): void;
+  /// The answer is whole, as far as its framing tells: without a length, it
+  /// ended with its connection.
+  onEnd(isFramed: boolean): void;
   onFailure(failure: ExchangeFailure): void;
 }
 
@@ -103,7 +105,7 @@
         isOver = true;
         if (isFramed) connection.release();
         else connection.discard();
-        handler.onEnd();
+        handler.onEnd(isFramed);
       },
       onResponseError(_controller, error) {
         fail(error.message);
--- a/src/gateway/memory_reservations.ts
+++ b/src/gateway/memory_reservations.ts
@@ -4,12 +4,14 @@
 import type { RequestContext } from "./request_context.ts";
 
 /// Memory set aside on several engines for a prompt that none holds alone.
-/// Each reservation is for one request; the hold time bounds it if this VM
-/// dies.
+/// Each reservation is for one request. It is held for a short time and
+/// renewed, so that it lapses soon if this VM dies.
 
-/// Hold beyond the deadline of the request, so that it doesn't lapse while the
-/// request ends.
-const HOLD_MARGIN_MILLISECONDS: Milliseconds = 1_000;
+/// Below the time after which memory without a request counts as leaked on
+/// the platform (`FreeMs`, 4 s on all sites).
+const HOLD_MILLISECONDS: Milliseconds = 3_400;
+/// Two renewals may be lost before a reservation lapses.
+const RENEWAL_MILLISECONDS: Milliseconds = 1_100;
 
 export interface MemoryReservations {
   /// The helpers of the request, with the reservations of those that hold
@@ -27,15 +29,11 @@
   plan: EnginePlan,
   options: {
     readonly shares: readonly MemoryShare[];
-    readonly remaining: Milliseconds;
     readonly attemptId: string | undefined;
   },
 ): Promise<MemoryReservations | undefined> {
   const { log, reservations, reservationPrefix } = context;
-  const hold = Math.min(
-    context.longestHold,
-    options.remaining + HOLD_MARGIN_MILLISECONDS,
-  );
+  const hold = Math.min(context.longestHold, HOLD_MILLISECONDS);
   const made = options.shares.map((share) => ({
     ...share,
     id: `${reservationPrefix}-${nextReservation++}`,
@@ -45,7 +43,31 @@
       reservations.reserve(candidate.upstream, { id, tokens, hold })
     ),
   );
+  const released = new AbortController();
+  const renew = async () => {
+    while (!released.signal.aborted) {
+      await context.clock.sleep(RENEWAL_MILLISECONDS, released.signal)
+        .catch(() => {
+          // Released while waiting; the loop ends.
+        });
+      if (released.signal.aborted) return;
+      await Promise.all(made.map(async ({ candidate, tokens, id }) => {
+        const { upstream } = candidate;
+        try {
+          await reservations.reserve(upstream, { id, tokens, hold });
+        } catch (error) {
+          log.warn("reservation not renewed", {
+            request: options.attemptId,
+            upstream: upstream.id,
+            reservation: id,
+            reason: (error as Error).message,
+          });
+        }
+      }));
+    }
+  };
   const release = async () => {
+    released.abort(new Error("released"));
     // An engine that refused holds nothing; one that did not answer may.
     const held = made.filter((_, index) => {
       const result = results[index]!;
@@ -81,6 +103,7 @@
     await release();
     return undefined;
   }
+  void renew();
   const ids = new Map(made.map(({ candidate, id }) => [candidate, id]));
   // Reservations are filled in the order in which they are listed.
   const helpers = [
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -333,7 +333,6 @@
       if (shares.length > 0) {
         reservations = await reserveMemory(context, placement.plan, {
           shares,
-          remaining: remaining(),
           attemptId: facts.attemptId,
         });
         if (!reservations) {
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -33,6 +33,8 @@
   /// A connection to `address`; one that has been idle for longer than
   /// `maximumIdle` is not taken.
   take(address: string, maximumIdle?: Milliseconds): UpstreamConnection;
+  /// Whether `address` accepts connections now.
+  accepts(address: string): Promise<boolean>;
   /// Connections made so far.
   opened(): number;
   /// Closes idle connections to addresses that are no longer in use.
@@ -141,6 +143,15 @@
       }
       return open(address);
     },
+    accepts: (address) =>
+      new Promise((resolve) => {
+        openSocket(address, (error, socket) => {
+          socket?.destroy();
+          resolve(error === null);
+        }, () => {
+          // The callback tells of the error too.
+        });
+      }),
     opened: () => opened,
     prune(addresses) {
       for (const [address, list] of idle) {
--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -156,11 +156,14 @@
         await follow();
       } catch (error) {
         if (stop.signal.aborted) return;
-        if (error instanceof StoreCompactedError) followed = undefined;
-        if (current.signal.aborted) {
-          followed = undefined;
+        // A watch that broke may have been silent about changes before, so
+        // the state is read as a whole.
+        followed = undefined;
+        if (error instanceof StoreCompactedError) {
+          log.info("store dropped its history");
           continue;
         }
+        if (current.signal.aborted) continue;
         noteFailure(error as Error);
         await clock.sleep(pause, stop.signal).catch(() => {
           // Closed while waiting; the loop ends.
