Mirror the framing of answers, drain without refusing callers, test the gateway

Passing it on with a length claimed more than its sender did; it is now passed on without one. It now serves until it is idle or the grace period ends and refuses only what can't end in time.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -4,7 +4,10 @@
 import { createEntry } from "./entry.ts";
 import { createLinkMesh } from "./links/link_mesh.ts";
 import { createEtcdStore } from "./infrastructure/etcd_store.ts";
-import { createHttpVmList, createSharedVmList } from "./infrastructure/vm_list.ts";
+import {
+  createHttpVmList,
+  createSharedVmList,
+} from "./infrastructure/vm_list.ts";
 import { createHttpWeightStore } from "./infrastructure/weight_store.ts";
 import { createCallerApi } from "./requests/caller_api.ts";
 import type { RequestEnd } from "./requests/request_registry.ts";
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -22,6 +22,7 @@
     readonly kind: "answered";
     readonly status: number;
     readonly headers: HeaderFields;
+    readonly isFramed: boolean;
     readonly body: Buffer;
   }
   /// Every event was passed on.
@@ -38,6 +39,13 @@
   /// The run was ended from here.
   | { readonly kind: "aborted" };
 
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: HeaderFields;
+  /// Whether its framing tells where it ends.
+  readonly isFramed: boolean;
+}
+
 export interface AttemptPlan {
   readonly upstream: Upstream;
   readonly helpers: readonly Helper[];
@@ -51,7 +59,7 @@
   /// Takes whole events. Returns false to be paused.
   readonly onEvents: (
     bytes: Buffer,
-    head: { readonly status: number; readonly headers: HeaderFields },
+    head: AnswerHead,
     lastId: string | undefined,
   ) => boolean;
 }
@@ -76,11 +84,10 @@
   const cutter = createEventCutter();
   const pieces: Buffer[] = [];
   let size = 0;
-  let head: { status: number; headers: HeaderFields } | undefined;
+  let head: AnswerHead | undefined;
   let isStream = false;
   let isPaused = false;
   let timer: Timer | undefined;
-  let exchange: Exchange | undefined;
   let settle: (result: AttemptResult) => void = () => {};
   const result = new Promise<AttemptResult>((resolve) => {
     settle = (value) => {
@@ -90,7 +97,7 @@
   });
 
   const fail = (reason: string) => {
-    exchange?.abort();
+    exchange.abort();
     settle({ kind: "failed", reason });
   };
 
@@ -124,7 +131,7 @@
     settle({ kind: "streamed" });
   };
 
-  exchange = startExchange(context.connections, {
+  const exchange: Exchange = startExchange(context.connections, {
     address: plan.upstream.address,
     method: request.method,
     target: request.target,
@@ -142,13 +149,13 @@
       ? ONCE_IDLE_MILLISECONDS
       : undefined,
   }, {
-    onHead(status, headers) {
+    onHead(status, headers, isFramed) {
       const facts = dialect.readUpstream(status, headers, attemptId);
       if (facts.isForeign) return fail("an answer to another request");
       if (!facts.hasNotRun && !facts.isGenuine) {
         return fail(`an answer ${status} that the upstream didn't sign`);
       }
-      head = { status, headers };
+      head = { status, headers, isFramed };
       isStream = !facts.hasNotRun && status < 300 && isEventStream(headers);
     },
     onData(chunk) {
@@ -164,10 +171,10 @@
       if (!events) return;
       if (plan.onEvents(events, head, cutter.lastId())) return;
       isPaused = true;
-      exchange?.pause();
+      exchange.pause();
     },
-    onEnd(isFramed) {
-      if (isFramed) return finish();
+    onEnd() {
+      if (head?.isFramed !== false) return finish();
       // A process that crashes closes its connections too. Only one that is
       // still there has ended its answer on purpose.
       context.connections.accepts(plan.upstream.address).then((accepts) => {
@@ -185,13 +192,13 @@
   return {
     result,
     abort() {
-      exchange?.abort();
+      exchange.abort();
       settle({ kind: "aborted" });
     },
     resume() {
       if (!isPaused) return;
       isPaused = false;
-      exchange?.resume();
+      exchange.resume();
     },
   };
 }
--- a/src/gateway/caller_answer.ts
+++ b/src/gateway/caller_answer.ts
@@ -9,11 +9,18 @@
   isGone(): boolean;
   /// Whether bytes of the answer have been sent.
   isStarted(): boolean;
-  /// Sends an upstream's answer with its whole body.
-  sendWhole(status: number, headers: AnswerHeaders, body: Buffer): void;
+  /// Sends an upstream's answer with its whole body. An answer without a
+  /// length (`isFramed` false) is passed on without one, since only its sender
+  /// knows whether the end of the connection was its end.
+  sendWhole(
+    answer: { status: number; headers: AnswerHeaders; isFramed: boolean },
+    body: Buffer,
+  ): void;
   /// Sends an answer of the gateway's own.
   sendOwn(status: number, text: string, retryAfterSeconds?: number): void;
-  startStream(status: number, headers: AnswerHeaders): void;
+  startStream(
+    answer: { status: number; headers: AnswerHeaders; isFramed: boolean },
+  ): void;
   /// Returns false when the caller reads slower than it is written to.
   write(bytes: Buffer): boolean;
   endStream(): void;
@@ -51,11 +58,17 @@
   return {
     isGone: () => isGone,
     isStarted: () => response.headersSent,
-    sendWhole(status, headers, body) {
+    sendWhole({ status, headers, isFramed }, body) {
       if (isGone || response.headersSent) return;
       const length = String(body.length);
-      writeHead(status, [...headers, ["Content-Length", length]]);
-      response.end(body);
+      response.useChunkedEncodingByDefault = isFramed;
+      writeHead(
+        status,
+        isFramed ? [...headers, ["Content-Length", length]] : headers,
+      );
+      // A body that is written before the end gets no length of its own.
+      response.write(body);
+      response.end();
     },
     sendOwn(status, text, retryAfterSeconds) {
       if (isGone || response.headersSent) return;
@@ -69,8 +82,9 @@
       writeHead(status, headers);
       response.end(text);
     },
-    startStream(status, headers) {
+    startStream({ status, headers, isFramed }) {
       if (isGone || response.headersSent) return;
+      response.useChunkedEncodingByDefault = isFramed;
       writeHead(status, headers);
     },
     write: (bytes) => isGone || response.write(bytes),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -30,11 +30,12 @@
 }
 
 export interface ExchangeHandler {
-  onHead(status: number, headers: HeaderFields): void;
+  /// `isFramed` is false for an answer without length, which ends with its
+  /// connection.
+  onHead(status: number, headers: HeaderFields, isFramed: boolean): void;
   onData(chunk: Buffer): void;
-  /// The answer is whole, as far as its framing tells: without a length, it
-  /// ended with its connection.
-  onEnd(isFramed: boolean): void;
+  /// The answer is whole, as far as its framing tells.
+  onEnd(): void;
   onFailure(failure: ExchangeFailure): void;
 }
 
@@ -92,7 +93,7 @@
       onResponseStart(_controller, status, headers) {
         if (isOver || status < 200) return;
         isFramed = hasFraming(headers) || status === 204 || status === 304;
-        handler.onHead(status, headers);
+        handler.onHead(status, headers, isFramed);
       },
       onResponseData(_controller, chunk) {
         if (!isOver) handler.onData(chunk);
@@ -105,7 +106,7 @@
         isOver = true;
         if (isFramed) connection.release();
         else connection.discard();
-        handler.onEnd(isFramed);
+        handler.onEnd();
       },
       onResponseError(_controller, error) {
         fail(error.message);
--- a/src/gateway/front_server.ts
+++ b/src/gateway/front_server.ts
@@ -5,8 +5,11 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Milliseconds } from "../support/clock.ts";
 import { type CallerAnswer, createCallerAnswer } from "./caller_answer.ts";
-import type { CallerLimits, Route } from "./configuration.ts";
+import type { CallerLimits, Route, Service } from "./configuration.ts";
+import type { CallerFacts } from "./dialect.ts";
+import { passTime, readTime } from "./engine_cost.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { runRequest } from "./request_run.ts";
 import type { RouteTable } from "./route_table.ts";
@@ -22,11 +25,16 @@
 /// Bodies held at the same time, as a bound on this process's memory.
 const HELD_BODY_BYTES = 67_108_864;
 const NO_ROOM_RETRY_SECONDS = 0.5;
+/// Time to come back in to another VM: at once, but not in a tight loop.
+const STOPPING_RETRY_SECONDS = 0.1;
+/// Time that a call of a service may take.
+const LONGEST_CALL_MILLISECONDS: Milliseconds = 500;
 
 export interface FrontServer {
   readonly server: Server;
-  /// Answers say that the connection closes behind them.
-  startClosing(): void;
+  /// Prepares for the end at `endsAt`: answers say that their connection
+  /// closes, and what can't end before it is refused.
+  startClosing(endsAt: Milliseconds): void;
   applyLimits(limits: CallerLimits): void;
   running(): number;
 }
@@ -40,9 +48,22 @@
   return end < 0 ? target : target.slice(0, end);
 }
 
+/// About the longest time that a request takes on a fleet that is not
+/// overloaded.
+function longestRun(service: Service, facts: CallerFacts): Milliseconds {
+  const { engine } = service;
+  if (!engine) return LONGEST_CALL_MILLISECONDS;
+  const pass = passTime(engine, {
+    writers: engine.slots,
+    contextTokens: facts.promptTokens,
+  });
+  const passes = facts.outputTokens / engine.stepsPerPass;
+  return readTime(engine, facts.promptTokens) + pass * passes;
+}
+
 export function createFrontServer(context: RequestContext): FrontServer {
   const { clock, random, log, metrics, dialect, view } = context;
-  let isClosing = false;
+  let endsAt = Infinity;
   let running = 0;
   let heldBytes = 0;
 
@@ -104,7 +125,9 @@
 
   const handle = async (message: IncomingMessage, response: ServerResponse) => {
     const arrivedAt = clock.now();
-    const answer = createCallerAnswer(response, { closes: () => isClosing });
+    const answer = createCallerAnswer(response, {
+      closes: () => endsAt < Infinity,
+    });
     const table = view.table();
     const facts = dialect.readCaller(message.headers);
     const request = facts.attemptId;
@@ -135,6 +158,11 @@
       const reason = "the route's service is not configured";
       return refuse(answer, { status: 503, reason, request, path });
     }
+    if (clock.now() + longestRun(service, facts) > endsAt) {
+      const reason = "this VM stops before the request could end";
+      const fields = { status: 503, reason, request, path };
+      return refuse(answer, fields, STOPPING_RETRY_SECONDS);
+    }
     const fingerprint = createHash("sha1")
       .update(`${path}\0${facts.key ?? ""}\0`)
       .update(body)
@@ -167,14 +195,22 @@
       };
       metrics.ended.inc(labels);
       metrics.durationSeconds.observe(labels, took / 1_000);
-      if (outcome.outcome === "served" && outcome.tries === 1) return;
+      // Requests that went well are counted above and have no line.
+      if (outcome.isInTime && outcome.tries === 1) return;
       log.info("request ended", {
         request: request.facts.attemptId,
         route: request.route.name,
         kind: request.route.kind,
         promptTokens: request.facts.promptTokens,
         version: request.configurationVersion,
-        ...outcome,
+        outcome: outcome.outcome,
+        status: outcome.status,
+        reason: outcome.reason,
+        tries: outcome.tries,
+        firstByte: outcome.firstByte && Math.round(outcome.firstByte),
+        longestPause: Math.round(outcome.longestPause),
+        isInTime: outcome.isInTime,
+        ...outcome.placement,
         took: Math.round(took),
       });
     } finally {
@@ -197,7 +233,7 @@
 
   return {
     server,
-    startClosing: () => void (isClosing = true),
+    startClosing: (at) => void (endsAt = at),
     applyLimits(limits) {
       server.headersTimeout = limits.headerMilliseconds;
       server.keepAliveTimeout = limits.idleMilliseconds;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { AddressInfo } from "node:net";
 import type { KeyValueStore } from "../infrastructure/key_value_store.ts";
 import { createLinkMesh } from "../links/link_mesh.ts";
 import { createCrashMarks } from "../requests/crash_marks.ts";
@@ -39,6 +40,10 @@
 /// closing.
 const ENDING_SHARE = 0.93;
 const END_CHECK_MILLISECONDS: Milliseconds = 50;
+/// Time without a request after which none is expected any more.
+const QUIET_MILLISECONDS: Milliseconds = 300;
+/// Time that taking the entry of this VM out of the store may take.
+const DELIST_MILLISECONDS: Milliseconds = 200;
 /// Connections kept to upstreams that are gone are closed this often.
 const PRUNE_MILLISECONDS: Milliseconds = 5_000;
 /// Begins the name by which links prove that they belong together. All VMs
@@ -63,14 +68,24 @@
   readonly sink?: LineSink;
 }
 
+/// Where a gateway listens, as `host:port`.
+export interface GatewayAddresses {
+  readonly callers: string;
+  readonly readiness: string;
+  readonly links: string;
+  readonly metrics: string;
+}
+
 export interface Gateway {
+  readonly addresses: GatewayAddresses;
   /// Stops taking callers, ends what runs and closes everything.
   drain(): Promise<void>;
   /// Closes everything at once.
   close(): void;
 }
 
-function listen(server: Server, address: string): Promise<void> {
+/// Listens and resolves to the address, whose port may have been left open.
+function listen(server: Server, address: string): Promise<string> {
   const separator = address.lastIndexOf(":");
   const host = address.slice(0, separator);
   const port = Number(address.slice(separator + 1));
@@ -78,7 +93,7 @@
     server.once("error", reject);
     server.listen(port, host, () => {
       server.removeListener("error", reject);
-      resolve();
+      resolve(`${host}:${(server.address() as AddressInfo).port}`);
     });
   });
 }
@@ -195,12 +210,12 @@
       response.destroy();
     });
   });
-  await Promise.all([
-    listen(front.server, settings.callerAddress),
-    listen(readinessServer, settings.readinessAddress),
-    listen(linkServer, settings.linkAddress),
-    listen(metricsServer, settings.metricsAddress),
-  ]);
+  const addresses: GatewayAddresses = {
+    callers: await listen(front.server, settings.callerAddress),
+    readiness: await listen(readinessServer, settings.readinessAddress),
+    links: await listen(linkServer, settings.linkAddress),
+    metrics: await listen(metricsServer, settings.metricsAddress),
+  };
   const registration = startRegistration({
     clock,
     log,
@@ -208,7 +223,7 @@
     vm: settings.vm,
     entry: {
       dataCentre: settings.dataCentre,
-      linkAddress: settings.linkAddress,
+      linkAddress: addresses.links,
     },
   });
   const stop = new AbortController();
@@ -223,11 +238,12 @@
     }
   };
   void prune();
-  log.info("started", { incarnation, callerAddress: settings.callerAddress });
+  log.info("started", { incarnation, ...addresses });
 
   const close = () => {
     stop.abort(new Error("closed"));
     follower.close();
+    registration.abandon();
     links.close();
     connections.close();
     for (
@@ -244,22 +260,29 @@
   };
 
   return {
+    addresses,
     close,
     async drain() {
-      const stopAt = clock.now() +
-        settings.stopSeconds * 1_000 * ENDING_SHARE;
+      const stoppedAt = clock.now();
+      const endsAt = stoppedAt + settings.stopSeconds * 1_000 * ENDING_SHARE;
       isLeaving = true;
-      front.startClosing();
+      front.startClosing(endsAt);
       log.info("stopping", { running: front.running() });
-      await clock.sleep(LEAVE_ENTRY_MILLISECONDS);
-      front.server.close();
-      front.server.closeIdleConnections();
-      while (front.running() > 0 && clock.now() < stopAt) {
+      // Callers may still come as long as the entry has no better VM.
+      let idleSince: Milliseconds | undefined;
+      while (clock.now() < endsAt) {
         await clock.sleep(END_CHECK_MILLISECONDS);
-        front.server.closeIdleConnections();
+        const now = clock.now();
+        idleSince = front.running() > 0 ? undefined : idleSince ?? now;
+        const hasLeft = now - stoppedAt >= LEAVE_ENTRY_MILLISECONDS;
+        const idle = now - (idleSince ?? now);
+        if (hasLeft && idle >= QUIET_MILLISECONDS) break;
       }
       log.info("stopped", { unfinished: front.running() });
-      await registration.close();
+      await Promise.race([
+        registration.close(),
+        clock.sleep(DELIST_MILLISECONDS),
+      ]);
       close();
     },
   };
--- a/src/gateway/memory_reservations.ts
+++ b/src/gateway/memory_reservations.ts
@@ -96,9 +96,7 @@
       request: options.attemptId,
       upstream: made[refused]!.candidate.upstream.id,
       tokens: made[refused]!.tokens,
-      reason: result.status === "rejected"
-        ? String(result.reason)
-        : "no room",
+      reason: result.status === "rejected" ? String(result.reason) : "no room",
     });
     await release();
     return undefined;
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -4,7 +4,10 @@
 import type { EngineProfile } from "./configuration.ts";
 import type { Helper } from "./dialect.ts";
 import { readTime } from "./engine_cost.ts";
-import { type MemoryReservations, reserveMemory } from "./memory_reservations.ts";
+import {
+  type MemoryReservations,
+  reserveMemory,
+} from "./memory_reservations.ts";
 import {
   type Candidate,
   type EnginePlan,
@@ -69,6 +72,21 @@
   readonly status: number | undefined;
   readonly reason: string;
   readonly tries: number;
+  /// Time from arrival to the first byte of the answer.
+  readonly firstByte: Milliseconds | undefined;
+  /// Longest pause between two writes of a stream.
+  readonly longestPause: Milliseconds;
+  /// Whether the caller got what it counts as good, in time.
+  readonly isInTime: boolean;
+  /// The last placement: what was expected of it, and from which inputs.
+  readonly placement: {
+    readonly upstream: string;
+    readonly parts: number;
+    readonly expectedFirst: Milliseconds;
+    /// Work that was known of at the upstream before.
+    readonly requestsBefore: number;
+    readonly readingBefore: Milliseconds;
+  } | undefined;
 }
 
 interface Placement {
@@ -105,6 +123,10 @@
   let mayHaveRun = false;
   let lastId: string | undefined;
   let lastReason = "no upstream is listed";
+  let firstByte: Milliseconds | undefined;
+  let lastWriteAt: Milliseconds | undefined;
+  let longestPause: Milliseconds = 0;
+  let placed: RunOutcome["placement"];
   let lastAnswer: (AttemptResult & { kind: "answered" }) | undefined;
   /// Upstreams that may have run the request.
   const ran: Upstream[] = [];
@@ -192,12 +214,13 @@
   >[2]["onEvents"] =>
   (bytes, head, id) => {
     work.readDone();
+    const now = clock.now();
+    longestPause = Math.max(longestPause, now - (lastWriteAt ?? now));
+    lastWriteAt = now;
     if (!answer.isStarted()) {
-      metrics.firstByteSeconds.observe(
-        { route_kind: route.kind },
-        (clock.now() - request.arrivedAt) / 1_000,
-      );
-      answer.startStream(head.status, dialect.callerHeaders(head.headers));
+      noteFirstByte();
+      const headers = dialect.callerHeaders(head.headers);
+      answer.startStream({ ...head, headers });
     }
     if (id !== undefined) lastId = id;
     return bytes.length === 0 || answer.write(bytes);
@@ -208,6 +231,15 @@
     helpers: readonly Helper[],
   ): Promise<AttemptResult> => {
     const { upstream } = placement;
+    const { plan } = placement;
+    const before = board.of(upstream.id);
+    placed = {
+      upstream: upstream.id,
+      parts: 1 + helpers.length,
+      expectedFirst: Math.round(plan?.firstEvent ?? CALL_MILLISECONDS),
+      requestsBefore: before.requests,
+      readingBefore: Math.round(before.readMilliseconds),
+    };
     const work = noteWork(placement);
     health.noteSent(upstream.id);
     const sentAt = clock.now();
@@ -232,6 +264,12 @@
     return result;
   };
 
+  const noteFirstByte = () => {
+    firstByte = clock.now() - request.arrivedAt;
+    const labels = { route_kind: route.kind };
+    metrics.firstByteSeconds.observe(labels, firstByte / 1_000);
+  };
+
   const noteResult = (
     upstream: Upstream,
     result: AttemptResult,
@@ -275,7 +313,18 @@
     reason: string,
   ): RunOutcome => {
     timer.cancel();
-    return { outcome, status, reason, tries };
+    return {
+      outcome,
+      status,
+      reason,
+      tries,
+      firstByte,
+      longestPause,
+      isInTime: outcome === "served" && firstByte !== undefined &&
+        firstByte <= route.objectiveMilliseconds &&
+        longestPause <= route.pauseMilliseconds,
+      placement: placed,
+    };
   };
 
   /// The end when nothing more is tried.
@@ -288,7 +337,7 @@
     }
     if (lastAnswer) {
       const headers = dialect.callerHeaders(lastAnswer.headers);
-      answer.sendWhole(lastAnswer.status, headers, lastAnswer.body);
+      answer.sendWhole({ ...lastAnswer, headers }, lastAnswer.body);
       return end("upstream_failure", lastAnswer.status, "upstream's answer");
     }
     if (!mayHaveRun) {
@@ -350,7 +399,10 @@
       return giveUp();
     }
     tries += 1;
-    if (tries > 1) metrics.repeats.inc({ reason: answer.isStarted() ? "resume" : "repeat" });
+    if (tries > 1) {
+      const reason = answer.isStarted() ? "resume" : "repeat";
+      metrics.repeats.inc({ reason });
+    }
     const result = await tryAt(placement, helpers);
     void reservations?.release();
 
@@ -369,12 +421,9 @@
     if (result.kind === "answered") {
       if (result.status < 500 && !answer.isStarted()) {
         const headers = dialect.callerHeaders(result.headers);
-        answer.sendWhole(result.status, headers, result.body);
+        answer.sendWhole({ ...result, headers }, result.body);
         context.crashMarks.clear(request.fingerprint);
-        metrics.firstByteSeconds.observe(
-          { route_kind: route.kind },
-          (clock.now() - request.arrivedAt) / 1_000,
-        );
+        noteFirstByte();
         return end("served", result.status, "");
       }
       mayHaveRun = true;
--- a/src/gateway/route_table.ts
+++ b/src/gateway/route_table.ts
@@ -1,5 +1,10 @@
 import type { Milliseconds } from "../support/clock.ts";
-import type { Configuration, Customer, Route, Service } from "./configuration.ts";
+import type {
+  Configuration,
+  Customer,
+  Route,
+  Service,
+} from "./configuration.ts";
 
 /// A configuration, indexed for the look-ups that each request makes.
 export interface RouteTable {
--- a/src/gateway/vm_directory.ts
+++ b/src/gateway/vm_directory.ts
@@ -68,6 +68,8 @@
 export interface Registration {
   /// Takes the entry away.
   close(): Promise<void>;
+  /// Leaves the entry until it lapses.
+  abandon(): void;
 }
 
 /// Lists this VM for as long as it runs.
@@ -111,6 +113,7 @@
 
   void run();
   return {
+    abandon: () => stop.abort(new Error("closed")),
     async close() {
       stop.abort(new Error("closed"));
       if (lease === undefined) return;
--- /dev/null
+++ b/test/gateway/decisions_test.ts
@@ -0,0 +1,160 @@
+import test from "ava";
+import { createEventCutter } from "../../src/gateway/event_stream.ts";
+import { createFleetView } from "../../src/gateway/fleet_view.ts";
+import {
+  GatewaySettingsError,
+  readGatewaySettings,
+} from "../../src/gateway/gateway_settings.ts";
+import { createRepeatBudget } from "../../src/gateway/repeat_budget.ts";
+import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
+import type { Upstream } from "../../src/gateway/upstream.ts";
+import { createWorkBoard } from "../../src/gateway/work_board.ts";
+import { createLineSink } from "../../src/support/log.ts";
+import { createFakeClock } from "../../stand_ins/fake_clock.ts";
+import { createLocalNetwork } from "../../stand_ins/local_links.ts";
+
+const upstream = (id: string, more: Partial<Upstream> = {}): Upstream => ({
+  id,
+  service: "engines",
+  address: "10.0.0.1:80",
+  dataCentre: "north",
+  slots: 8,
+  isLeaving: false,
+  startedAt: 1,
+  ...more,
+});
+
+const STORE = { kind: "store" as const, revision: 1 };
+
+test("repeats stay within their share and an even part of the allowance", async (t) => {
+  const clock = createFakeClock();
+  const budget = createRepeatBudget({
+    clock,
+    limits: { ratio: 0.2, allowance: 50, window: 10_000 },
+    vmCount: () => 5,
+  });
+  for (let count = 0; count < 100; count++) budget.noteRequest("desk");
+  const take = () => {
+    let taken = 0;
+    while (budget.take("desk")) taken += 1;
+    return taken;
+  };
+  const first = take();
+  t.true(first > 0 && first <= 0.2 * 100 + 50 / 5);
+  t.is(take(), 0);
+  await clock.advance(10_000);
+  t.true(take() <= 50 / 5);
+});
+
+test("an unreachable upstream is suspended for longer each time", async (t) => {
+  const clock = createFakeClock();
+  const health = createUpstreamHealth(clock);
+  health.noteUnreachable("e1");
+  health.noteUnreachable("e1");
+  t.true(health.isSuspended("e1"));
+  await clock.advance(1_000);
+  t.false(health.isSuspended("e1"));
+  health.noteSent("e1");
+  t.true(health.isSuspended("e1"), "one try at a time");
+  health.noteSuccess("e1");
+  t.false(health.isSuspended("e1"));
+  health.noteUnreachable("e1");
+  await clock.advance(1_000);
+  health.noteUnreachable("e1");
+  await clock.advance(1_500);
+  t.true(health.isSuspended("e1"));
+});
+
+test("events are passed on whole, however they are cut", (t) => {
+  const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata";
+  for (let size = 1; size < text.length; size++) {
+    const cutter = createEventCutter();
+    let passed = "";
+    for (let at = 0; at < text.length; at += size) {
+      const piece = Buffer.from(text.slice(at, at + size));
+      passed += cutter.push(piece)?.toString() ?? "";
+    }
+    t.is(passed, text.slice(0, text.indexOf("id: 3")));
+    t.is(cutter.lastId(), "2");
+    t.is(cutter.count(), 2);
+    t.is(cutter.rest().toString(), "id: 3\ndata");
+  }
+});
+
+test("an upstream whose entry is gone gets nothing more", (t) => {
+  const view = createFleetView(createFakeClock());
+  view.setUpstreams([upstream("e1"), upstream("e2")], STORE);
+  view.setUpstream(upstream("e2", { isLeaving: true }), STORE);
+  t.deepEqual(view.available("engines").map(({ id }) => id), ["e1"]);
+  view.removeUpstream("e1", STORE);
+  t.deepEqual(view.available("engines"), []);
+});
+
+test("entries that lapsed in an outage have two seconds to come back", async (t) => {
+  const clock = createFakeClock();
+  const view = createFleetView(clock);
+  view.setUpstreams([upstream("e1"), upstream("e2")], STORE);
+  view.noteStoreReturn();
+  view.setUpstreams([], STORE);
+  t.is(view.available("engines").length, 2);
+  await clock.advance(500);
+  view.setUpstream(upstream("e2"), STORE);
+  await clock.advance(1_500);
+  t.deepEqual(view.available("engines").map(({ id }) => id), ["e2"]);
+});
+
+test("VMs know each other's work and drop it with the link", async (t) => {
+  const clock = createFakeClock();
+  const network = createLocalNetwork(clock);
+  const join = (vm: string) =>
+    network.join({ vm, incarnation: "1", dataCentre: "north" });
+  const first = createWorkBoard({ clock, links: join("vm-1") });
+  const second = createWorkBoard({ clock, links: join("vm-2") });
+  await clock.advance(100);
+  const work = { requests: 1, memoryTokens: 500, readMilliseconds: 300 };
+  const item = first.start("e1", work);
+  await clock.advance(100);
+  t.is(second.of("e1").requests, 1);
+  t.true(second.of("e1").readMilliseconds <= 300);
+  item.readDone();
+  await clock.advance(100);
+  t.is(second.of("e1").readMilliseconds, 0);
+  item.end();
+  await clock.advance(100);
+  t.deepEqual(second.of("e1"), {
+    requests: 0,
+    memoryTokens: 0,
+    readMilliseconds: 0,
+  });
+});
+
+test("a slow reader of the log costs lines, not time", (t) => {
+  const written: string[] = [];
+  const stream = {
+    writableLength: 0,
+    write: (text: string) => written.push(text) > 0,
+  };
+  const sink = createLineSink(stream);
+  sink.write("one");
+  stream.writableLength = 10_000_000;
+  sink.write("two");
+  sink.write("three");
+  stream.writableLength = 0;
+  sink.write("four");
+  t.is(sink.dropped(), 2);
+  t.is(written.length, 3);
+  t.true(written[1]!.includes('"missing":2'));
+  t.is(written[2], "four\n");
+});
+
+test("wrong settings are told all at once", (t) => {
+  const error = t.throws(
+    () => readGatewaySettings('{"vm": "", "unknown": 1}'),
+    { instanceOf: GatewaySettingsError },
+  );
+  t.true(error!.message.includes("/vm"));
+  t.true(error!.message.includes("/storeAddress"));
+  t.throws(() => readGatewaySettings("vm: a"), {
+    instanceOf: GatewaySettingsError,
+  });
+});
--- /dev/null
+++ b/test/gateway/placement_test.ts
@@ -0,0 +1,173 @@
+import test from "ava";
+import type { EngineProfile } from "../../src/gateway/configuration.ts";
+import { readTime } from "../../src/gateway/engine_cost.ts";
+import {
+  type Candidate,
+  isLong,
+  placeCall,
+  placeLong,
+  placeShort,
+  shareMemory,
+} from "../../src/gateway/placement.ts";
+import type { UpstreamWork } from "../../src/gateway/work_board.ts";
+
+const PROFILE: EngineProfile = {
+  slots: 8,
+  memoryTokens: 300_000,
+  stepsPerPass: 50,
+  stepMilliseconds: 1,
+  stepMillisecondsPerRequest: 0.01,
+  stepMillisecondsPerThousandTokens: 0.003,
+  readTokensPerSecond: 200_000,
+  readMillisecondsPerMillionPairs: 0.2,
+};
+
+const SHORT = {
+  promptTokens: 5_000,
+  outputTokens: 1_000,
+  objective: 300,
+  pause: 250,
+};
+const LONG = {
+  promptTokens: 150_000,
+  outputTokens: 1_000,
+  objective: 3_000,
+  pause: 250,
+};
+
+const IDLE: UpstreamWork = {
+  requests: 0,
+  memoryTokens: 0,
+  readMilliseconds: 0,
+};
+
+function candidate(id: string, more: Partial<Candidate> = {}): Candidate {
+  return {
+    upstream: {
+      id,
+      service: "engines",
+      address: "10.0.0.1:80",
+      dataCentre: "north",
+      slots: 8,
+      isLeaving: false,
+      startedAt: 1,
+    },
+    work: IDLE,
+    failureShare: 0,
+    isSuspended: false,
+    isNear: true,
+    ...more,
+  };
+}
+
+const busy = (requests: number): UpstreamWork => ({
+  requests,
+  memoryTokens: requests * 6_000,
+  readMilliseconds: 0,
+});
+
+const idsOf = (list: readonly Candidate[]) =>
+  list.map(({ upstream }) => upstream.id).sort();
+
+test("reading time grows with the square of a long prompt", (t) => {
+  t.is(readTime(PROFILE, 10_000), 60);
+  t.is(readTime(PROFILE, 100_000), 1_500);
+});
+
+test("what makes streams beside it pause for too long is long", (t) => {
+  t.false(isLong(PROFILE, SHORT));
+  t.true(isLong(PROFILE, { ...SHORT, promptTokens: 20_000 }));
+  t.false(isLong(PROFILE, { ...LONG, pause: 10_000 }));
+});
+
+test("short prompts gather on few engines", (t) => {
+  const candidates = [
+    candidate("e1", { work: busy(3) }),
+    candidate("e2"),
+    candidate("e3"),
+  ];
+  t.is(placeShort(PROFILE, SHORT, candidates)?.primary.upstream.id, "e1");
+});
+
+interface AvoidedCase {
+  readonly title: string;
+  readonly first: Partial<Candidate>;
+}
+
+const avoided: readonly AvoidedCase[] = [
+  { title: "an engine that is full", first: { work: busy(8) } },
+  {
+    title: "an engine that reads a long prompt",
+    first: { work: { ...IDLE, readMilliseconds: 400 } },
+  },
+  { title: "an unreachable engine", first: { isSuspended: true } },
+  { title: "an engine that fails often", first: { failureShare: 0.5 } },
+  {
+    title: "an engine without memory",
+    first: { work: { ...IDLE, memoryTokens: 299_000 } },
+  },
+];
+
+for (const { title, first } of avoided) {
+  test(`a short prompt avoids ${title}`, (t) => {
+    const candidates = [candidate("e1", first), candidate("e2")];
+    t.is(placeShort(PROFILE, SHORT, candidates)?.primary.upstream.id, "e2");
+  });
+}
+
+test("a long prompt is spread over the engines without streams", (t) => {
+  const free = ["f1", "f2", "f3", "f4"].map((id) => candidate(id));
+  const used = ["u1", "u2"].map((id) => candidate(id, { work: busy(6) }));
+  const plan = placeLong(PROFILE, LONG, [...used, ...free])!;
+  t.deepEqual(
+    idsOf([plan.primary, ...plan.helpers]),
+    ["f1", "f2", "f3", "f4"],
+  );
+  t.true(plan.firstEvent < LONG.objective);
+});
+
+test("a long prompt takes engines with streams if it would be late", (t) => {
+  const all = ["u1", "u2", "u3", "u4"].map((id) =>
+    candidate(id, { work: busy(1) })
+  );
+  const plan = placeLong(PROFILE, { ...LONG, promptTokens: 200_000 }, all)!;
+  t.true(plan.helpers.length > 0);
+});
+
+test("no prompt is read by more engines than the platform allows", (t) => {
+  const many = Array.from({ length: 30 }, (_, n) => candidate(`e${n}`));
+  const plan = placeLong(PROFILE, LONG, many)!;
+  t.true(plan.helpers.length <= 16);
+});
+
+test("a long prompt leaves suspended engines out", (t) => {
+  const plan = placeLong(PROFILE, LONG, [
+    candidate("e1", { isSuspended: true }),
+    candidate("e2"),
+    candidate("e3"),
+  ])!;
+  t.deepEqual(idsOf([plan.primary, ...plan.helpers]), ["e2", "e3"]);
+});
+
+test("memory that the first engine lacks is taken from the helpers", (t) => {
+  const all = ["e1", "e2", "e3"].map((id) => candidate(id));
+  const large = { ...LONG, promptTokens: 400_000 };
+  const plan = placeLong(PROFILE, large, all)!;
+  const shares = shareMemory(PROFILE, large, plan)!;
+  const shared = shares.reduce((sum, { tokens }) => sum + tokens, 0);
+  t.true(shared >= 401_000 - 300_000 * 0.95);
+  t.true(shares.every(({ tokens }) => tokens <= 300_000));
+  t.deepEqual(shareMemory(PROFILE, LONG, plan), []);
+  const huge = { ...LONG, promptTokens: 2_000_000 };
+  t.is(shareMemory(PROFILE, huge, plan), undefined);
+});
+
+test("a call goes to the upstream that has least to do for its size", (t) => {
+  const chosen = placeCall([
+    candidate("d1", { work: busy(4) }),
+    candidate("d2", { work: busy(2) }),
+    candidate("d3", { work: busy(1), isSuspended: true }),
+  ], 25);
+  t.is(chosen?.upstream.id, "d2");
+  t.is(placeCall([], 25), undefined);
+});
