Weigh each part of a long prompt against the streams it stops; wait for slots

Now every part is weighed against the short streams there, waiting short prompts go in the order in which they can be in time, what would come too late is refused at once, a broken answer suspends an upstream only if that takes no connections, and work that was broken off stays on the board until it must be over.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -15,6 +15,12 @@
 /// the upstream; a request that must run once isn't risked on it.
 const ONCE_IDLE_MILLISECONDS: Milliseconds = 1_000;
 
+/// Time after expected reading within which streams go on.
+const EXPECTED_MARGIN: Milliseconds = 200;
+/// Further silence that a long prompt bears at an engine that can be reached:
+/// about the longest pass that other prompts cause.
+const EXTENDED_MILLISECONDS: Milliseconds = 2_000;
+
 /// How a try ended.
 export type AttemptResult =
   /// The upstream's own whole answer.
@@ -31,11 +37,17 @@
   | {
     readonly kind: "not_run";
     readonly reason: string;
+    readonly isUnreachable: boolean;
     /// Address of another engine that was at fault.
     readonly faultAddress?: string;
   }
   /// The request may have run.
-  | { readonly kind: "failed"; readonly reason: string }
+  | {
+    readonly kind: "failed";
+    readonly reason: string;
+    /// Whether the upstream takes no connections either.
+    readonly isUnreachable: boolean;
+  }
   /// The run was ended from here.
   | { readonly kind: "aborted" };
 
@@ -56,6 +68,10 @@
   readonly firstLimit: Milliseconds;
   readonly pauseLimit: Milliseconds;
   readonly mayGiveUp: () => boolean;
+  /// Whether starting anew elsewhere costs more than waiting somewhat longer.
+  readonly isPatient: boolean;
+  /// Silence that the upstream's other work explains from now on.
+  readonly expectedSilence: () => Milliseconds;
   /// Takes whole events. Returns false to be paused.
   readonly onEvents: (
     bytes: Buffer,
@@ -88,6 +104,7 @@
   let isStream = false;
   let isPaused = false;
   let timer: Timer | undefined;
+  let wasExtended = false;
   let settle: (result: AttemptResult) => void = () => {};
   const result = new Promise<AttemptResult>((resolve) => {
     settle = (value) => {
@@ -96,17 +113,33 @@
     };
   });
 
-  const fail = (reason: string) => {
+  const fail = (reason: string, isUnreachable = false) => {
     exchange.abort();
-    settle({ kind: "failed", reason });
+    settle({ kind: "failed", reason, isUnreachable });
   };
 
   const watchSilence = (limit: Milliseconds) => {
     timer?.cancel();
-    timer = clock.schedule(limit, () => {
+    const watched = clock.schedule(limit, () => {
       if (isPaused || !plan.mayGiveUp()) return watchSilence(limit);
-      fail(`silent for ${Math.round(limit)} ms`);
+      const expected = plan.expectedSilence();
+      if (expected > 0) return watchSilence(expected + EXPECTED_MARGIN);
+      const { address } = plan.upstream;
+      context.connections.accepts(address).then((accepts) => {
+        // The answer may have gone on meanwhile.
+        if (timer !== watched) return;
+        const reason = `silent for ${Math.round(limit)} ms`;
+        if (!accepts) return fail(`${reason} and unreachable`, true);
+        // A busy engine comes back to a long prompt sooner than another one
+        // would have read it again.
+        if (plan.isPatient && !wasExtended) {
+          wasExtended = true;
+          return watchSilence(EXTENDED_MILLISECONDS);
+        }
+        fail(reason);
+      });
     });
+    timer = watched;
   };
 
   const finish = () => {
@@ -117,7 +150,8 @@
         ? "another upstream has the address"
         : `refused with ${head.status}`;
       const { faultAddress } = facts;
-      return settle({ kind: "not_run", reason, faultAddress });
+      const isUnreachable = false;
+      return settle({ kind: "not_run", reason, isUnreachable, faultAddress });
     }
     if (!isStream) {
       const body = Buffer.concat(pieces);
@@ -179,12 +213,15 @@
       // still there has ended its answer on purpose.
       context.connections.accepts(plan.upstream.address).then((accepts) => {
         if (accepts) finish();
-        else fail("the upstream went away at the end of its answer");
+        else fail("the upstream went away at the end of its answer", true);
       });
     },
     onFailure({ wasSent, reason }) {
-      if (wasSent) settle({ kind: "failed", reason });
-      else settle({ kind: "not_run", reason: `not connected: ${reason}` });
+      if (wasSent) {
+        return settle({ kind: "failed", reason, isUnreachable: false });
+      }
+      const detail = `not connected: ${reason}`;
+      settle({ kind: "not_run", reason: detail, isUnreachable: true });
     },
   });
   watchSilence(plan.firstLimit);
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -28,6 +28,8 @@
   objectiveMilliseconds: Type.Number(),
   /// Longest good pause between two events of a stream.
   pauseMilliseconds: Type.Number(),
+  /// Silence after which callers leave a stream, also before its first event.
+  silenceMilliseconds: Type.Number(),
   /// 0 is the most urgent.
   priority: Type.Number(),
   /// Upstreams that one request may run on.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import { createVmDirectory, startRegistration } from "./vm_directory.ts";
 import { startViewFollower } from "./view_follower.ts";
 import { startViewSharing } from "./view_sharing.ts";
+import { createWaitingRoom } from "./waiting_room.ts";
 import { createWorkBoard } from "./work_board.ts";
 
 /// One gateway process: its view of the fleet, its requests and its links.
@@ -131,6 +132,16 @@
   });
   const health = createUpstreamHealth(clock);
   const connections = createUpstreamConnections(clock);
+  const board = createWorkBoard({ clock, links });
+  /// This VM's part of the slots that no request has.
+  const freeSlots = (service: string) => {
+    let free = 0;
+    for (const { id, slots } of view.available(service)) {
+      if (health.isSuspended(id)) continue;
+      free += Math.max(0, slots - board.of(id).requests);
+    }
+    return Math.ceil(free / mostVms);
+  };
   const front = createFrontServer({
     clock,
     random,
@@ -140,7 +151,8 @@
     reservations: platform.reservations,
     view,
     health,
-    board: createWorkBoard({ clock, links }),
+    board,
+    waitingRoom: createWaitingRoom({ clock, room: freeSlots }),
     budget: createRepeatBudget({
       clock,
       limits: {
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -4,9 +4,11 @@
 import type { Upstream } from "./upstream.ts";
 import type { UpstreamWork } from "./work_board.ts";
 
-/// Where a request goes. Short prompts share few engines, so that the others
-/// are free for long ones; a long prompt is read by several engines, as many
-/// as shorten it without making streams there pause for too long.
+/// Where a request goes. An engine reads prompts within the passes in which it
+/// writes, so a long prompt stops every stream beside it. Short prompts gather
+/// on few engines, the same ones for all VMs, so that others are free of them.
+/// A long prompt is read in parts by as many engines as make it the least late,
+/// weighed against the streams that its parts would stop for too long.
 
 /// An upstream that could take the request, and what it has to do.
 export interface Candidate {
@@ -45,11 +47,13 @@
 
 /// Reading that streams beside it bear: this share of the pause that they
 /// count as good. The rest is for the pass itself and other readers.
-const BORNE_PAUSE_SHARE = 0.5;
+const BORNE_PAUSE_SHARE = 0.8;
+/// Reading that is worth splitting among the engines of short prompts.
+const SPLIT_PAUSE_SHARE = 0.4;
 /// Share of an engine's slots up to which short requests are gathered on it.
 const GATHERED_SLOTS_SHARE = 0.6;
 /// Share of the objective that a gathered request may be expected to take.
-const GATHERED_OBJECTIVE_SHARE = 0.45;
+const GATHERED_OBJECTIVE_SHARE = 0.7;
 /// Engines that one prompt may be read by; the platform allows 16 beside the
 /// first.
 const MOST_PARTS = 17;
@@ -74,6 +78,21 @@
   return readTime(profile, request.promptTokens) > borne;
 }
 
+const byId = (left: Candidate, right: Candidate) =>
+  left.upstream.id < right.upstream.id ? -1 : 1;
+
+/// Chooses the engines for a prompt.
+export function placePrompt(
+  profile: EngineProfile,
+  request: EngineRequest,
+  candidates: readonly Candidate[],
+): EnginePlan | undefined {
+  const whole = readTime(profile, request.promptTokens);
+  return whole > request.pause * SPLIT_PAUSE_SHARE
+    ? placeLong(profile, request, candidates)
+    : placeShort(profile, request, candidates);
+}
+
 export function memoryOf({ promptTokens, outputTokens }: PromptSize): number {
   return promptTokens + outputTokens;
 }
@@ -120,9 +139,6 @@
   return best;
 }
 
-const byId = (left: Candidate, right: Candidate) =>
-  left.upstream.id < right.upstream.id ? -1 : 1;
-
 /// Chooses the engine for a prompt that is read in one piece.
 export function placeShort(
   profile: EngineProfile,
@@ -142,7 +158,7 @@
     firstEvent: expected(primary),
     partTime: own,
   });
-  // All VMs gather on the same engines, in the order of their ids.
+  // All VMs gather on the same engines in the same order.
   const gathered = [...fitting].sort(byId).find((candidate) =>
     candidate.work.requests < profile.slots * GATHERED_SLOTS_SHARE &&
     candidate.failureShare < 0.3 && !candidate.isSuspended &&
@@ -156,64 +172,88 @@
   return best && planOf(best);
 }
 
-/// Chance that something with a bound is late if it is expected to take this
-/// share of the bound.
-function lateChance(share: number): number {
-  return Math.min(1, Math.max(0, (share - 0.6) / 0.4)) + 0.05 * share;
+/// Chance that something is late whose expected time is this share of its
+/// bound: none below `from`, certain above `to`.
+function lateChance(
+  share: number,
+  { from, to }: { readonly from: number; readonly to: number },
+): number {
+  return Math.min(1, Math.max(0, (share - from) / (to - from)));
 }
 
+/// Other VMs place prompts on the same engines at the same moment, so a first
+/// event may come a good deal later than expected.
+const FIRST_EVENT_RAMP = { from: 0.5, to: 1 };
+/// Pauses follow from what is known of one engine.
+const PAUSE_RAMP = { from: 0.8, to: 1.05 };
+/// Weight of being early at all, which frees engines sooner.
+const EARLINESS_WEIGHT = 0.05;
+
 /// Chooses the engines for a prompt that is worth reading in parts.
 export function placeLong(
   profile: EngineProfile,
   request: EngineRequest,
   candidates: readonly Candidate[],
 ): EnginePlan | undefined {
+  const { objective, pause } = request;
   const whole = readTime(profile, request.promptTokens);
   const own = request.promptTokens + OUTPUT_WEIGHT * request.outputTokens;
-  const costs = new Map(candidates.map((candidate) => [
+  const known = candidates.map((candidate) => ({
     candidate,
-    waitOf(profile, candidate) + penaltyOf(candidate),
-  ]));
-  const harmed = (candidate: Candidate) =>
-    candidate.work.requests * SHORT_REQUEST_WEIGHT / own * request.objective;
-  // Free engines first, from the end where short requests come last.
-  const sorted = [...candidates].sort((left, right) =>
-    costs.get(left)! + harmed(left) - costs.get(right)! - harmed(right) ||
-    byId(right, left)
-  );
+    pass: passOf(profile, candidate),
+    wait: waitOf(profile, candidate) + penaltyOf(candidate),
+    room: Math.max(0, freeMemory(profile, candidate)),
+  }));
+  type Known = typeof known[number];
+  /// Weight of the streams that a part would stop for too long.
+  const harmOf = ({ candidate, pass }: Known, part: Milliseconds) => {
+    const { shortRequests, readMilliseconds } = candidate.work;
+    const stop = readMilliseconds + part + pass;
+    return shortRequests * SHORT_REQUEST_WEIGHT *
+      lateChance(stop / pause, PAUSE_RAMP);
+  };
+  const lateOf = ({ pass, wait }: Known, part: Milliseconds) => {
+    const share = (wait + part + pass) / objective;
+    return own * (lateChance(share, FIRST_EVENT_RAMP) +
+      EARLINESS_WEIGHT * share);
+  };
   const most = Math.min(
     MOST_PARTS,
-    sorted.length,
+    known.length,
     Math.max(1, Math.floor(request.promptTokens / SMALLEST_PART_TOKENS)),
   );
-  let best: { cost: number; count: number; firstEvent: number } | undefined;
-  let wait = 0;
+  let best: { cost: number; chosen: readonly Known[] } | undefined;
   for (let count = 1; count <= most; count++) {
-    const last = sorted[count - 1]!;
-    if (last.isSuspended && count > 1) break;
-    wait = Math.max(wait, costs.get(last)!);
     const part = whole / count;
-    const firstEvent = wait + part + passOf(profile, sorted[0]!);
-    let harm = 0;
-    for (const candidate of sorted.slice(0, count)) {
-      const pause = part + passOf(profile, candidate);
-      harm += candidate.work.requests * SHORT_REQUEST_WEIGHT *
-        lateChance(pause / request.pause);
-    }
-    const cost = own * lateChance(firstEvent / request.objective) + harm;
-    if (!best || cost < best.cost) best = { cost, count, firstEvent };
+    const chosen = known
+      .map((item) => ({
+        item,
+        cost: harmOf(item, part) + lateOf(item, part),
+      }))
+      .sort((left, right) =>
+        left.cost - right.cost ||
+        byId(right.item.candidate, left.item.candidate)
+      )
+      .slice(0, count)
+      .map(({ item }) => item);
+    const room = chosen.reduce((sum, item) => sum + item.room, 0);
+    if (room < memoryOf(request)) continue;
+    const harm = chosen.reduce((sum, item) => sum + harmOf(item, part), 0);
+    const late = Math.max(...chosen.map((item) => lateOf(item, part)));
+    const cost = harm + late;
+    if (!best || cost < best.cost) best = { cost, chosen };
   }
   if (!best) return undefined;
-  const chosen = sorted.slice(0, best.count);
-  const primary = leastOf(
-    chosen,
-    (candidate) => -freeMemory(profile, candidate),
-  )!;
+  const partTime = whole / best.chosen.length;
+  const primary = leastOf(best.chosen, ({ room }) => -room)!;
   return {
-    primary,
-    helpers: chosen.filter((candidate) => candidate !== primary),
-    firstEvent: best.firstEvent,
-    partTime: whole / best.count,
+    primary: primary.candidate,
+    helpers: best.chosen
+      .filter((item) => item !== primary)
+      .map(({ candidate }) => candidate),
+    firstEvent: partTime +
+      Math.max(...best.chosen.map(({ wait, pass }) => wait + pass)),
+    partTime,
   };
 }
 
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -13,6 +13,7 @@
 import type { RepeatBudget } from "./repeat_budget.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
+import type { WaitingRoom } from "./waiting_room.ts";
 import type { WorkBoard } from "./work_board.ts";
 
 /// What every request of a gateway works with.
@@ -27,6 +28,7 @@
   readonly health: UpstreamHealth;
   readonly board: WorkBoard;
   readonly budget: RepeatBudget;
+  readonly waitingRoom: WaitingRoom;
   readonly connections: UpstreamConnections;
   readonly crashMarks: CrashMarks;
   readonly dataCentre: string;
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -3,7 +3,7 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { EngineProfile } from "./configuration.ts";
 import type { Helper } from "./dialect.ts";
-import { readTime } from "./engine_cost.ts";
+import { passTime, readTime } from "./engine_cost.ts";
 import {
   type MemoryReservations,
   reserveMemory,
@@ -15,8 +15,7 @@
   isLong,
   memoryOf,
   placeCall,
-  placeLong,
-  placeShort,
+  placePrompt,
   shareMemory,
 } from "./placement.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
@@ -52,6 +51,18 @@
 /// for the loss of the engine.
 const LOST_STREAM_PAUSES = 2.5;
 const SHORTEST_LOST_STREAM_MILLISECONDS: Milliseconds = 900;
+/// Work that depends on a lost engine stalls for 1.5 s on the platform before
+/// it is refused; a full engine refuses within a round trip.
+const STALL_MILLISECONDS: Milliseconds = 700;
+/// Callers name the largest number of tokens that they take; answers have about
+/// half of it.
+const LIKELY_OUTPUT_SHARE = 0.5;
+/// Share of the objective within which an engine's first event is to come, for
+/// a request that waits for a slot; the rest is for what isn't foreseen.
+const IN_TIME_SHARE = 0.9;
+/// Wait for a slot after which a request is refused. Callers leave after two
+/// seconds without an event, and a refused one has to come back within that.
+const USEFUL_WAIT_MILLISECONDS: Milliseconds = 1_000;
 /// Urgencies of prompts, by reading time: the shorter, the sooner.
 const URGENCIES: readonly { upTo: Milliseconds; urgency: number }[] = [
   { upTo: 150, urgency: 2 },
@@ -118,7 +129,11 @@
 
   let attempt: Attempt | undefined;
   let isTimedOut = false;
+  let leaveRoom = () => {};
+  let retryAfter = RETRY_AFTER_SECONDS;
   let tries = 0;
+  /// Tries that have reached an upstream, which count as its load.
+  let arrivals = 0;
   let refusals = 0;
   let mayHaveRun = false;
   let lastId: string | undefined;
@@ -135,9 +150,13 @@
   const remaining = () => deadline - clock.now();
   const timer = clock.schedule(Math.max(0, remaining()), () => {
     isTimedOut = true;
+    leaveRoom();
+    attempt?.abort();
+  });
+  answer.onGone(() => {
+    leaveRoom();
     attempt?.abort();
   });
-  answer.onGone(() => attempt?.abort());
   answer.onDrain(() => attempt?.resume());
 
   const isStillThere = (upstream: Upstream) => {
@@ -173,19 +192,45 @@
       const chosen = placeCall(choices, CALL_MILLISECONDS);
       return chosen && { upstream: chosen.upstream };
     }
-    const plan = isLong(profile, engineRequest)
-      ? placeLong(profile, engineRequest, choices)
-      : placeShort(profile, engineRequest, choices);
+    const plan = placePrompt(profile, engineRequest, choices);
     return plan && { upstream: plan.primary.upstream, plan };
   };
 
+  /// Time by which the first event would come too late for the caller to be
+  /// there still, or for the answer to end before the deadline.
+  const excessOf = ({ firstEvent, primary }: EnginePlan): Milliseconds => {
+    if (!profile || answer.isStarted()) return 0;
+    const pass = passTime(profile, {
+      writers: primary.work.requests + 1,
+      contextTokens: primary.work.memoryTokens + facts.promptTokens,
+    });
+    const passes = facts.outputTokens * LIKELY_OUTPUT_SHARE /
+      profile.stepsPerPass;
+    const elapsed = clock.now() - request.arrivedAt;
+    return Math.max(
+      firstEvent + pass * passes - remaining(),
+      firstEvent + elapsed - route.silenceMilliseconds,
+    );
+  };
+
+  /// Whether a short prompt finds no engine with a free slot, or others have
+  /// waited for one before it.
+  const mustWait = (plan: EnginePlan): boolean => {
+    if (!profile || answer.isStarted()) return false;
+    if (isLong(profile, engineRequest)) return false;
+    return plan.primary.work.requests >= plan.primary.upstream.slots ||
+      context.waitingRoom.size(service.name) > 0;
+  };
+
   const noteWork = (
     { upstream, plan }: Placement,
   ): { readDone(): void; end(): void } => {
     const partTime = plan?.partTime ?? CALL_MILLISECONDS;
+    const isShort = profile !== undefined && !isLong(profile, engineRequest);
     const items: WorkItem[] = [
       board.start(upstream.id, {
         requests: 1,
+        shortRequests: isShort ? 1 : 0,
         memoryTokens: profile ? memoryOf(engineRequest) : 0,
         readMilliseconds: partTime,
       }),
@@ -193,6 +238,7 @@
     for (const helper of plan?.helpers ?? []) {
       items.push(board.start(helper.upstream.id, {
         requests: 0,
+        shortRequests: 0,
         memoryTokens: 0,
         readMilliseconds: partTime,
       }));
@@ -254,11 +300,14 @@
         SHORTEST_LOST_STREAM_MILLISECONDS,
         LOST_STREAM_PAUSES * route.pauseMilliseconds,
       ),
+      isPatient: profile !== undefined && isLong(profile, engineRequest),
       mayGiveUp: () => mayRepeat && ran.length + 1 < route.maxUpstreams,
+      expectedSilence: () => board.of(upstream.id).readMilliseconds,
       onEvents: onEvents(work),
     });
     const result = await attempt.result;
     attempt = undefined;
+    if (result.kind === "not_run") work.readDone();
     work.end();
     noteResult(upstream, result, clock.now() - sentAt);
     return result;
@@ -282,13 +331,11 @@
       else health.noteFailure(upstream.id);
       if (result.status < 300) return;
     }
-    if (result.kind === "failed") {
-      health.noteUnreachable(upstream.id);
+    if (result.kind === "failed" && result.isUnreachable) {
       void context.crashMarks.mark(request.fingerprint);
     }
-    if (result.kind === "not_run") {
-      const isUnreachable = result.reason.startsWith("not connected");
-      if (isUnreachable) health.noteUnreachable(upstream.id);
+    if (result.kind !== "answered") {
+      if (result.isUnreachable) health.noteUnreachable(upstream.id);
       else health.noteFailure(upstream.id);
     }
     log.warn("try ended", {
@@ -300,6 +347,7 @@
       result: result.kind,
       status: result.kind === "answered" ? result.status : undefined,
       reason: "reason" in result ? result.reason : undefined,
+      faultAddress: result.kind === "not_run" ? result.faultAddress : undefined,
       took: Math.round(took),
       remaining: Math.round(remaining()),
       eventsUpTo: lastId,
@@ -341,7 +389,7 @@
       return end("upstream_failure", lastAnswer.status, "upstream's answer");
     }
     if (!mayHaveRun) {
-      answer.sendOwn(503, `not run: ${lastReason}\n`, RETRY_AFTER_SECONDS);
+      answer.sendOwn(503, `not run: ${lastReason}\n`, retryAfter);
       return end("refused", 503, lastReason);
     }
     const status = isTimedOut ? 504 : 502;
@@ -359,16 +407,40 @@
       lastReason = "upstreams crashed with this request";
       return giveUp();
     }
-    const placement = place();
+    let placement = place();
+    if (placement?.plan && mustWait(placement.plan)) {
+      const waiting = context.waitingRoom.enter(service.name, {
+        inTimeUntil: request.arrivedAt + route.objectiveMilliseconds *
+            IN_TIME_SHARE -
+          placement.plan.firstEvent,
+        usefulUntil: request.arrivedAt + USEFUL_WAIT_MILLISECONDS,
+      });
+      leaveRoom = waiting.leave;
+      const mayGo = await waiting.turn;
+      leaveRoom = () => {};
+      if (!mayGo) {
+        lastReason = "no engine had a slot in time";
+        return giveUp();
+      }
+      placement = place();
+    }
     if (!placement) {
-      lastReason = "no upstream is listed";
+      lastReason = view.available(service.name).length > 0
+        ? "the upstreams have no room for the request"
+        : "no upstream is listed";
       return giveUp();
     }
-    if (tries > 0 && !budget.take(service.name)) {
+    if (arrivals > 0 && !budget.take(service.name)) {
       lastReason = `${lastReason}; no repeats are left`;
       return giveUp();
     }
     if (tries === 0) budget.noteRequest(service.name);
+    const excess = placement.plan ? excessOf(placement.plan) : 0;
+    if (excess > 0) {
+      lastReason = `the answer would come ${Math.round(excess)} ms too late`;
+      retryAfter = Math.max(RETRY_AFTER_SECONDS, excess / 1_000);
+      return giveUp();
+    }
     let reservations: MemoryReservations | undefined;
     let helpers: readonly Helper[] = (placement.plan?.helpers ?? []).map(
       ({ upstream }) => ({ address: upstream.address }),
@@ -403,6 +475,7 @@
       const reason = answer.isStarted() ? "resume" : "repeat";
       metrics.repeats.inc({ reason });
     }
+    const startedAt = clock.now();
     const result = await tryAt(placement, helpers);
     void reservations?.release();
 
@@ -427,6 +500,7 @@
         return end("served", result.status, "");
       }
       mayHaveRun = true;
+      arrivals += 1;
       lastAnswer = result;
       lastReason = `the upstream answered ${result.status}`;
       ran.push(upstream);
@@ -436,6 +510,8 @@
     }
     lastReason = result.reason;
     avoided.add(upstream.id);
+    const hasArrived = result.kind === "failed" || !result.isUnreachable;
+    if (hasArrived) arrivals += 1;
     if (result.kind === "not_run") {
       if (result.faultAddress !== undefined) {
         const fault = view.available(service.name).find(({ address }) =>
@@ -443,7 +519,9 @@
         );
         if (fault) {
           avoided.add(fault.id);
-          health.noteUnreachable(fault.id);
+          // One that is full says so at once; one that is lost stalls others.
+          const took = clock.now() - startedAt;
+          if (took > STALL_MILLISECONDS) health.noteUnreachable(fault.id);
         }
       }
       refusals += 1;
--- a/src/gateway/upstream_health.ts
+++ b/src/gateway/upstream_health.ts
@@ -6,6 +6,9 @@
 /// Weight of the newest result in an upstream's share of failures: about the
 /// last seven results count.
 const RESULT_WEIGHT = 0.15;
+/// Time in which a share of failures halves without further results, so that
+/// an upstream which is avoided gets another chance.
+const HALF_LIFE_MILLISECONDS: Milliseconds = 3_000;
 /// Suspension after the first failure that says an upstream is unreachable;
 /// doubled by each further one.
 const FIRST_SUSPENSION_MILLISECONDS: Milliseconds = 1_000;
@@ -13,9 +16,9 @@
 
 export interface UpstreamHealth {
   noteSuccess(id: string): void;
-  /// A failed answer from an upstream that can be reached.
+  /// A failed, broken or missing answer from an upstream that can be reached.
   noteFailure(id: string): void;
-  /// No connection, a broken connection or silence.
+  /// The upstream takes no connections.
   noteUnreachable(id: string): void;
   /// Share of recent results that failed, 0 to 1.
   failureShare(id: string): number;
@@ -29,6 +32,8 @@
 
 interface Record {
   failureShare: number;
+  /// When the share was last brought up to date.
+  sharedAt: Milliseconds;
   suspendedUntil: Milliseconds;
   suspension: Milliseconds;
 }
@@ -38,14 +43,26 @@
 
   const recordOf = (id: string): Record => {
     const record = records.get(id) ??
-      { failureShare: 0, suspendedUntil: -Infinity, suspension: 0 };
+      {
+        failureShare: 0,
+        sharedAt: clock.now(),
+        suspendedUntil: -Infinity,
+        suspension: 0,
+      };
     records.set(id, record);
     return record;
   };
 
+  const shareOf = (record: Record): number => {
+    const halvings = (clock.now() - record.sharedAt) / HALF_LIFE_MILLISECONDS;
+    return record.failureShare * 0.5 ** halvings;
+  };
+
   const add = (id: string, failed: number) => {
     const record = recordOf(id);
-    record.failureShare += (failed - record.failureShare) * RESULT_WEIGHT;
+    const share = shareOf(record);
+    record.failureShare = share + (failed - share) * RESULT_WEIGHT;
+    record.sharedAt = clock.now();
     return record;
   };
 
@@ -67,7 +84,10 @@
       );
       record.suspendedUntil = now + record.suspension;
     },
-    failureShare: (id) => records.get(id)?.failureShare ?? 0,
+    failureShare(id) {
+      const record = records.get(id);
+      return record ? shareOf(record) : 0;
+    },
     isSuspended(id) {
       const record = records.get(id);
       return record !== undefined && clock.now() < record.suspendedUntil;
--- a/src/gateway/work_board.ts
+++ b/src/gateway/work_board.ts
@@ -14,6 +14,7 @@
 const WorkRow = Type.Object({
   upstream: Type.String(),
   requests: Type.Number(),
+  shortRequests: Type.Number(),
   memoryTokens: Type.Number(),
   /// Reading that is still to be done.
   readMilliseconds: Type.Number(),
@@ -32,6 +33,8 @@
 /// What one upstream has to do.
 export interface UpstreamWork {
   readonly requests: number;
+  /// Those among them whose streams bear short pauses only.
+  readonly shortRequests: number;
   readonly memoryTokens: number;
   /// Reading that is still to be done.
   readonly readMilliseconds: Milliseconds;
@@ -54,6 +57,7 @@
 /// Work of one VM at one upstream.
 interface Account {
   requests: number;
+  shortRequests: number;
   memoryTokens: number;
   reads: number;
   readUntil: Milliseconds;
@@ -76,6 +80,7 @@
     return {
       upstream,
       requests: account?.requests ?? 0,
+      shortRequests: account?.shortRequests ?? 0,
       memoryTokens: account?.memoryTokens ?? 0,
       readMilliseconds: Math.round(
         Math.max(0, (account?.readUntil ?? 0) - clock.now()),
@@ -128,9 +133,16 @@
     start(upstream, work) {
       const now = clock.now();
       const account = own.get(upstream) ??
-        { requests: 0, memoryTokens: 0, reads: 0, readUntil: now };
+        {
+          requests: 0,
+          shortRequests: 0,
+          memoryTokens: 0,
+          reads: 0,
+          readUntil: now,
+        };
       own.set(upstream, account);
       account.requests += work.requests;
+      account.shortRequests += work.shortRequests;
       account.memoryTokens += work.memoryTokens;
       account.reads += 1;
       account.readUntil = Math.max(now, account.readUntil) +
@@ -150,10 +162,15 @@
         end() {
           if (!isOpen) return;
           isOpen = false;
-          readDone();
+          // An engine goes on reading for a request that was broken off; the
+          // estimate runs out by itself.
+          if (isReading) account.reads -= 1;
+          isReading = false;
           account.requests -= work.requests;
+          account.shortRequests -= work.shortRequests;
           account.memoryTokens -= work.memoryTokens;
-          if (account.requests === 0 && account.reads === 0) {
+          const isIdle = account.requests === 0 && account.reads === 0;
+          if (isIdle && account.readUntil <= clock.now()) {
             own.delete(upstream);
           }
           note(upstream);
@@ -163,17 +180,19 @@
     of(upstream) {
       const now = clock.now();
       let requests = 0;
+      let shortRequests = 0;
       let memoryTokens = 0;
       let readMilliseconds = 0;
       const add = (account: Account | undefined) => {
         if (!account) return;
         requests += account.requests;
+        shortRequests += account.shortRequests;
         memoryTokens += account.memoryTokens;
         readMilliseconds += Math.max(0, account.readUntil - now);
       };
       add(own.get(upstream));
       for (const accounts of ofPeers.values()) add(accounts.get(upstream));
-      return { requests, memoryTokens, readMilliseconds };
+      return { requests, shortRequests, memoryTokens, readMilliseconds };
     },
   };
 }
--- a/test/gateway/decisions_test.ts
+++ b/test/gateway/decisions_test.ts
@@ -111,7 +111,12 @@
   const first = createWorkBoard({ clock, links: join("vm-1") });
   const second = createWorkBoard({ clock, links: join("vm-2") });
   await clock.advance(100);
-  const work = { requests: 1, memoryTokens: 500, readMilliseconds: 300 };
+  const work = {
+    requests: 1,
+    shortRequests: 1,
+    memoryTokens: 500,
+    readMilliseconds: 300,
+  };
   const item = first.start("e1", work);
   await clock.advance(100);
   t.is(second.of("e1").requests, 1);
@@ -123,6 +128,7 @@
   await clock.advance(100);
   t.deepEqual(second.of("e1"), {
     requests: 0,
+    shortRequests: 0,
     memoryTokens: 0,
     readMilliseconds: 0,
   });
--- a/test/gateway/placement_test.ts
+++ b/test/gateway/placement_test.ts
@@ -37,6 +37,7 @@
 
 const IDLE: UpstreamWork = {
   requests: 0,
+  shortRequests: 0,
   memoryTokens: 0,
   readMilliseconds: 0,
 };
@@ -62,6 +63,7 @@
 
 const busy = (requests: number): UpstreamWork => ({
   requests,
+  shortRequests: requests,
   memoryTokens: requests * 6_000,
   readMilliseconds: 0,
 });
@@ -76,7 +78,7 @@
 
 test("what makes streams beside it pause for too long is long", (t) => {
   t.false(isLong(PROFILE, SHORT));
-  t.true(isLong(PROFILE, { ...SHORT, promptTokens: 20_000 }));
+  t.true(isLong(PROFILE, { ...SHORT, promptTokens: 40_000 }));
   t.false(isLong(PROFILE, { ...LONG, pause: 10_000 }));
 });
 
