--- a/src/administration/tool.ts
+++ b/src/administration/tool.ts
@@ -11,6 +11,7 @@
   type ToolContext,
   ToolUsageError,
 } from "./tool_command.ts";
+import { explain } from "./tool_explain.ts";
 import { showBurn } from "./tool_burn.ts";
 import {
   applyFile,
@@ -41,6 +42,7 @@
   requests: showRequests,
   burn: showBurn,
   drain,
+  explain,
   keys: createKey,
 };
 
--- a/src/bin/sequoiaturn.ts
+++ b/src/bin/sequoiaturn.ts
@@ -23,6 +23,7 @@
   requests             Running requests, and ended ones by reason
   burn                 How fast the error budgets are spent
   drain [upstream]     Give an upstream no new work, or shut the daemon down
+  explain <id> <file>  What gateway logs say of a request; needs no daemon
   keys <customer>      Create a customer key; needs no daemon
 
 Flags
--- a/src/gateway/front_server.ts
+++ b/src/gateway/front_server.ts
@@ -7,9 +7,7 @@
 } from "node:http";
 import type { Milliseconds } from "../support/clock.ts";
 import { type CallerAnswer, createCallerAnswer } from "./caller_answer.ts";
-import type { CallerLimits, Route, Service } from "./configuration.ts";
-import type { CallerFacts } from "./dialect.ts";
-import { passTime, readTime } from "./engine_cost.ts";
+import type { CallerLimits, Route } from "./configuration.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { runRequest } from "./request_run.ts";
 import type { RouteTable } from "./route_table.ts";
@@ -27,14 +25,12 @@
 const NO_ROOM_RETRY_SECONDS = 0.5;
 /// Time to come back in to another VM: at once, but not in a tight loop.
 const STOPPING_RETRY_SECONDS = 0.1;
-/// Time that a call of a service may take.
-const LONGEST_CALL_MILLISECONDS: Milliseconds = 500;
 
 export interface FrontServer {
   readonly server: Server;
-  /// Prepares for the end at `endsAt`: answers say that their connection
-  /// closes, and what can't end before it is refused.
-  startClosing(endsAt: Milliseconds): void;
+  /// Prepares for the end: answers say that their connection closes, and
+  /// requests that come after `until` are refused.
+  startClosing(until: Milliseconds): void;
   applyLimits(limits: CallerLimits): void;
   running(): number;
 }
@@ -48,22 +44,9 @@
   return end < 0 ? target : target.slice(0, end);
 }
 
-/// About the longest time that a request takes on a fleet that is not
-/// overloaded.
-function longestRun(service: Service, facts: CallerFacts): Milliseconds {
-  const { engine } = service;
-  if (!engine) return LONGEST_CALL_MILLISECONDS;
-  const pass = passTime(engine, {
-    writers: engine.slots,
-    contextTokens: facts.promptTokens,
-  });
-  const passes = facts.outputTokens / engine.stepsPerPass;
-  return readTime(engine, facts.promptTokens) + pass * passes;
-}
-
 export function createFrontServer(context: RequestContext): FrontServer {
   const { clock, random, log, metrics, dialect, view } = context;
-  let endsAt = Infinity;
+  let acceptsUntil = Infinity;
   let running = 0;
   let heldBytes = 0;
 
@@ -71,7 +54,7 @@
   const readBody = async (
     message: IncomingMessage,
     answer: CallerAnswer,
-    limit: number,
+    { limit, request }: { limit: number; request: string | undefined },
   ): Promise<Buffer | undefined> => {
     const pieces: Buffer[] = [];
     let size = 0;
@@ -92,7 +75,11 @@
       return Buffer.concat(pieces, size);
     } catch (error) {
       // The caller went away or broke the protocol within its body.
-      log.info("body not read", { reason: (error as Error).message, size });
+      log.info("body not read", {
+        request,
+        reason: (error as Error).message,
+        size,
+      });
       return undefined;
     } finally {
       heldBytes -= size;
@@ -112,7 +99,12 @@
 
   const refuse = (
     answer: CallerAnswer,
-    fields: { status: number; reason: string; request?: string; path?: string },
+    fields: {
+      status: number;
+      reason: string;
+      request: string | undefined;
+      path?: string;
+    },
     retryAfterSeconds?: number,
   ) => {
     answer.sendOwn(fields.status, `${fields.reason}\n`, retryAfterSeconds);
@@ -126,7 +118,7 @@
   const handle = async (message: IncomingMessage, response: ServerResponse) => {
     const arrivedAt = clock.now();
     const answer = createCallerAnswer(response, {
-      closes: () => endsAt < Infinity,
+      closes: () => acceptsUntil < Infinity,
     });
     const table = view.table();
     const facts = dialect.readCaller(message.headers);
@@ -151,15 +143,18 @@
       return refuse(answer, { status: 401, reason, request, path });
     }
     const { bodyBytes } = table.configuration.limits;
-    const body = await readBody(message, answer, bodyBytes);
+    const body = await readBody(message, answer, {
+      limit: bodyBytes,
+      request,
+    });
     if (!body) return;
     const service = chooseService(table, route);
     if (!service) {
       const reason = "the route's service is not configured";
       return refuse(answer, { status: 503, reason, request, path });
     }
-    if (clock.now() + longestRun(service, facts) > endsAt) {
-      const reason = "this VM stops before the request could end";
+    if (clock.now() > acceptsUntil) {
+      const reason = "this VM is stopping";
       const fields = { status: 503, reason, request, path };
       return refuse(answer, fields, STOPPING_RETRY_SECONDS);
     }
@@ -233,7 +228,7 @@
 
   return {
     server,
-    startClosing: (at) => void (endsAt = at),
+    startClosing: (until) => void (acceptsUntil = until),
     applyLimits(limits) {
       server.headersTimeout = limits.headerMilliseconds;
       server.keepAliveTimeout = limits.idleMilliseconds;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -41,8 +41,6 @@
 /// closing.
 const ENDING_SHARE = 0.93;
 const END_CHECK_MILLISECONDS: Milliseconds = 50;
-/// Time without a request after which none is expected any more.
-const QUIET_MILLISECONDS: Milliseconds = 300;
 /// Time that taking the entry of this VM out of the store may take.
 const DELIST_MILLISECONDS: Milliseconds = 200;
 /// Connections kept to upstreams that are gone are closed this often.
@@ -130,7 +128,7 @@
     );
     metrics.peers.set(links.peers().length);
   });
-  const health = createUpstreamHealth(clock);
+  const health = createUpstreamHealth({ clock, log });
   const connections = createUpstreamConnections(clock);
   const board = createWorkBoard({ clock, links });
   /// This VM's part of the slots that no request has.
@@ -169,12 +167,21 @@
     longestHold: settings.longestHoldMilliseconds,
   });
 
+  /// What was learned of an upstream says nothing of a later run under its id.
+  let learned = new Set<string>();
+  const forgetGone = () => {
+    const listed = new Set(view.upstreams().map(({ id }) => id));
+    for (const id of learned) if (!listed.has(id)) health.forget(id);
+    learned = listed;
+  };
+
   view.onChange(({ what, detail, source }) => {
     log.info(`${what} changed`, {
       detail,
       source: source.kind,
       revision: source.revision,
     });
+    if (what === "upstream") forgetGone();
     const table = view.table();
     if (what === "configuration" && table) {
       front.applyLimits(table.configuration.limits);
@@ -278,17 +285,12 @@
       const stoppedAt = clock.now();
       const endsAt = stoppedAt + settings.stopSeconds * 1_000 * ENDING_SHARE;
       isLeaving = true;
-      front.startClosing(endsAt);
+      front.startClosing(stoppedAt + LEAVE_ENTRY_MILLISECONDS);
       log.info("stopping", { running: front.running() });
-      // Callers may still come as long as the entry has no better VM.
-      let idleSince: Milliseconds | undefined;
-      while (clock.now() < endsAt) {
+      // The port stays open: callers that still come are told to go elsewhere.
+      await clock.sleep(LEAVE_ENTRY_MILLISECONDS);
+      while (front.running() > 0 && clock.now() < endsAt) {
         await clock.sleep(END_CHECK_MILLISECONDS);
-        const now = clock.now();
-        idleSince = front.running() > 0 ? undefined : idleSince ?? now;
-        const hasLeft = now - stoppedAt >= LEAVE_ENTRY_MILLISECONDS;
-        const idle = now - (idleSince ?? now);
-        if (hasLeft && idle >= QUIET_MILLISECONDS) break;
       }
       log.info("stopped", { unfinished: front.running() });
       await Promise.race([
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -272,20 +272,23 @@
     return bytes.length === 0 || answer.write(bytes);
   };
 
-  const tryAt = async (
-    placement: Placement,
-    helpers: readonly Helper[],
-  ): Promise<AttemptResult> => {
-    const { upstream } = placement;
-    const { plan } = placement;
+  /// Notes a placement and its inputs for the log.
+  const notePlacement = ({ upstream, plan }: Placement) => {
     const before = board.of(upstream.id);
     placed = {
       upstream: upstream.id,
-      parts: 1 + helpers.length,
+      parts: 1 + (plan?.helpers.length ?? 0),
       expectedFirst: Math.round(plan?.firstEvent ?? CALL_MILLISECONDS),
       requestsBefore: before.requests,
       readingBefore: Math.round(before.readMilliseconds),
     };
+  };
+
+  const tryAt = async (
+    placement: Placement,
+    helpers: readonly Helper[],
+  ): Promise<AttemptResult> => {
+    const { upstream } = placement;
     const work = noteWork(placement);
     health.noteSent(upstream.id);
     const sentAt = clock.now();
@@ -435,6 +438,7 @@
       return giveUp();
     }
     if (tries === 0) budget.noteRequest(service.name);
+    notePlacement(placement);
     const excess = placement.plan ? excessOf(placement.plan) : 0;
     if (excess > 0) {
       lastReason = `the answer would come ${Math.round(excess)} ms too late`;
--- a/src/gateway/upstream_health.ts
+++ b/src/gateway/upstream_health.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
 
 /// How upstreams have answered this VM lately. A health probe that passes says
 /// little about requests, so results decide.
@@ -38,7 +39,14 @@
   suspension: Milliseconds;
 }
 
-export function createUpstreamHealth(clock: Clock): UpstreamHealth {
+export interface UpstreamHealthOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+export function createUpstreamHealth(
+  { clock, log }: UpstreamHealthOptions,
+): UpstreamHealth {
   const records = new Map<string, Record>();
 
   const recordOf = (id: string): Record => {
@@ -69,6 +77,9 @@
   return {
     noteSuccess(id) {
       const record = add(id, 0);
+      if (record.suspension > 0) {
+        log.info("upstream regained", { upstream: id });
+      }
       record.suspension = 0;
       record.suspendedUntil = -Infinity;
     },
@@ -83,6 +94,11 @@
         Math.max(FIRST_SUSPENSION_MILLISECONDS, 2 * record.suspension),
       );
       record.suspendedUntil = now + record.suspension;
+      log.warn("upstream suspended", {
+        upstream: id,
+        milliseconds: record.suspension,
+        failureShare: record.failureShare,
+      });
     },
     failureShare(id) {
       const record = records.get(id);
--- a/test/gateway/decisions_test.ts
+++ b/test/gateway/decisions_test.ts
@@ -9,7 +9,7 @@
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
 import type { Upstream } from "../../src/gateway/upstream.ts";
 import { createWorkBoard } from "../../src/gateway/work_board.ts";
-import { createLineSink } from "../../src/support/log.ts";
+import { createLineSink, createSilentLogger } from "../../src/support/log.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import { createLocalNetwork } from "../../stand_ins/local_links.ts";
 
@@ -48,7 +48,10 @@
 
 test("an unreachable upstream is suspended for longer each time", async (t) => {
   const clock = createFakeClock();
-  const health = createUpstreamHealth(clock);
+  const health = createUpstreamHealth({
+    clock,
+    log: createSilentLogger(),
+  });
   health.noteUnreachable("e1");
   health.noteUnreachable("e1");
   t.true(health.isSuspended("e1"));
--- /dev/null
+++ b/test/gateway/gateway_events_test.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import { readdir, readFile } from "node:fs/promises";
+import { GATEWAY_EVENTS } from "../../src/gateway/gateway_events.ts";
+import {
+  explainRequest,
+  parseLogLines,
+} from "../../src/administration/tool_explain.ts";
+
+const LOG_CALL = /\blog\.(?:info|warn)\(\s*"([^"]+)"/g;
+
+test("every event of the gateway is described and described once", async (t) => {
+  const files = await readdir("src/gateway");
+  const texts = await Promise.all(
+    [...files.map((file) => `src/gateway/${file}`), "src/bin/gateway.ts"]
+      .map((path) => readFile(path, "utf8")),
+  );
+  const used = new Set(
+    texts.flatMap((text) =>
+      [...text.matchAll(LOG_CALL)].map(([, event]) => event!)
+    ),
+  );
+  // The one event whose name is made of what has changed.
+  used.add("configuration changed").add("upstream changed");
+  t.deepEqual([...used].sort(), Object.keys(GATEWAY_EVENTS).sort());
+});
+
+test("operators find every event in their page", async (t) => {
+  const page = await readFile("docs/operations/gateway.md", "utf8");
+  for (const event of Object.keys(GATEWAY_EVENTS)) {
+    t.true(page.includes(event), event);
+  }
+});
+
+const LINES = [
+  `  3.1 vm-1 {"time":"2026-12-04T10:00:01.000Z","vm":"vm-1",` +
+  `"event":"upstream suspended","upstream":"e1"}`,
+  `{"time":"2026-12-04T10:00:01.100Z","vm":"vm-1","event":"try ended",` +
+  `"request":"r1","upstream":"e1","reason":"read ECONNRESET"}`,
+  `{"time":"2026-12-04T10:00:01.300Z","vm":"vm-1","event":"request ended",` +
+  `"request":"r1","upstream":"e2","took":400}`,
+  `{"time":"2026-12-04T10:00:01.200Z","vm":"vm-2","event":"store lost"}`,
+  `{"time":"2026-12-04T10:00:09.000Z","vm":"vm-1","event":"store lost"}`,
+  `{"time":"2026-12-04T10:00:01.000Z","vm":"vm-1","event":"upstream changed",` +
+  `"detail":"e9 is gone"}`,
+  `not a log line`,
+  `{"time": cut`,
+].join("\n");
+
+test("a request is explained by its lines and what changed around it", (t) => {
+  const lines = parseLogLines(LINES);
+  t.is(lines.length, 6);
+  t.deepEqual(
+    explainRequest(lines, "r1").map(({ event }) => event),
+    ["upstream suspended", "try ended", "request ended"],
+  );
+  t.deepEqual(explainRequest(lines, "r2"), []);
+});
