Ask the store less often the more VMs there are, and keep engines for arrivals

Change: a pause after changes and a hold that grow with the number of VMs, one catch-up at a time and three announcers of a state; whole tokens; the short requests that arrive while engines are stopped weigh against a plan.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,10 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { KeyValueStore } from "../infrastructure/key_value_store.ts";
+import type {
+  PacedStore,
+  WatchPace,
+} from "../infrastructure/key_value_store.ts";
 import { createLinkMesh } from "../links/link_mesh.ts";
 import { createCrashMarks } from "../requests/crash_marks.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
@@ -50,12 +53,39 @@
 /// prompt and no key.
 const LINK_SECRET = "sequoiaturn-gateway-links";
 
+/// VMs tell each other what they have learned, so that each may ask the store
+/// less often the more there are: one VM's call ends in each such time. It is
+/// well within the bound of configurations, of which the platform names two
+/// seconds.
+const CALL_INTERVAL_MILLISECONDS: Milliseconds = 450;
+/// Hold of a watch when VMs are few.
+const SHORTEST_HOLD_MILLISECONDS: Milliseconds = 3_500;
+const LONGEST_HOLD_MILLISECONDS: Milliseconds = 25_000;
+/// Pause after a change, for each VM that a change wakes.
+const PAUSE_PER_VM_MILLISECONDS: Milliseconds = 6;
+const LONGEST_PAUSE_MILLISECONDS: Milliseconds = 500;
+
+/// How often one of `vmCount` VMs asks the store for changes.
+export function watchPace(vmCount: number): WatchPace {
+  const hold = vmCount * CALL_INTERVAL_MILLISECONDS;
+  return {
+    hold: Math.min(
+      LONGEST_HOLD_MILLISECONDS,
+      Math.max(SHORTEST_HOLD_MILLISECONDS, hold),
+    ),
+    pause: Math.min(
+      LONGEST_PAUSE_MILLISECONDS,
+      vmCount * PAUSE_PER_VM_MILLISECONDS,
+    ),
+  };
+}
+
 /// What the gateway needs of the platform that it runs on.
 export interface GatewayPlatform {
   readonly dialect: GatewayDialect;
   readonly documents: FleetDocuments;
   readonly reservations: ReservationClient;
-  readonly store: KeyValueStore;
+  readonly store: PacedStore;
 }
 
 export interface GatewayOptions {
@@ -127,6 +157,7 @@
       links.peers().length > 0 ? 2 : ASSUMED_VMS,
     );
     metrics.peers.set(links.peers().length);
+    store.setWatchPace(watchPace(mostVms));
   });
   const health = createUpstreamHealth({ clock, log });
   const connections = createUpstreamConnections(clock);
@@ -200,7 +231,14 @@
     onConnected: (isConnected) =>
       metrics.storeConnected.set(isConnected ? 1 : 0),
   });
-  startViewSharing({ clock, log, links, view, onBehind: follower.refresh });
+  startViewSharing({
+    clock,
+    log,
+    links,
+    view,
+    callPause: () => watchPace(mostVms).pause,
+    onBehind: follower.refresh,
+  });
 
   let isLeaving = false;
   const answerReadiness = (
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -98,7 +98,8 @@
 }
 
 function freeMemory(profile: EngineProfile, candidate: Candidate): number {
-  return profile.memoryTokens * USED_MEMORY_SHARE -
+  // Whole tokens: reservations are of whole tokens too.
+  return Math.floor(profile.memoryTokens * USED_MEMORY_SHARE) -
     candidate.work.memoryTokens;
 }
 
@@ -186,6 +187,9 @@
 const FIRST_EVENT_RAMP = { from: 0.5, to: 1 };
 /// Pauses follow from what is known of one engine.
 const PAUSE_RAMP = { from: 0.8, to: 1.05 };
+/// About the time that a short request takes; with the number that run it
+/// tells how many arrive.
+const SHORT_REQUEST_MILLISECONDS: Milliseconds = 1_500;
 /// Weight of being early at all, which frees engines sooner.
 const EARLINESS_WEIGHT = 0.05;
 
@@ -217,6 +221,21 @@
     return own * (lateChance(share, FIRST_EVENT_RAMP) +
       EARLINESS_WEIGHT * share);
   };
+  const shortRequests = known.reduce(
+    (sum, { candidate }) => sum + candidate.work.shortRequests,
+    0,
+  );
+  const neededByShort = 1 +
+    shortRequests / (profile.slots * GATHERED_SLOTS_SHARE);
+  /// Weight of the short requests that arrive while so many engines are
+  /// stopped that the others can't take them.
+  const harmOfArrivals = (chosen: readonly Known[], part: Milliseconds) => {
+    const left = known.length - chosen.length;
+    const lacking = Math.max(0, neededByShort - left) / neededByShort;
+    const stop = Math.max(0, part - pause);
+    const arrivals = shortRequests * stop / SHORT_REQUEST_MILLISECONDS;
+    return arrivals * lacking * SHORT_REQUEST_WEIGHT;
+  };
   const most = Math.min(
     MOST_PARTS,
     known.length,
@@ -240,7 +259,7 @@
     if (room < memoryOf(request)) continue;
     const harm = chosen.reduce((sum, item) => sum + harmOf(item, part), 0);
     const late = Math.max(...chosen.map((item) => lateOf(item, part)));
-    const cost = harm + late;
+    const cost = harm + harmOfArrivals(chosen, part) + late;
     if (!best || cost < best.cost) best = { cost, chosen };
   }
   if (!best) return undefined;
@@ -278,9 +297,7 @@
   );
   for (const candidate of byRoom) {
     if (missing <= 0) break;
-    const tokens = Math.floor(
-      Math.min(missing, freeMemory(profile, candidate)),
-    );
+    const tokens = Math.min(missing, freeMemory(profile, candidate));
     if (tokens <= 0) continue;
     shares.push({ candidate, tokens });
     missing -= tokens;
--- a/src/gateway/view_sharing.ts
+++ b/src/gateway/view_sharing.ts
@@ -12,8 +12,11 @@
 
 /// Time in which changes are gathered before others hear of them.
 const GATHER_MILLISECONDS: Milliseconds = 20;
-/// Time that the store's own news may take longer than a peer's word of it.
+/// Time that the store's own news may take longer than a peer's word of it,
+/// beside the pause that this VM makes between its calls.
 const LAG_MILLISECONDS: Milliseconds = 250;
+/// VMs whose word of a state is enough for the rest to keep silent.
+const ENOUGH_ANNOUNCERS = 3;
 
 const digestMessage = defineMessage(
   "gateway.view",
@@ -35,15 +38,21 @@
   readonly log: Logger;
   readonly links: Links;
   readonly view: FleetView;
+  /// Pause that this VM makes between its calls to the store.
+  readonly callPause: () => Milliseconds;
   /// Called when a peer has been ahead for a while.
   readonly onBehind: () => void;
 }
 
 export function startViewSharing(options: ViewSharingOptions): void {
   const { clock, log, links, view } = options;
-  let timer: Timer | undefined;
+  let announcing: Timer | undefined;
+  let checking: Timer | undefined;
   let known = new Set<string>();
-  const checking = new Set<string>();
+  /// The most advanced state that a peer has told of, and who has it.
+  let ahead = { vm: "", version: -1, revision: -1 };
+  /// VMs that have told of the state in force here.
+  let announcers = new Set<string>();
 
   const digest = () => ({
     version: view.table()?.configuration.version ?? -1,
@@ -66,21 +75,32 @@
     log.info("view taken from a peer", { peer: vm, ...digest() });
   };
 
-  links.onMessage(digestMessage, (other, from) => {
-    if (!isBehind(other) || checking.has(from.vm)) return;
-    checking.add(from.vm);
-    const wait = view.table() ? LAG_MILLISECONDS : 0;
-    clock.schedule(wait, () => {
-      checking.delete(from.vm);
-      if (!isBehind(other)) return;
-      options.onBehind();
-      catchUp(from.vm).catch((error: Error) =>
-        log.warn("view not taken from a peer", {
-          peer: from.vm,
-          reason: error.message,
-        })
-      );
-    });
+  const check = () => {
+    checking = undefined;
+    if (!isBehind(ahead)) return;
+    const { vm } = ahead;
+    // Another VM may be asked at its next word.
+    ahead = { vm: "", version: -1, revision: -1 };
+    options.onBehind();
+    catchUp(vm).catch((error: Error) =>
+      log.warn("view not taken from a peer", {
+        peer: vm,
+        reason: error.message,
+      })
+    );
+  };
+
+  links.onMessage(digestMessage, (other, { vm }) => {
+    const own = digest();
+    if (other.version === own.version && other.revision === own.revision) {
+      announcers.add(vm);
+    }
+    if (!isBehind(other)) return;
+    if (other.version >= ahead.version && other.revision >= ahead.revision) {
+      ahead = { vm, ...other };
+    }
+    const wait = view.table() ? LAG_MILLISECONDS + options.callPause() : 0;
+    checking ??= clock.schedule(wait, check);
   });
 
   links.onCall(readCall, (other) => {
@@ -97,11 +117,15 @@
     });
   });
 
+  const announce = () => {
+    announcing = undefined;
+    if (announcers.size >= ENOUGH_ANNOUNCERS) return;
+    links.broadcast(digestMessage, digest());
+  };
+
   view.onChange(() => {
-    timer ??= clock.schedule(GATHER_MILLISECONDS, () => {
-      timer = undefined;
-      links.broadcast(digestMessage, digest());
-    });
+    announcers = new Set();
+    announcing ??= clock.schedule(GATHER_MILLISECONDS, announce);
   });
 
   links.onPeersChange(() => {
--- a/src/infrastructure/key_value_store.ts
+++ b/src/infrastructure/key_value_store.ts
@@ -83,6 +83,21 @@
   ): AsyncIterable<WatchEvent>;
 }
 
+/// How often a store that is asked for changes is asked.
+export interface WatchPace {
+  /// Time for which the store may hold a call while nothing changes.
+  readonly hold: number;
+  /// Pause after changes before the store is asked for more.
+  readonly pause: number;
+}
+
+/// A store whose calls are counted against the deployment, and whose watches
+/// are calls.
+export interface PacedStore extends KeyValueStore {
+  /// Sets the pace of watches from their next call on.
+  setWatchPace(pace: WatchPace): void;
+}
+
 /// The store refused or could not be reached, and the call had no effect.
 export class StoreUnavailableError extends Error {
   override readonly name: string = "StoreUnavailableError";
