--- a/src/links/link_mesh.ts
+++ b/src/links/link_mesh.ts
@@ -183,6 +183,10 @@
     presence,
     isSparse: dialler.isSparse,
   });
+  // The server's own errors come here too; whoever listens on it handles them.
+  webSockets.on("error", (error) => {
+    log.warn("link server failed", { reason: error.message });
+  });
   webSockets.on("connection", (socket) => attach(socket, "acceptor"));
 
   return {
--- a/src/support/log.ts
+++ b/src/support/log.ts
@@ -38,6 +38,7 @@
 export interface BufferingStream {
   readonly writableLength: number;
   write(text: string): boolean;
+  on(event: "error", listener: (error: Error) => void): unknown;
 }
 
 /// Bytes of lines that may wait for a slow reader.
@@ -48,9 +49,12 @@
 export function createLineSink(stream: BufferingStream): LineSink {
   let dropped = 0;
   let missing = 0;
+  let isBroken = false;
+  // The reader of the log has gone; requests go on without one.
+  stream.on("error", () => void (isBroken = true));
   return {
     write(line) {
-      if (stream.writableLength > WAITING_LOG_BYTES) {
+      if (isBroken || stream.writableLength > WAITING_LOG_BYTES) {
         dropped += 1;
         missing += 1;
         return;
--- a/stand_ins/platform/platform_runner.ts
+++ b/stand_ins/platform/platform_runner.ts
@@ -15,6 +15,8 @@
   readonly body: string;
   /// Whether the caller closed the connection before the answer had ended.
   wasCut: boolean;
+  /// Whether it was worked on, rather than refused.
+  hasRun: boolean;
 }
 
 /// What a runner does with a request.
@@ -27,6 +29,7 @@
     readonly to: number;
     readonly cutAt?: number;
     readonly pauseMilliseconds?: number;
+    readonly eventOf?: (event: number) => string;
   }
   | { readonly kind: "refuse"; readonly status?: number }
   | { readonly kind: "reset" }
@@ -51,6 +54,7 @@
   readonly orders: readonly Record<string, unknown>[];
   /// The entry that it would write to the store.
   entry(service: string, state?: "ready" | "draining"): object;
+  /// Ends at once, as a crash does.
   close(): void;
 }
 
@@ -70,9 +74,10 @@
   ) => {
     response.writeHead(200, { "Content-Type": "text/event-stream" });
     const { from = 1, to, cutAt, pauseMilliseconds = 1 } = action;
+    const write = action.eventOf ?? eventOf;
     for (let event = from; event <= to; event++) {
       if (request.wasCut) return;
-      response.write(eventOf(event));
+      response.write(write(event));
       await new Promise((resolve) => setTimeout(resolve, pauseMilliseconds));
       if (event === cutAt) return response.socket?.resetAndDestroy();
     }
@@ -89,6 +94,7 @@
       response.setHeader("X-Not-Executed", "1");
       return response.writeHead(action.status ?? 503).end();
     }
+    request.hasRun = true;
     response.setHeader("X-Response-Signature", `signed by ${id}`);
     switch (action.kind) {
       case "answer":
@@ -131,6 +137,7 @@
       headers: message.headers,
       body,
       wasCut: false,
+      hasRun: false,
     };
     response.on("close", () => {
       if (!response.writableFinished) request.wasCut = true;
--- /dev/null
+++ b/stand_ins/soak.ts
@@ -0,0 +1,52 @@
+import meow from "meow";
+import { runSoak } from "./soak/soak.ts";
+
+/// Runs the soak over a range of seeds and prints a line for each.
+
+const { flags } = meow(
+  `
+Usage
+  $ npm run soak -- [flags]
+
+  --first      First seed (1)
+  --seeds      Number of seeds (1)
+  --gateways   Gateway processes (3)
+  --seconds    Time with faults of each seed (12)
+  --at-once    Seeds run at the same time (1)
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      first: { type: "number", default: 1 },
+      seeds: { type: "number", default: 1 },
+      gateways: { type: "number", default: 3 },
+      seconds: { type: "number", default: 12 },
+      atOnce: { type: "number", default: 1 },
+    },
+  },
+);
+
+let next = flags.first;
+let failed = 0;
+
+async function work(): Promise<void> {
+  while (next < flags.first + flags.seeds) {
+    const seed = next++;
+    const result = await runSoak({
+      seed,
+      gateways: flags.gateways,
+      faultMilliseconds: flags.seconds * 1_000,
+    });
+    if (result.broken.length > 0) failed += 1;
+    const { faults, ...line } = result;
+    console.log(JSON.stringify({
+      ...line,
+      broken: result.broken.slice(0, 8),
+      faults: result.broken.length > 0 ? faults : faults.length,
+    }));
+  }
+}
+
+await Promise.all(Array.from({ length: flags.atOnce }, work));
+console.log(`${flags.seeds - failed} passed, ${failed} failed`);
+process.exitCode = failed > 0 ? 1 : 0;
--- a/test/gateway/decisions_test.ts
+++ b/test/gateway/decisions_test.ts
@@ -139,9 +139,12 @@
 
 test("a slow reader of the log costs lines, not time", (t) => {
   const written: string[] = [];
+  let breakOff: (error: Error) => void = () => {};
   const stream = {
     writableLength: 0,
     write: (text: string) => written.push(text) > 0,
+    on: (_event: "error", listener: (error: Error) => void) =>
+      void (breakOff = listener),
   };
   const sink = createLineSink(stream);
   sink.write("one");
@@ -154,6 +157,10 @@
   t.is(written.length, 3);
   t.true(written[1]!.includes('"missing":2'));
   t.is(written[2], "four\n");
+  breakOff(new Error("write EPIPE"));
+  sink.write("five");
+  t.is(written.length, 3, "nothing is written to a reader that has gone");
+  t.is(sink.dropped(), 3);
 });
 
 test("wrong settings are told all at once", (t) => {
