Spread the holds of many VMs' watches

Cause: with a hold that grows with the number of VMs (25 s at 76), VMs that all start or all hear of a change at once would also all notice a silenced store connection 25 s later at once. Holds are now drawn between 3.5 s and the longest one, so the first of many VMs notices within about 4 s and tells the others. The share of the repeat allowance no longer grows when links are cut.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -65,14 +65,17 @@
 const PAUSE_PER_VM_MILLISECONDS: Milliseconds = 6;
 const LONGEST_PAUSE_MILLISECONDS: Milliseconds = 500;
 
-/// How often one of `vmCount` VMs asks the store for changes.
-export function watchPace(vmCount: number): WatchPace {
-  const hold = vmCount * CALL_INTERVAL_MILLISECONDS;
+/// How often one of `vmCount` VMs asks the store for changes. The holds of many
+/// VMs differ: were they alike, all would notice at the same late moment that
+/// their connections have gone silent.
+export function watchPace(vmCount: number, random: RandomSource): WatchPace {
+  const longest = Math.min(
+    LONGEST_HOLD_MILLISECONDS,
+    Math.max(SHORTEST_HOLD_MILLISECONDS, vmCount * CALL_INTERVAL_MILLISECONDS),
+  );
+  const spread = longest - SHORTEST_HOLD_MILLISECONDS;
   return {
-    hold: Math.min(
-      LONGEST_HOLD_MILLISECONDS,
-      Math.max(SHORTEST_HOLD_MILLISECONDS, hold),
-    ),
+    hold: () => SHORTEST_HOLD_MILLISECONDS + random.next() * spread,
     pause: Math.min(
       LONGEST_PAUSE_MILLISECONDS,
       vmCount * PAUSE_PER_VM_MILLISECONDS,
@@ -150,14 +153,14 @@
     vmList: vms,
     server: linkServer,
   });
+  /// The most VMs that were linked at a time; a partition makes them no fewer.
+  let linkedVms = 1;
   let mostVms = ASSUMED_VMS;
   links.onPeersChange(() => {
-    mostVms = Math.max(
-      links.peers().length + 1,
-      links.peers().length > 0 ? 2 : ASSUMED_VMS,
-    );
+    linkedVms = Math.max(linkedVms, links.peers().length + 1);
+    mostVms = linkedVms > 1 ? linkedVms : ASSUMED_VMS;
     metrics.peers.set(links.peers().length);
-    store.setWatchPace(watchPace(mostVms));
+    store.setWatchPace(watchPace(mostVms, random));
   });
   const health = createUpstreamHealth({ clock, log });
   const connections = createUpstreamConnections(clock);
@@ -236,7 +239,7 @@
     log,
     links,
     view,
-    callPause: () => watchPace(mostVms).pause,
+    callPause: () => watchPace(mostVms, random).pause,
     onBehind: follower.refresh,
   });
 
--- a/src/infrastructure/key_value_store.ts
+++ b/src/infrastructure/key_value_store.ts
@@ -85,8 +85,8 @@
 
 /// How often a store that is asked for changes is asked.
 export interface WatchPace {
-  /// Time for which the store may hold a call while nothing changes.
-  readonly hold: number;
+  /// Time for which the store may hold the next call while nothing changes.
+  readonly hold: () => number;
   /// Pause after changes before the store is asked for more.
   readonly pause: number;
 }
