--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -30,6 +30,10 @@
 /// Refusals by upstreams after which the request is refused: they have no
 /// room, and further tries only add to their work.
 const REFUSALS_TRIED = 3;
+/// Share of the connections that an upstream accepts which requests may fill;
+/// the rest is for idle ones and for what other VMs have just begun. Beyond its
+/// bound an upstream resets connections, and a request on them is lost.
+const USED_CONNECTIONS_SHARE = 0.7;
 /// Time below which a further try can't succeed.
 const SHORTEST_TRY_MILLISECONDS: Milliseconds = 20;
 /// Pause before a try at upstreams that have all been tried.
@@ -170,13 +174,18 @@
   const candidates = (): Candidate[] => {
     const listed = view.available(service.name);
     const fresh = listed.filter(({ id }) => !avoided.has(id));
-    return (fresh.length > 0 ? fresh : listed).map((upstream) => ({
-      upstream,
-      work: board.of(upstream.id),
-      failureShare: health.failureShare(upstream.id),
-      isSuspended: health.isSuspended(upstream.id),
-      isNear: upstream.dataCentre === context.dataCentre,
-    }));
+    const most = service.maxConnections * USED_CONNECTIONS_SHARE;
+    return (fresh.length > 0 ? fresh : listed).flatMap((upstream) => {
+      const work = board.of(upstream.id);
+      if (work.requests >= most) return [];
+      return [{
+        upstream,
+        work,
+        failureShare: health.failureShare(upstream.id),
+        isSuspended: health.isSuspended(upstream.id),
+        isNear: upstream.dataCentre === context.dataCentre,
+      }];
+    });
   };
 
   const engineRequest: EngineRequest = {
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -14,8 +14,9 @@
 /// Time by which a connection is given up before the upstream closes it.
 const IDLE_MARGIN_MILLISECONDS: Milliseconds = 500;
 const LONGEST_IDLE_MILLISECONDS: Milliseconds = 60_000;
-/// Connections that wait idle at one upstream.
-const IDLE_CONNECTIONS = 16;
+/// Connections that wait idle at one upstream: it bounds those of all VMs
+/// together, and what one VM sends it at a time is a few requests.
+const IDLE_CONNECTIONS = 4;
 const LARGEST_HEADER_BYTES = 65_536;
 
 /// A connection in use by one request.
--- a/test/gateway/gateway_test.ts
+++ b/test/gateway/gateway_test.ts
@@ -235,6 +235,29 @@
   t.true(Number(result.headers["retry-after"]) > 0);
 });
 
+test("no upstream gets more requests than it accepts connections", async (t) => {
+  const base = configurationOf(1);
+  const services = base.Services.map((service) => ({
+    ...service,
+    MaxConnections: 10,
+  }));
+  const deployment = await deploy(t, {
+    configuration: { ...base, Services: services },
+  });
+  const desk = await deployment.addRunner(
+    "desk",
+    "d1",
+    () => ({ kind: "silence" }),
+  );
+  await knowsUpstreams(deployment, 1);
+  const headers = { "X-Deadline-Ms": "500" };
+  const results = await Promise.all(
+    Array.from({ length: 20 }, () => deployment.send({ ...ONCE, headers })),
+  );
+  t.is(desk.requests.length, 7);
+  t.is(results.filter(({ status }) => status === 503).length, 13);
+});
+
 test("the engine stops when the caller leaves", async (t) => {
   const deployment = await deploy(t);
   const engine = await deployment.addRunner(
