--- a/src/gateway/work_board.ts
+++ b/src/gateway/work_board.ts
@@ -7,9 +7,12 @@
 /// and tells the others of changes; what another VM has in flight is dropped
 /// with the link to it.
 
-/// Time in which changes are gathered before the other VMs hear of them: well
-/// below the time of one pass of an engine.
-const GATHER_MILLISECONDS: Milliseconds = 20;
+/// Time in which changes are gathered before the other VMs hear of them. Until
+/// then these send to the same engines; but each message goes to every VM, so
+/// many VMs gather for longer, still below the time of one pass of an engine.
+const GATHER_PER_VM_MILLISECONDS: Milliseconds = 0.5;
+const SHORTEST_GATHER_MILLISECONDS: Milliseconds = 5;
+const LONGEST_GATHER_MILLISECONDS: Milliseconds = 40;
 
 const WorkRow = Type.Object({
   upstream: Type.String(),
@@ -97,7 +100,14 @@
 
   const note = (upstream: string) => {
     changed.add(upstream);
-    timer ??= clock.schedule(GATHER_MILLISECONDS, flush);
+    const gather = links.peers().length * GATHER_PER_VM_MILLISECONDS;
+    timer ??= clock.schedule(
+      Math.min(
+        LONGEST_GATHER_MILLISECONDS,
+        Math.max(SHORTEST_GATHER_MILLISECONDS, gather),
+      ),
+      flush,
+    );
   };
 
   links.onMessage(workMessage, ({ isWhole, rows }, from) => {
