Split the placing of a request from its run

What is known and expected of a placement moves to request_placer.ts; behaviour is the same but for one guard found in reading: a broken stream without event ids is not started anew in the same answer.

--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -1,26 +1,14 @@
 import type { Milliseconds } from "../support/clock.ts";
 import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
-import type { EngineProfile } from "./configuration.ts";
 import type { Helper } from "./dialect.ts";
-import { passTime, readTime } from "./engine_cost.ts";
 import {
   type MemoryReservations,
   reserveMemory,
 } from "./memory_reservations.ts";
-import {
-  type Candidate,
-  type EnginePlan,
-  type EngineRequest,
-  isLong,
-  memoryOf,
-  placeCall,
-  placePrompt,
-  shareMemory,
-} from "./placement.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
+import { createRequestPlacer, type Placement } from "./request_placer.ts";
 import type { Upstream } from "./upstream.ts";
-import type { WorkItem } from "./work_board.ts";
 
 /// The life of one request: tries at upstreams until one answers, the time is
 /// up or nothing more may be tried, and exactly one end.
@@ -30,10 +18,6 @@
 /// Refusals by upstreams after which the request is refused: they have no
 /// room, and further tries only add to their work.
 const REFUSALS_TRIED = 3;
-/// Share of the connections that an upstream accepts which requests may fill;
-/// the rest is for idle ones and for what other VMs have just begun. Beyond its
-/// bound an upstream resets connections, and a request on them is lost.
-const USED_CONNECTIONS_SHARE = 0.7;
 /// Time below which a further try can't succeed.
 const SHORTEST_TRY_MILLISECONDS: Milliseconds = 20;
 /// Pause before a try at upstreams that have all been tried.
@@ -41,16 +25,6 @@
 /// Time to come back in when nothing is known of a better one: about one pass
 /// of the platform's upstream list.
 const RETRY_AFTER_SECONDS = 0.4;
-/// Time of a call of a service whose costs aren't known, for the comparison
-/// of its upstreams.
-const CALL_MILLISECONDS: Milliseconds = 25;
-/// Silence of an engine that is taken for its loss: this many times the
-/// expected time, and a fixed part for what the estimate leaves out.
-const EXPECTED_TIME_FACTOR = 3;
-const UNEXPECTED_MILLISECONDS: Milliseconds = 500;
-/// Share of the objective after which a safe call is tried elsewhere: the
-/// first upstream has already missed it.
-const SAFE_CALL_PATIENCE = 2;
 /// Pauses of a stream, in multiples of the longest good one, that are taken
 /// for the loss of the engine.
 const LOST_STREAM_PAUSES = 2.5;
@@ -58,22 +32,12 @@
 /// Work that depends on a lost engine stalls for 1.5 s on the platform before
 /// it is refused; a full engine refuses within a round trip.
 const STALL_MILLISECONDS: Milliseconds = 700;
-/// Callers name the largest number of tokens that they take; answers have about
-/// half of it.
-const LIKELY_OUTPUT_SHARE = 0.5;
 /// Share of the objective within which an engine's first event is to come, for
 /// a request that waits for a slot; the rest is for what isn't foreseen.
 const IN_TIME_SHARE = 0.9;
 /// Wait for a slot after which a request is refused. Callers leave after two
 /// seconds without an event, and a refused one has to come back within that.
 const USEFUL_WAIT_MILLISECONDS: Milliseconds = 1_000;
-/// Urgencies of prompts, by reading time: the shorter, the sooner.
-const URGENCIES: readonly { upTo: Milliseconds; urgency: number }[] = [
-  { upTo: 150, urgency: 2 },
-  { upTo: 900, urgency: 4 },
-  { upTo: Infinity, urgency: 6 },
-];
-
 /// How a request ended, for logs and metrics.
 export interface RunOutcome {
   readonly outcome:
@@ -104,16 +68,6 @@
   } | undefined;
 }
 
-interface Placement {
-  readonly upstream: Upstream;
-  readonly plan?: EnginePlan;
-}
-
-function urgencyOf(profile: EngineProfile, promptTokens: number): number {
-  const time = readTime(profile, promptTokens);
-  return URGENCIES.find(({ upTo }) => time <= upTo)!.urgency;
-}
-
 /// Runs a request to its end.
 export async function runRequest(
   context: RequestContext,
@@ -129,7 +83,8 @@
   const deadline = request.arrivedAt + allowed;
   const mayContinue = route.kind === "stream" && route.isResumable;
   const mayRepeat = route.kind === "safe" || mayContinue;
-  const profile = service.engine;
+  const placer = createRequestPlacer(context, request);
+  const isLong = placer.isLong;
 
   let attempt: Attempt | undefined;
   let isTimedOut = false;
@@ -171,99 +126,6 @@
   const mayRunOnAnother = () =>
     ran.filter(isStillThere).length < route.maxUpstreams;
 
-  const candidates = (): Candidate[] => {
-    const listed = view.available(service.name);
-    const fresh = listed.filter(({ id }) => !avoided.has(id));
-    const most = service.maxConnections * USED_CONNECTIONS_SHARE;
-    return (fresh.length > 0 ? fresh : listed).flatMap((upstream) => {
-      const work = board.of(upstream.id);
-      if (work.requests >= most) return [];
-      return [{
-        upstream,
-        work,
-        failureShare: health.failureShare(upstream.id),
-        isSuspended: health.isSuspended(upstream.id),
-        isNear: upstream.dataCentre === context.dataCentre,
-      }];
-    });
-  };
-
-  const engineRequest: EngineRequest = {
-    promptTokens: facts.promptTokens,
-    outputTokens: facts.outputTokens,
-    objective: route.objectiveMilliseconds,
-    pause: view.table()?.shortestPause(service.name) ?? Infinity,
-  };
-
-  const place = (): Placement | undefined => {
-    const choices = candidates();
-    if (!profile) {
-      const chosen = placeCall(choices, CALL_MILLISECONDS);
-      return chosen && { upstream: chosen.upstream };
-    }
-    const plan = placePrompt(profile, engineRequest, choices);
-    return plan && { upstream: plan.primary.upstream, plan };
-  };
-
-  /// Time by which the first event would come too late for the caller to be
-  /// there still, or for the answer to end before the deadline.
-  const excessOf = ({ firstEvent, primary }: EnginePlan): Milliseconds => {
-    if (!profile || answer.isStarted()) return 0;
-    const pass = passTime(profile, {
-      writers: primary.work.requests + 1,
-      contextTokens: primary.work.memoryTokens + facts.promptTokens,
-    });
-    const passes = facts.outputTokens * LIKELY_OUTPUT_SHARE /
-      profile.stepsPerPass;
-    const elapsed = clock.now() - request.arrivedAt;
-    return Math.max(
-      firstEvent + pass * passes - remaining(),
-      firstEvent + elapsed - route.silenceMilliseconds,
-    );
-  };
-
-  /// Whether a short prompt finds no engine with a free slot, or others have
-  /// waited for one before it.
-  const mustWait = (plan: EnginePlan): boolean => {
-    if (!profile || answer.isStarted()) return false;
-    if (isLong(profile, engineRequest)) return false;
-    return plan.primary.work.requests >= plan.primary.upstream.slots ||
-      context.waitingRoom.size(service.name) > 0;
-  };
-
-  const noteWork = (
-    { upstream, plan }: Placement,
-  ): { readDone(): void; end(): void } => {
-    const partTime = plan?.partTime ?? CALL_MILLISECONDS;
-    const isShort = profile !== undefined && !isLong(profile, engineRequest);
-    const items: WorkItem[] = [
-      board.start(upstream.id, {
-        requests: 1,
-        shortRequests: isShort ? 1 : 0,
-        memoryTokens: profile ? memoryOf(engineRequest) : 0,
-        readMilliseconds: partTime,
-      }),
-    ];
-    for (const helper of plan?.helpers ?? []) {
-      items.push(board.start(helper.upstream.id, {
-        requests: 0,
-        shortRequests: 0,
-        memoryTokens: 0,
-        readMilliseconds: partTime,
-      }));
-    }
-    return {
-      readDone: () => items.forEach((item) => item.readDone()),
-      end: () => items.forEach((item) => item.end()),
-    };
-  };
-
-  /// Silence after which the upstream counts as lost, before the first byte.
-  const firstLimit = ({ plan }: Placement): Milliseconds => {
-    if (!plan) return SAFE_CALL_PATIENCE * route.objectiveMilliseconds;
-    return UNEXPECTED_MILLISECONDS + EXPECTED_TIME_FACTOR * plan.firstEvent;
-  };
-
   const onEvents = (work: { readDone(): void }): Parameters<
     typeof startAttempt
   >[2]["onEvents"] =>
@@ -287,7 +149,7 @@
     placed = {
       upstream: upstream.id,
       parts: 1 + (plan?.helpers.length ?? 0),
-      expectedFirst: Math.round(plan?.firstEvent ?? CALL_MILLISECONDS),
+      expectedFirst: Math.round(plan?.firstEvent ?? 0),
       requestsBefore: before.requests,
       readingBefore: Math.round(before.readMilliseconds),
     };
@@ -298,21 +160,21 @@
     helpers: readonly Helper[],
   ): Promise<AttemptResult> => {
     const { upstream } = placement;
-    const work = noteWork(placement);
+    const work = placer.noteWork(placement);
     health.noteSent(upstream.id);
     const sentAt = clock.now();
     attempt = startAttempt(context, request, {
       upstream,
       helpers,
-      urgency: profile && urgencyOf(profile, facts.promptTokens),
+      urgency: placer.urgency,
       remaining: remaining(),
       resumeAfter: answer.isStarted() ? lastId : undefined,
-      firstLimit: firstLimit(placement),
+      firstLimit: placer.silenceBefore(placement),
       pauseLimit: Math.max(
         SHORTEST_LOST_STREAM_MILLISECONDS,
         LOST_STREAM_PAUSES * route.pauseMilliseconds,
       ),
-      isPatient: profile !== undefined && isLong(profile, engineRequest),
+      isPatient: isLong,
       mayGiveUp: () => mayRepeat && ran.length + 1 < route.maxUpstreams,
       expectedSilence: () => board.of(upstream.id).readMilliseconds,
       onEvents: onEvents(work),
@@ -419,8 +281,10 @@
       lastReason = "upstreams crashed with this request";
       return giveUp();
     }
-    let placement = place();
-    if (placement?.plan && mustWait(placement.plan)) {
+    let placement = placer.place(avoided);
+    const isWaiting = placement?.plan && !answer.isStarted() &&
+      placer.mustWait(placement.plan);
+    if (placement?.plan && isWaiting) {
       const waiting = context.waitingRoom.enter(service.name, {
         inTimeUntil: request.arrivedAt + route.objectiveMilliseconds *
             IN_TIME_SHARE -
@@ -434,7 +298,7 @@
         lastReason = "no engine had a slot in time";
         return giveUp();
       }
-      placement = place();
+      placement = placer.place(avoided);
     }
     if (!placement) {
       lastReason = view.available(service.name).length > 0
@@ -448,7 +312,9 @@
     }
     if (tries === 0) budget.noteRequest(service.name);
     notePlacement(placement);
-    const excess = placement.plan ? excessOf(placement.plan) : 0;
+    const excess = placement.plan && !answer.isStarted()
+      ? placer.excessOf(placement.plan, deadline)
+      : 0;
     if (excess > 0) {
       lastReason = `the answer would come ${Math.round(excess)} ms too late`;
       retryAfter = Math.max(RETRY_AFTER_SECONDS, excess / 1_000);
@@ -458,8 +324,8 @@
     let helpers: readonly Helper[] = (placement.plan?.helpers ?? []).map(
       ({ upstream }) => ({ address: upstream.address }),
     );
-    if (profile && placement.plan) {
-      const shares = shareMemory(profile, engineRequest, placement.plan);
+    if (placement.plan) {
+      const shares = placer.shareMemory(placement.plan);
       if (!shares) {
         lastReason = "the engines' memory has no room for the prompt";
         return giveUp();
@@ -547,5 +413,7 @@
     mayHaveRun = true;
     ran.push(upstream);
     if (!mayRepeat || !mayRunOnAnother()) return giveUp();
+    // Without an id there is nothing to go on behind.
+    if (answer.isStarted() && lastId === undefined) return giveUp();
   }
 }
