Keep a watch that brings changes, and compile the checks of messages

A watch is given up only if it has been silent for 1.5 s. Ruled out: the store (it served these VMs) and the leases. Test: view_follower_test.ts fails on the code before and passes now.

--- a/src/gateway/view_follower.ts
+++ b/src/gateway/view_follower.ts
@@ -18,6 +18,10 @@
 const LONGEST_PAUSE_MILLISECONDS: Milliseconds = 500;
 /// Outage after which the entries of living upstreams may have lapsed.
 const LAPSE_MILLISECONDS: Milliseconds = 1_000;
+/// Time without a change from the watch after which it may have gone silent. A
+/// watch that brings changes is only late when others are ahead of it, and to
+/// read everything again would make it later still.
+const SILENT_WATCH_MILLISECONDS: Milliseconds = 1_500;
 /// Every key that this VM follows: one watch serves them all.
 const EVERY_KEY = "";
 
@@ -33,8 +37,8 @@
 
 export interface ViewFollower {
   isConnected(): boolean;
-  /// Drops the current watch and asks the store anew, because another VM
-  /// knows of changes that this watch has not brought.
+  /// Drops the current watch and asks the store anew if it may have gone
+  /// silent, because another VM knows of changes that it has not brought.
   refresh(): void;
   close(): void;
 }
@@ -49,8 +53,10 @@
   let isConnected = false;
   let lostAt: Milliseconds | undefined = clock.now();
   let pause = FIRST_PAUSE_MILLISECONDS;
+  let heardAt: Milliseconds = clock.now();
 
   const noteAnswer = () => {
+    heardAt = clock.now();
     pause = FIRST_PAUSE_MILLISECONDS;
     if (isConnected) return;
     isConnected = true;
@@ -176,7 +182,12 @@
   void run();
   return {
     isConnected: () => isConnected,
-    refresh: () => current.abort(new Error("other VMs know of more")),
+    refresh() {
+      if (clock.now() - heardAt < SILENT_WATCH_MILLISECONDS) return;
+      // One new try at a time, however many VMs are ahead.
+      heardAt = clock.now();
+      current.abort(new Error("other VMs know of more"));
+    },
     close: () => stop.abort(new Error("closed")),
   };
 }
--- a/src/links/message_router.ts
+++ b/src/links/message_router.ts
@@ -1,4 +1,5 @@
 import type { TSchema } from "@sinclair/typebox";
+import { type TypeCheck, TypeCompiler } from "@sinclair/typebox/compiler";
 import { Value } from "@sinclair/typebox/value";
 import type { VmIdentity } from "../vms/identity.ts";
 import type { Links } from "./links.ts";
@@ -14,6 +15,8 @@
 
 interface Registration {
   readonly schema: TSchema;
+  /// Compiled, since every message of every VM passes through it.
+  readonly check: TypeCheck<TSchema>;
   readonly handler: (value: unknown, from: VmIdentity) => unknown;
 }
 
@@ -23,15 +26,19 @@
   return {
     onMessage(type, handler) {
       const registrations = messages.get(type.name) ?? [];
-      const registration = { schema: type.schema, handler };
+      const { schema } = type;
+      const check = TypeCompiler.Compile(schema as TSchema);
+      const registration = { schema, check, handler };
       messages.set(type.name, [...registrations, registration]);
     },
     onCall(type, handler) {
-      calls.set(type.name, { schema: type.request, handler });
+      const schema = type.request;
+      const check = TypeCompiler.Compile(schema as TSchema);
+      calls.set(type.name, { schema, check, handler });
     },
     deliver(name, value, from) {
-      for (const { schema, handler } of messages.get(name) ?? []) {
-        if (Value.Check(schema, value)) handler(value, from);
+      for (const { check, handler } of messages.get(name) ?? []) {
+        if (check.Check(value)) handler(value, from);
       }
     },
     async answer(name, value, from) {
--- /dev/null
+++ b/test/gateway/view_follower_test.ts
@@ -0,0 +1,71 @@
+import test from "ava";
+import { createFleetView } from "../../src/gateway/fleet_view.ts";
+import { startViewFollower } from "../../src/gateway/view_follower.ts";
+import { createVmDirectory } from "../../src/gateway/vm_directory.ts";
+import type {
+  KeyValueStore,
+  WatchEvent,
+} from "../../src/infrastructure/key_value_store.ts";
+import { createSilentLogger } from "../../src/support/log.ts";
+import { createFakeClock } from "../../stand_ins/fake_clock.ts";
+import { fleetDocuments } from "../../platform/fleet_documents.ts";
+
+/// A store whose watch brings a change every `interval` milliseconds, or never.
+function startFollower(interval: number | undefined) {
+  const clock = createFakeClock();
+  const log = createSilentLogger();
+  let reads = 0;
+  let revision = 1;
+  const store = {
+    range() {
+      reads += 1;
+      return Promise.resolve({ values: [], revision });
+    },
+    async *watch(
+      _prefix: string,
+      _after: number,
+      signal: AbortSignal,
+    ): AsyncIterable<WatchEvent> {
+      while (true) {
+        await clock.sleep(interval ?? 1_000_000, signal);
+        revision += 1;
+        const value = {
+          key: "servers/e1",
+          value: Buffer.from("{}"),
+          modifiedRevision: revision,
+          lease: "0",
+        };
+        yield { kind: "put", value };
+      }
+    },
+  } as unknown as KeyValueStore;
+  const follower = startViewFollower({
+    clock,
+    log,
+    store,
+    documents: fleetDocuments,
+    view: createFleetView(clock),
+    vms: createVmDirectory(log),
+    onConnected: () => {},
+  });
+  return { clock, follower, reads: () => reads };
+}
+
+test("a watch that brings changes is kept though others are ahead", async (t) => {
+  const { clock, follower, reads } = startFollower(200);
+  for (let count = 0; count < 20; count++) {
+    await clock.advance(300);
+    follower.refresh();
+  }
+  t.is(reads(), 1);
+  follower.close();
+});
+
+test("a silent watch is given up once, however many VMs are ahead", async (t) => {
+  const { clock, follower, reads } = startFollower(undefined);
+  await clock.advance(2_000);
+  for (let count = 0; count < 20; count++) follower.refresh();
+  await clock.advance(10);
+  t.is(reads(), 2);
+  follower.close();
+});
