--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -16,7 +16,7 @@
 const ONCE_IDLE_MILLISECONDS: Milliseconds = 1_000;
 
 /// Time after expected reading within which streams go on.
-const EXPECTED_MARGIN: Milliseconds = 200;
+const EXPECTED_MARGIN_MILLISECONDS: Milliseconds = 200;
 /// Further silence that a long prompt bears at an engine that can be reached:
 /// about the longest pass that other prompts cause.
 const EXTENDED_MILLISECONDS: Milliseconds = 2_000;
@@ -123,7 +123,9 @@
     const watched = clock.schedule(limit, () => {
       if (isPaused || !plan.mayGiveUp()) return watchSilence(limit);
       const expected = plan.expectedSilence();
-      if (expected > 0) return watchSilence(expected + EXPECTED_MARGIN);
+      if (expected > 0) {
+        return watchSilence(expected + EXPECTED_MARGIN_MILLISECONDS);
+      }
       const { address } = plan.upstream;
       context.connections.accepts(address).then((accepts) => {
         // The answer may have gone on meanwhile.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -40,17 +40,17 @@
 /// Time for which this VM goes on taking callers after the request to stop:
 /// the entry asks once a second and takes a VM out after two misses.
 const LEAVE_ENTRY_MILLISECONDS: Milliseconds = 2_600;
-/// Part of the stopping time in which requests may end; the rest is for
-/// closing.
+/// Part of the stopping time in which requests may end; the rest, half a second
+/// of the platform's eight, is for closing.
 const ENDING_SHARE = 0.93;
 const END_CHECK_MILLISECONDS: Milliseconds = 50;
 /// Time that taking the entry of this VM out of the store may take.
 const DELIST_MILLISECONDS: Milliseconds = 200;
 /// Connections kept to upstreams that are gone are closed this often.
 const PRUNE_MILLISECONDS: Milliseconds = 5_000;
-/// Begins the name by which links prove that they belong together. All VMs
-/// of a deployment share the network behind the entry; the links carry no
-/// prompt and no key.
+/// Shared by all VMs of a deployment, so that a link to something else is
+/// closed. The platform hands out no secret; the links carry no prompt and no
+/// key.
 const LINK_SECRET = "sequoiaturn-gateway-links";
 
 /// VMs tell each other what they have learned, so that each may ask the store
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -17,8 +17,6 @@
   linkAddress: Address,
   metricsAddress: Address,
   storeAddress: Address,
-  /// Shortest lease that the store grants.
-  shortestLeaseMilliseconds: Count,
   /// Time from the request to stop until the process is killed.
   stopSeconds: Type.Number({ exclusiveMinimum: 0 }),
   /// Repeats that a service may get, as a share of its requests.
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -51,15 +51,18 @@
 /// Reading that is worth splitting among the engines of short prompts.
 const SPLIT_PAUSE_SHARE = 0.4;
 /// Share of an engine's slots up to which short requests are gathered on it.
+/// The rest takes what other VMs send before this one hears of it.
 const GATHERED_SLOTS_SHARE = 0.6;
-/// Share of the objective that a gathered request may be expected to take.
+/// Share of the objective that a gathered request may be expected to take. The
+/// estimate leaves out what the pass under way reads, about a third of it.
 const GATHERED_OBJECTIVE_SHARE = 0.55;
 /// Engines that one prompt may be read by; the platform allows 16 beside the
 /// first.
 const MOST_PARTS = 17;
 /// A smaller part costs an engine more in passes than it saves.
 const SMALLEST_PART_TOKENS = 2_048;
-/// Share of the memory that placement fills, for output that was estimated.
+/// Share of the memory that placement fills; the rest is for what other VMs
+/// place before this one hears of it.
 const USED_MEMORY_SHARE = 0.95;
 /// Delay that stands for certain failure, in the comparison of upstreams.
 const FAILURE_MILLISECONDS: Milliseconds = 1_000;
@@ -68,7 +71,8 @@
 const FAR_MILLISECONDS: Milliseconds = 2;
 /// Output tokens weigh as ten prompt tokens, as engines spend on them.
 const OUTPUT_WEIGHT = 10;
-/// Size of a short request, in weighted tokens, which a pause harms.
+/// Size of a short request, in weighted tokens, which a pause harms: about
+/// 5,000 of prompt and 1,500 of output.
 const SHORT_REQUEST_WEIGHT = 20_000;
 
 /// Whether reading the prompt in one piece would make streams beside it pause
--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -194,7 +194,6 @@
           linkAddress: ANY_PORT,
           metricsAddress: ANY_PORT,
           storeAddress: door.address,
-          shortestLeaseMilliseconds: 1_000,
           stopSeconds: 4,
           repeatRatio: 0.2,
           repeatAllowance: 100,
--- a/stand_ins/soak/gateway_process.ts
+++ b/stand_ins/soak/gateway_process.ts
@@ -60,7 +60,6 @@
     linkAddress: await freeAddress(),
     metricsAddress: await freeAddress(),
     storeAddress: options.storeAddress,
-    shortestLeaseMilliseconds: 1_000,
     stopSeconds: 5,
     repeatRatio: 0.2,
     repeatAllowance: 100,
