--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { createFrontServer } from "./front_server.ts";
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { usableSlots } from "./placement.ts";
 import { createRepeatBudget } from "./repeat_budget.ts";
 import { createUpstreamConnections } from "./upstream_connections.ts";
 import { createUpstreamHealth } from "./upstream_health.ts";
@@ -165,14 +166,16 @@
   const health = createUpstreamHealth({ clock, log });
   const connections = createUpstreamConnections(clock);
   const board = createWorkBoard({ clock, links });
-  /// This VM's part of the slots that no request has.
+  /// This VM's part of the slots that are free, rounded up or down by chance:
+  /// if all VMs rounded up, each would send to the one slot that is free.
   const freeSlots = (service: string) => {
     let free = 0;
-    for (const { id, slots } of view.available(service)) {
+    for (const upstream of view.available(service)) {
+      const { id } = upstream;
       if (health.isSuspended(id)) continue;
-      free += Math.max(0, slots - board.of(id).requests);
+      free += Math.max(0, usableSlots(upstream) - board.of(id).requests);
     }
-    return Math.ceil(free / mostVms);
+    return Math.floor(free / mostVms + random.next());
   };
   const front = createFrontServer({
     clock,
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -53,6 +53,10 @@
 /// Share of an engine's slots up to which short requests are gathered on it.
 /// The rest takes what other VMs send before this one hears of it.
 const GATHERED_SLOTS_SHARE = 0.6;
+/// Share of an engine's slots up to which prompts that wait are sent to it. An
+/// engine that is kept full lets the next one wait for a slot though it has been
+/// read.
+const FILLED_SLOTS_SHARE = 0.8;
 /// Share of the objective that a gathered request may be expected to take. The
 /// estimate leaves out what the pass under way reads, about a third of it.
 const GATHERED_OBJECTIVE_SHARE = 0.55;
@@ -97,6 +101,11 @@
     : placeShort(profile, request, candidates);
 }
 
+/// Requests up to which an engine is sent prompts that have waited for a slot.
+export function usableSlots({ slots }: Upstream): number {
+  return slots * FILLED_SLOTS_SHARE;
+}
+
 export function memoryOf({ promptTokens, outputTokens }: PromptSize): number {
   return promptTokens + outputTokens;
 }
--- a/src/gateway/request_placer.ts
+++ b/src/gateway/request_placer.ts
@@ -142,7 +142,8 @@
   /// waited for one before it.
   const mustWait = (plan: EnginePlan): boolean => {
     if (!profile || isLongPrompt) return false;
-    return plan.primary.work.requests >= plan.primary.upstream.slots ||
+    const { work, upstream } = plan.primary;
+    return work.requests >= upstream.slots ||
       context.waitingRoom.size(service.name) > 0;
   };
 
--- a/src/gateway/waiting_room.ts
+++ b/src/gateway/waiting_room.ts
@@ -46,12 +46,14 @@
   const queues = new Map<string, Set<Entry>>();
   let timer: Timer | undefined;
 
-  /// Those that can be in time first, the most pressing first.
+  /// Those that can be in time first, and of these the newest: the older ones
+  /// have so little time left that a small delay at the engine makes them late
+  /// as well.
   const byUse = (now: Milliseconds) => (left: Entry, right: Entry) => {
     const isLeftLate = left.inTimeUntil < now;
     const isRightLate = right.inTimeUntil < now;
     if (isLeftLate !== isRightLate) return isLeftLate ? 1 : -1;
-    return left.inTimeUntil - right.inTimeUntil;
+    return right.inTimeUntil - left.inTimeUntil;
   };
 
   const settle = (queue: Set<Entry>, entry: Entry, mayGo: boolean) => {
--- a/stand_ins/platform/played_load.ts
+++ b/stand_ins/platform/played_load.ts
@@ -7,6 +7,7 @@
 import type { GatewayRequest } from "../../src/gateway/request_context.ts";
 import { createRequestPlacer } from "../../src/gateway/request_placer.ts";
 import type { RequestContext } from "../../src/gateway/request_context.ts";
+import { usableSlots } from "../../src/gateway/placement.ts";
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
 import { createWaitingRoom } from "../../src/gateway/waiting_room.ts";
 import { createWorkBoard } from "../../src/gateway/work_board.ts";
@@ -104,14 +105,15 @@
     const board = createWorkBoard({ clock, links });
     const free = () =>
       view.available(service.name).reduce(
-        (sum, { id, slots }) =>
-          sum + Math.max(0, slots - board.of(id).requests),
+        (sum, upstream) =>
+          sum +
+          Math.max(0, usableSlots(upstream) - board.of(upstream.id).requests),
         0,
       );
     const health = createUpstreamHealth({ clock, log: createSilentLogger() });
     const waitingRoom = createWaitingRoom({
       clock,
-      room: () => Math.ceil(free() / load.vms),
+      room: () => Math.floor(free() / load.vms + random.next()),
     });
     return { clock, view, health, board, waitingRoom, dataCentre: "north" };
   });
