--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -107,8 +107,9 @@
       const wait = relistingUntil - clock.now();
       // One that was about to leave has left; no need to wait for it.
       if (wait <= 0 || known.isLeaving) return forget(known, source);
-      upstreams.set(id, { ...known });
-      const kept = upstreams.get(id);
+      // A copy of its own: if the entry comes back, another object is listed.
+      const kept = { ...known };
+      upstreams.set(id, kept);
       clock.schedule(wait, () => {
         if (upstreams.get(id) === kept) forget(known, source);
       });
