Share failed results and the budget of repeats between VMs

Now VMs tell each other of answers that broke. An engine is left after two failures of one VM or of two, unless most VMs that speak of it are served; a VM that was served lately believes itself. Suspensions end at different times, and the first that tries it renews them all. A VM whose own part of the repeats is spent may draw from what the others, by their own word, have not used: a half of the allowance, less what all may draw at one moment.

A request on a kept connection that ends without a byte says nothing of the engine's health; one that must run once takes connections that rested for at most 250 ms, since upstreams may forget them after 300 (was 1,000).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -12,8 +12,9 @@
 /// for wrong bytes. Services answer with some kilobytes.
 const LARGEST_ANSWER_BYTES = 16_777_216;
 /// A kept connection that has been idle for longer may have been closed by
-/// the upstream; a request that must run once isn't risked on it.
-const ONCE_IDLE_MILLISECONDS: Milliseconds = 1_000;
+/// the upstream; a request that must run once isn't risked on it. The platform
+/// names 300 ms as the shortest time after which upstreams forget connections.
+const ONCE_IDLE_MILLISECONDS: Milliseconds = 250;
 
 /// Time after expected reading within which streams go on.
 const EXPECTED_MARGIN_MILLISECONDS: Milliseconds = 200;
@@ -47,6 +48,9 @@
     readonly reason: string;
     /// Whether the upstream takes no connections either.
     readonly isUnreachable: boolean;
+    /// Whether it may have been a kept connection that the upstream had closed
+    /// meanwhile, which says nothing of its health.
+    readonly mayBeStale?: boolean;
   }
   /// The run was ended from here.
   | { readonly kind: "aborted" };
@@ -218,9 +222,11 @@
         else fail("the upstream went away at the end of its answer", true);
       });
     },
-    onFailure({ wasSent, reason }) {
+    onFailure({ wasSent, wasKept, reason }) {
       if (wasSent) {
-        return settle({ kind: "failed", reason, isUnreachable: false });
+        const mayBeStale = wasKept && !head;
+        const isUnreachable = false;
+        return settle({ kind: "failed", reason, isUnreachable, mayBeStale });
       }
       const detail = `not connected: ${reason}`;
       settle({ kind: "not_run", reason: detail, isUnreachable: true });
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -26,6 +26,8 @@
 export interface ExchangeFailure {
   /// Whether the upstream may have got the request.
   readonly wasSent: boolean;
+  /// Whether it was sent on a kept connection.
+  readonly wasKept: boolean;
   readonly reason: string;
 }
 
@@ -71,7 +73,7 @@
     if (isOver) return;
     isOver = true;
     connection.discard();
-    handler.onFailure({ wasSent, reason });
+    handler.onFailure({ wasSent, wasKept: connection.isKept(), reason });
   };
 
   try {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -187,7 +187,7 @@
     mostVms = linkedVms > 1 ? linkedVms : ASSUMED_VMS;
     metrics.peers.set(links.peers().length);
   });
-  const health = createUpstreamHealth({ clock, log });
+  const health = createUpstreamHealth({ clock, random, log, links });
   const connections = createUpstreamConnections(clock);
   const board = createWorkBoard({ clock, links });
   /// This VM's part of the slots that are free, rounded up or down by chance:
@@ -214,6 +214,8 @@
     waitingRoom: createWaitingRoom({ clock, room: freeSlots }),
     budget: createRepeatBudget({
       clock,
+      random,
+      links,
       limits: {
         ratio: settings.repeatRatio,
         allowance: settings.repeatAllowance,
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -126,11 +126,13 @@
   const mayRunOnAnother = () =>
     ran.filter(isStillThere).length < route.maxUpstreams;
 
-  const onEvents = (work: { readDone(): void }): Parameters<
-    typeof startAttempt
-  >[2]["onEvents"] =>
+  const onEvents = (
+    work: { readDone(): void },
+    upstream: Upstream,
+  ): Parameters<typeof startAttempt>[2]["onEvents"] =>
   (bytes, head, id) => {
     work.readDone();
+    health.noteAlive(upstream.id);
     const now = clock.now();
     longestPause = Math.max(longestPause, now - (lastWriteAt ?? now));
     lastWriteAt = now;
@@ -177,7 +179,7 @@
       isPatient: isLong,
       mayGiveUp: () => mayRepeat && ran.length + 1 < route.maxUpstreams,
       expectedSilence: () => board.of(upstream.id).readMilliseconds,
-      onEvents: onEvents(work),
+      onEvents: onEvents(work, upstream),
     });
     const result = await attempt.result;
     attempt = undefined;
@@ -210,7 +212,9 @@
     }
     if (result.kind !== "answered") {
       if (result.isUnreachable) health.noteUnreachable(upstream.id);
-      else health.noteFailure(upstream.id);
+      else if (result.kind === "failed" && !result.mayBeStale) {
+        health.noteBroken(upstream.id);
+      } else health.noteFailure(upstream.id);
     }
     log.warn("try ended", {
       request: facts.attemptId,
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -24,6 +24,8 @@
   readonly client: Client;
   /// The error of the socket underneath, which tells a reset from a close.
   socketError(): Error | undefined;
+  /// Whether it has carried a request before.
+  isKept(): boolean;
   /// Returns the connection, for others to use.
   release(): void;
   /// Closes the connection at once.
@@ -86,6 +88,7 @@
 
   const open = (address: string): UpstreamConnection => {
     let error: Error | undefined;
+    let wasReleased = false;
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -110,7 +113,9 @@
     const connection: UpstreamConnection = {
       client,
       socketError: () => error,
+      isKept: () => wasReleased,
       release() {
+        wasReleased = true;
         const kept = { connection, idleSince: clock.now(), isClosed: false };
         const list = idle.get(address) ?? [];
         idle.set(address, list);
--- a/src/gateway/upstream_health.ts
+++ b/src/gateway/upstream_health.ts
@@ -1,8 +1,15 @@
+import { Type } from "@sinclair/typebox";
+import type { Links } from "../links/links.ts";
+import { defineMessage } from "../links/message.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
+import type { RandomSource } from "../support/random.ts";
 
-/// How upstreams have answered this VM lately. A health probe that passes says
-/// little about requests, so results decide.
+/// How upstreams have answered lately. A health probe that passes says little
+/// about requests, so results decide: those of this VM, and what the other VMs
+/// tell of theirs, since one VM of many meets an upstream too seldom to learn
+/// from its own failures alone. An upstream may fail some VMs only, so a VM
+/// believes its own results first, and others only if most of them agree.
 
 /// Weight of the newest result in an upstream's share of failures: about the
 /// last seven results count.
@@ -14,11 +21,37 @@
 /// doubled by each further one.
 const FIRST_SUSPENSION_MILLISECONDS: Milliseconds = 1_000;
 const LONGEST_SUSPENSION_MILLISECONDS: Milliseconds = 8_000;
+/// Suspensions that other VMs caused end up to this share later, each VM's at
+/// another time: the first that tries the upstream tells the others.
+const SUSPENSION_SPREAD = 1;
+
+/// Time for which a VM's word of an upstream counts.
+const WORD_AGE_MILLISECONDS: Milliseconds = 4_000;
+/// Least time between two words of one VM on one upstream.
+const WORD_INTERVAL_MILLISECONDS: Milliseconds = 500;
+/// Requests that an upstream must have failed lately, of this VM or of so many
+/// VMs. One alone may have had trouble of its own.
+const DOUBTS = 2;
+/// Age up to which this VM's own success counts against others' failures.
+const OWN_SUCCESS_MILLISECONDS: Milliseconds = 1_000;
+
+/// Cause of a suspension after other VMs' words alone.
+const OTHERS = "other VMs";
+
+const wordMessage = defineMessage(
+  "gateway.health",
+  Type.Object({ upstream: Type.String(), hasFailed: Type.Boolean() }),
+  { replaceKey: ({ upstream }) => upstream },
+);
 
 export interface UpstreamHealth {
   noteSuccess(id: string): void;
-  /// A failed, broken or missing answer from an upstream that can be reached.
+  /// Notes that the upstream has begun to answer.
+  noteAlive(id: string): void;
+  /// A failed answer from an upstream that can be reached.
   noteFailure(id: string): void;
+  /// An answer broke or never came, though a connection was made.
+  noteBroken(id: string): void;
   /// The upstream takes no connections.
   noteUnreachable(id: string): void;
   /// Share of recent results that failed, 0 to 1.
@@ -35,17 +68,30 @@
   failureShare: number;
   /// When the share was last brought up to date.
   sharedAt: Milliseconds;
+  suspendedAt: Milliseconds;
   suspendedUntil: Milliseconds;
+  /// Length of the last suspension; 0 if the upstream has succeeded since.
   suspension: Milliseconds;
+  /// Answers in a row that broke.
+  broken: number;
+  succeededAt: Milliseconds;
+  toldAt: Milliseconds;
+  /// The other VMs' last word each.
+  words: Map<
+    string,
+    { readonly hasFailed: boolean; readonly at: Milliseconds }
+  >;
 }
 
 export interface UpstreamHealthOptions {
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly log: Logger;
+  readonly links: Links;
 }
 
 export function createUpstreamHealth(
-  { clock, log }: UpstreamHealthOptions,
+  { clock, random, log, links }: UpstreamHealthOptions,
 ): UpstreamHealth {
   const records = new Map<string, Record>();
 
@@ -54,8 +100,13 @@
       {
         failureShare: 0,
         sharedAt: clock.now(),
+        suspendedAt: -Infinity,
         suspendedUntil: -Infinity,
         suspension: 0,
+        broken: 0,
+        succeededAt: -Infinity,
+        toldAt: -Infinity,
+        words: new Map(),
       };
     records.set(id, record);
     return record;
@@ -74,31 +125,98 @@
     return record;
   };
 
+  const tell = (id: string, hasFailed: boolean) => {
+    const record = recordOf(id);
+    const now = clock.now();
+    if (now - record.toldAt < WORD_INTERVAL_MILLISECONDS) return;
+    record.toldAt = now;
+    links.broadcast(wordMessage, { upstream: id, hasFailed });
+  };
+
+  /// How many other VMs lately said that the upstream failed, or served, them.
+  const countWords = ({ words }: Record) => {
+    const since = clock.now() - WORD_AGE_MILLISECONDS;
+    const recent = [...words.values()].filter(({ at }) => at >= since);
+    const failing = recent.filter(({ hasFailed }) => hasFailed).length;
+    return { failing, served: recent.length - failing };
+  };
+
+  const suspend = (
+    id: string,
+    { spread, cause }: { spread: number; cause: string },
+  ) => {
+    const record = recordOf(id);
+    const now = clock.now();
+    // Several requests break together: that counts once.
+    if (now < record.suspendedAt + record.suspension) return;
+    const isFirst = record.suspension === 0;
+    record.suspension = Math.min(
+      LONGEST_SUSPENSION_MILLISECONDS,
+      Math.max(FIRST_SUSPENSION_MILLISECONDS, 2 * record.suspension),
+    );
+    record.suspendedAt = now;
+    record.suspendedUntil = now +
+      record.suspension * (1 + spread * random.next());
+    // What other VMs have found out is told here once.
+    if (cause === OTHERS && !isFirst) return;
+    const { failing, served } = countWords(record);
+    log.warn("upstream suspended", {
+      upstream: id,
+      cause,
+      milliseconds: Math.round(record.suspendedUntil - now),
+      failureShare: record.failureShare,
+      vmsFailed: failing,
+      vmsServed: served,
+    });
+  };
+
+  const noteSuccess = (id: string) => {
+    const record = add(id, 0);
+    const now = clock.now();
+    record.succeededAt = now;
+    record.broken = 0;
+    if (record.suspension > 0) log.info("upstream regained", { upstream: id });
+    record.suspension = 0;
+    record.suspendedUntil = -Infinity;
+    if (countWords(record).failing > 0) tell(id, false);
+  };
+
+  links.onMessage(wordMessage, ({ upstream, hasFailed }, { vm }) => {
+    const record = recordOf(upstream);
+    const now = clock.now();
+    record.words.set(vm, { hasFailed, at: now });
+    if (!hasFailed) return;
+    if (now - record.succeededAt < OWN_SUCCESS_MILLISECONDS) {
+      return tell(upstream, false);
+    }
+    const { failing, served } = countWords(record);
+    const isDoubted = failing >= DOUBTS || record.suspension > 0;
+    if (!isDoubted || failing <= served) return;
+    suspend(upstream, { spread: SUSPENSION_SPREAD, cause: OTHERS });
+  });
+
   return {
-    noteSuccess(id) {
-      const record = add(id, 0);
-      if (record.suspension > 0) {
-        log.info("upstream regained", { upstream: id });
-      }
-      record.suspension = 0;
-      record.suspendedUntil = -Infinity;
+    noteSuccess,
+    noteAlive(id) {
+      const record = recordOf(id);
+      record.succeededAt = clock.now();
+      record.broken = 0;
     },
     noteFailure: (id) => void add(id, 1),
-    noteUnreachable(id) {
+    noteBroken(id) {
       const record = add(id, 1);
-      const now = clock.now();
-      // Several requests break together: that counts once.
-      if (now < record.suspendedUntil) return;
-      record.suspension = Math.min(
-        LONGEST_SUSPENSION_MILLISECONDS,
-        Math.max(FIRST_SUSPENSION_MILLISECONDS, 2 * record.suspension),
-      );
-      record.suspendedUntil = now + record.suspension;
-      log.warn("upstream suspended", {
-        upstream: id,
-        milliseconds: record.suspension,
-        failureShare: record.failureShare,
-      });
+      record.broken += 1;
+      tell(id, true);
+      const { failing, served } = countWords(record);
+      const isDoubted = record.broken >= DOUBTS || record.suspension > 0 ||
+        (failing + 1 >= DOUBTS && failing >= served);
+      if (!isDoubted) return;
+      suspend(id, { spread: SUSPENSION_SPREAD, cause: "broken answers" });
+    },
+    noteUnreachable(id) {
+      add(id, 1);
+      tell(id, true);
+      suspend(id, { spread: 0, cause: "unreachable" });
     },
     failureShare(id) {
       const record = records.get(id);
--- a/stand_ins/platform/played_load.ts
+++ b/stand_ins/platform/played_load.ts
@@ -110,7 +110,12 @@
           Math.max(0, usableSlots(upstream) - board.of(upstream.id).requests),
         0,
       );
-    const health = createUpstreamHealth({ clock, log: createSilentLogger() });
+    const health = createUpstreamHealth({
+      clock,
+      random,
+      log: createSilentLogger(),
+      links,
+    });
     const waitingRoom = createWaitingRoom({
       clock,
       room: () => Math.floor(free() / load.vms + random.next()),
--- a/test/gateway/decisions_test.ts
+++ b/test/gateway/decisions_test.ts
@@ -10,6 +10,7 @@
 import type { Upstream } from "../../src/gateway/upstream.ts";
 import { createWorkBoard } from "../../src/gateway/work_board.ts";
 import { createLineSink, createSilentLogger } from "../../src/support/log.ts";
+import { createSeededRandom } from "../../src/support/random.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import { createLocalNetwork } from "../../stand_ins/local_links.ts";
 
@@ -24,12 +25,15 @@
   ...more,
 });
 
+const ALONE = { vm: "vm-1", incarnation: "1", dataCentre: "north" };
 const STORE = { kind: "store" as const, revision: 1 };
 
 test("repeats stay within their share and an even part of the allowance", async (t) => {
   const clock = createFakeClock();
   const budget = createRepeatBudget({
     clock,
+    random: createSeededRandom(1),
+    links: createLocalNetwork(clock).join(ALONE),
     limits: { ratio: 0.2, allowance: 50, window: 10_000 },
     vmCount: () => 5,
   });
@@ -50,7 +54,9 @@
   const clock = createFakeClock();
   const health = createUpstreamHealth({
     clock,
+    random: createSeededRandom(1),
     log: createSilentLogger(),
+    links: createLocalNetwork(clock).join(ALONE),
   });
   health.noteUnreachable("e1");
   health.noteUnreachable("e1");
--- /dev/null
+++ b/test/gateway/shared_results_test.ts
@@ -0,0 +1,149 @@
+import test from "ava";
+import { createRepeatBudget } from "../../src/gateway/repeat_budget.ts";
+import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
+import { createSilentLogger } from "../../src/support/log.ts";
+import { createSeededRandom } from "../../src/support/random.ts";
+import { createFakeClock, type FakeClock } from "../../stand_ins/fake_clock.ts";
+import { createLocalNetwork } from "../../stand_ins/local_links.ts";
+
+/// Time in which a VM's word reaches the others.
+const HEARD_MILLISECONDS = 10;
+
+function joinVms(clock: FakeClock, count: number) {
+  const network = createLocalNetwork(clock);
+  const links = Array.from(
+    { length: count },
+    (_, index) =>
+      network.join({
+        vm: `vm-${index}`,
+        incarnation: "1",
+        dataCentre: "north",
+      }),
+  );
+  return { network, links };
+}
+
+async function startHealth(count: number) {
+  const clock = createFakeClock();
+  const { links } = joinVms(clock, count);
+  await clock.advance(100);
+  const vms = links.map((each, index) =>
+    createUpstreamHealth({
+      clock,
+      random: createSeededRandom(index),
+      log: createSilentLogger(),
+      links: each,
+    })
+  );
+  const suspendedBy = () =>
+    vms.filter((health) => health.isSuspended("e1")).length;
+  return { clock, vms, suspendedBy };
+}
+
+test("an engine that breaks off what two VMs send is left by all", async (t) => {
+  const { clock, vms, suspendedBy } = await startHealth(30);
+  vms[0]!.noteBroken("e1");
+  await clock.advance(HEARD_MILLISECONDS);
+  t.is(suspendedBy(), 0, "one VM may have trouble of its own");
+  vms[1]!.noteBroken("e1");
+  await clock.advance(HEARD_MILLISECONDS);
+  t.true(suspendedBy() >= 28, `${suspendedBy()}`);
+});
+
+test("an engine that fails few VMs is kept by those that it serves", async (t) => {
+  const { clock, vms } = await startHealth(30);
+  const served = vms.slice(3);
+  for (const health of served) health.noteAlive("e1");
+  for (const health of vms.slice(0, 3)) health.noteBroken("e1");
+  await clock.advance(HEARD_MILLISECONDS);
+  t.true(served.every((health) => !health.isSuspended("e1")));
+});
+
+test("many VMs seldom try an engine that goes on failing", async (t) => {
+  const { clock, vms } = await startHealth(60);
+  let tries = 0;
+  for (let passed = 0; passed < 12_000; passed += 20) {
+    for (const health of vms) {
+      if (health.isSuspended("e1")) continue;
+      health.noteSent("e1");
+      health.noteBroken("e1");
+      tries += 1;
+      // Another VM's next request comes after it has heard of this.
+      if (passed > 0) break;
+    }
+    await clock.advance(20);
+  }
+  // One each in the first moment, then a few for each end of a suspension.
+  t.true(tries < 60 + 40, `${tries}`);
+});
+
+test("an engine that serves again is soon used by all", async (t) => {
+  const { clock, vms, suspendedBy } = await startHealth(30);
+  for (const health of vms.slice(0, 2)) {
+    health.noteBroken("e1");
+    await clock.advance(HEARD_MILLISECONDS);
+  }
+  await clock.advance(2_100);
+  for (const health of vms) {
+    if (health.isSuspended("e1")) continue;
+    health.noteSent("e1");
+    health.noteSuccess("e1");
+  }
+  t.is(suspendedBy(), 0);
+});
+
+const LIMITS = { ratio: 0.2, allowance: 228, window: 10_000 };
+
+test("a VM that meets all failures may use what the others leave", async (t) => {
+  const clock = createFakeClock();
+  const { links } = joinVms(clock, 76);
+  const [first] = links.map((each, index) =>
+    createRepeatBudget({
+      clock,
+      random: createSeededRandom(index),
+      links: each,
+      limits: LIMITS,
+      vmCount: () => 76,
+    })
+  );
+  let taken = 0;
+  for (let passed = 0; passed < LIMITS.window; passed += 100) {
+    if (first!.take("desk")) taken += 1;
+    await clock.advance(100);
+  }
+  t.true(taken > 2 * LIMITS.allowance / 76, `${taken}`);
+  t.true(taken <= LIMITS.allowance);
+});
+
+test("all VMs together stay within the allowance", async (t) => {
+  for (const [parts, count] of [[1, 76], [1, 8], [2, 76]] as const) {
+    const clock = createFakeClock();
+    const { network, links } = joinVms(clock, count);
+    await clock.advance(100);
+    const isCut = (index: number) => index % parts;
+    for (const [left, { self }] of links.entries()) {
+      for (const [right, { self: other }] of links.entries()) {
+        if (isCut(left) !== isCut(right)) {
+          network.setCut(self.vm, other.vm, true);
+        }
+      }
+    }
+    const budgets = links.map((each, index) =>
+      createRepeatBudget({
+        clock,
+        random: createSeededRandom(index),
+        links: each,
+        limits: LIMITS,
+        vmCount: () => count,
+      })
+    );
+    let taken = 0;
+    for (let passed = 0; passed < LIMITS.window; passed += 50) {
+      for (const budget of budgets) {
+        while (budget.take("desk")) taken += 1;
+      }
+      await clock.advance(50);
+    }
+    t.true(taken <= LIMITS.allowance, `${parts} parts of ${count}: ${taken}`);
+  }
+});
