Let two VMs of a data centre spread what comes from the others

Now two VMs of each data centre, by rendezvous, spread broadcasts of other data centres there, so that one may fail unnoticed; frames to several connections are encoded once.

--- a/src/gateway/vm_directory.ts
+++ b/src/gateway/vm_directory.ts
@@ -10,9 +10,9 @@
 const PREFIX = "sequoiaturn/vms/";
 /// Lapse of an entry whose VM is gone. Links notice a loss sooner, so that it
 /// only ends the attempts to reach the VM.
-const LEASE_SECONDS = 30;
+const LEASE_SECONDS = 45;
 /// A third of the lease: two renewals may fail. Each is a call of each VM.
-const RENEWAL_MILLISECONDS: Milliseconds = 10_000;
+const RENEWAL_MILLISECONDS: Milliseconds = 15_000;
 const RETRY_MILLISECONDS: Milliseconds = 1_000;
 
 const Entry = Type.Object({
--- a/src/links/link_connection.ts
+++ b/src/links/link_connection.ts
@@ -46,6 +46,8 @@
   readonly role: LinkRole;
   /// Queues a frame; one with the same key that still waits is replaced.
   send(frame: Frame, replaceKey?: string): void;
+  /// Queues a frame that has been encoded, as for several connections.
+  sendEncoded(bytes: Buffer, replaceKey?: string): void;
   close(reason: string): void;
 }
 
@@ -141,13 +143,16 @@
   write({ kind: "hello", versions, identity, nonce });
   beat();
 
+  const sendEncoded = (bytes: Buffer, replaceKey?: string) => {
+    if (closed) return;
+    queue.push(bytes, replaceKey);
+    if (!drain) flush();
+  };
+
   return {
     role,
-    send(frame, replaceKey) {
-      if (closed) return;
-      queue.push(encodeFrame(frame), replaceKey);
-      if (!drain) flush();
-    },
+    sendEncoded,
+    send: (frame, replaceKey) => sendEncoded(encodeFrame(frame), replaceKey),
     close,
   };
 }
--- a/src/links/link_mesh.ts
+++ b/src/links/link_mesh.ts
@@ -8,6 +8,7 @@
 import { SOCKET_OPTIONS, startDialler } from "./dialler.ts";
 import { createDirectPeers, type DirectPeer } from "./direct_peers.ts";
 import {
+  encodeFrame,
   type Frame,
   LINK_PROTOCOL_VERSIONS,
   type PayloadFrame,
@@ -104,6 +105,7 @@
     for (const peer of [...presence.members(), ...peers]) {
       if (peer.vm !== identity.vm) reachable.set(peer.vm, peer);
     }
+    relay.peersChanged();
     announcer.schedule();
     const isSame = earlier.size === reachable.size &&
       [...reachable.values()].every((peer) =>
@@ -200,7 +202,12 @@
       const payload = { kind: "message" as const, name: type.name, value };
       const key = replaceKeyOf(type as never, value);
       if (dialler.isSparse()) return relay.flood(payload, key);
-      for (const vm of reachable.keys()) relay.send(vm, payload, key);
+      const bytes = encodeFrame(payload);
+      for (const vm of reachable.keys()) {
+        const peer = direct.get(vm);
+        if (peer) peer.connection.sendEncoded(bytes, key);
+        else relay.send(vm, payload, key);
+      }
     },
     call(vm, type, value, limits) {
       if (!reachable.has(vm)) {
--- a/src/links/relay.ts
+++ b/src/links/relay.ts
@@ -1,14 +1,20 @@
 import type { VmIdentity } from "../vms/identity.ts";
-import type { PayloadFrame, RelayFrame } from "./frame.ts";
+import { rankByRendezvous } from "../vms/rendezvous.ts";
+import { encodeFrame, type PayloadFrame, type RelayFrame } from "./frame.ts";
 import type { DirectPeer, DirectPeers } from "./direct_peers.ts";
 import type { PresenceTable } from "./presence_table.ts";
 
 /// Carries payloads to VMs without a direct link: a payload for one VM goes
-/// over a VM that reaches it, a broadcast floods and each VM takes it once.
+/// over a VM that reaches it, a broadcast floods and each VM takes it once. In
+/// each data centre few VMs spread what comes from another one, so that VMs
+/// don't get it over every bridge.
 
 /// Links that a relayed payload may cross: to a bridge, over it, through one
 /// more data centre, and on to the target.
 const HOP_LIMIT = 6;
+/// VMs of a data centre that spread broadcasts of others. With two, a broadcast
+/// arrives though one of them has failed and nobody has noticed yet.
+const SPREADERS = 2;
 /// Broadcasts that are remembered to tell repeated ones.
 const REMEMBERED_BROADCASTS = 8_192;
 
@@ -24,6 +30,8 @@
   send(target: string, payload: PayloadFrame, replaceKey?: string): boolean;
   /// Sends to every VM over all links.
   flood(payload: PayloadFrame, replaceKey?: string): void;
+  /// Takes note of direct peers that have come or gone.
+  peersChanged(): void;
   /// Takes a frame from a peer: delivers it or passes it on.
   receive(frame: RelayFrame, from: VmIdentity): void;
 }
@@ -53,16 +61,42 @@
     next?.connection.send(frame);
   };
 
-  /// A broadcast from this data centre goes on over the bridges; one from
-  /// outside goes to everyone.
-  const nextOf = (from: VmIdentity): readonly DirectPeer[] => {
-    const isLocal = from.dataCentre === self.dataCentre;
-    return peers.all().filter(({ identity }) =>
-      identity.vm !== from.vm &&
-      (!isLocal || identity.dataCentre !== self.dataCentre)
+  const isHere = (vm: VmIdentity) => vm.dataCentre === self.dataCentre;
+
+  /// Names of the VMs that spread broadcasts of other data centres in this one.
+  let spreaders: readonly string[] = [self.vm];
+
+  /// A broadcast from this data centre goes on over the bridges. One from
+  /// outside goes on over them too, and here to all from a spreader and to the
+  /// spreaders from others.
+  const nextOf = (
+    { origin }: RelayFrame,
+    from: VmIdentity,
+  ): readonly DirectPeer[] => {
+    const others = peers.all().filter(({ identity }) =>
+      identity.vm !== from.vm
+    );
+    if (isHere(origin)) {
+      return others.filter(({ identity }) => !isHere(identity));
+    }
+    if (spreaders.includes(self.vm)) return others;
+    return others.filter(({ identity }) =>
+      !isHere(identity) || (!isHere(from) && spreaders.includes(identity.vm))
     );
   };
 
+  const sendToAll = (
+    frame: RelayFrame,
+    { targets, key }: {
+      readonly targets: readonly DirectPeer[];
+      readonly key?: string;
+    },
+  ) => {
+    if (targets.length === 0) return;
+    const bytes = encodeFrame(frame);
+    for (const { connection } of targets) connection.sendEncoded(bytes, key);
+  };
+
   return {
     send(target, payload, replaceKey) {
       const direct = peers.get(target);
@@ -93,9 +127,16 @@
         payload,
       };
       remember(frame);
-      for (const peer of peers.all()) {
-        peer.connection.send(frame, keyOf(frame, replaceKey));
-      }
+      const key = keyOf(frame, replaceKey);
+      sendToAll(frame, { targets: peers.all(), key });
+    },
+    peersChanged() {
+      const here = peers.all()
+        .map(({ identity }) => identity)
+        .filter(isHere)
+        .map(({ vm }) => vm);
+      spreaders = rankByRendezvous("spread", [self.vm, ...here])
+        .slice(0, SPREADERS);
     },
     receive(frame, from) {
       const { target, origin, payload, hopsLeft } = frame;
@@ -108,7 +149,7 @@
       if (!remember(frame)) return;
       options.deliver(payload, origin);
       if (hopsLeft <= 1) return;
-      for (const peer of nextOf(from)) peer.connection.send(onward);
+      sendToAll(onward, { targets: nextOf(frame, from) });
     },
   };
 }
