Let relayed frames share messages, and tell others less of reading

Frames that go on over a bridge or from a spreader wait up to 10 ms for others, and one WebSocket message holds several (link protocol 2; a peer that speaks 1 gets them one by one). The end of reading is told to other VMs only if they expect 20 ms more of it; before, each request had three rows.

--- a/src/gateway/work_board.ts
+++ b/src/gateway/work_board.ts
@@ -18,6 +18,9 @@
 /// in their queues.
 const WAY_MILLISECONDS: Milliseconds = 5;
 
+/// Reading that ended so much sooner than others expect is told to them.
+const NOTED_READING_MILLISECONDS: Milliseconds = 20;
+
 const WorkRow = Type.Object({
   upstream: Type.String(),
   requests: Type.Number(),
@@ -172,8 +175,11 @@
         if (!isReading) return;
         isReading = false;
         account.reads -= 1;
-        if (account.reads === 0) account.readUntil = clock.now();
-        note(upstream);
+        if (account.reads > 0) return;
+        const left = account.readUntil - clock.now();
+        account.readUntil = clock.now();
+        // What others expect runs out by itself, about as soon.
+        if (left > NOTED_READING_MILLISECONDS) note(upstream);
       };
       return {
         readDone,
--- a/src/links/frame.ts
+++ b/src/links/frame.ts
@@ -14,7 +14,9 @@
 
 /// Versions of this program. The newest grows with each change that an older
 /// peer would misread; the oldest follows once no such peer is left.
-export const LINK_PROTOCOL_VERSIONS: VersionRange = { oldest: 1, newest: 1 };
+export const LINK_PROTOCOL_VERSIONS: VersionRange = { oldest: 1, newest: 2 };
+/// Version from which one message may hold several frames.
+export const SEVERAL_FRAMES_VERSION = 2;
 
 const HelloFrame = Type.Object({
   kind: Type.Literal("hello"),
@@ -109,13 +111,17 @@
   return packr.pack(frame);
 }
 
-/// Reads a frame. Undefined for a kind that this version doesn't know; throws
-/// when the bytes are no frame.
-export function decodeFrame(bytes: Buffer): Frame | undefined {
-  const value = packr.unpack(bytes) as { kind?: unknown } | null;
+function checkFrame(value: unknown): Frame | undefined {
   if (frameCheck.Check(value)) return value;
-  if (typeof value?.kind === "string" && !KINDS.has(value.kind)) {
-    return undefined;
-  }
+  const { kind } = (value ?? {}) as { kind?: unknown };
+  if (typeof kind === "string" && !KINDS.has(kind)) return undefined;
   throw new TypeError("not a link frame");
 }
+
+/// Reads the frames of one message, but for those of a kind that this version
+/// doesn't know; throws when the bytes are no frames.
+export function decodeFrames(bytes: Buffer): readonly Frame[] {
+  const values: unknown[] = [];
+  packr.unpackMultiple(bytes, (value: unknown) => void values.push(value));
+  return values.flatMap((value) => checkFrame(value) ?? []);
+}
--- a/src/links/link_connection.ts
+++ b/src/links/link_connection.ts
@@ -3,9 +3,10 @@
 import type { RandomSource } from "../support/random.ts";
 import type { VmIdentity } from "../vms/identity.ts";
 import {
-  decodeFrame,
+  decodeFrames,
   encodeFrame,
   type Frame,
+  SEVERAL_FRAMES_VERSION,
   type VersionRange,
 } from "./frame.ts";
 import {
@@ -28,6 +29,11 @@
 /// Bytes that may wait in the socket before frames queue here instead.
 const SOCKET_BUFFER_BYTES = 262_144;
 const DRAIN_RETRY_MILLISECONDS = 20;
+/// Time in which frames that may wait are gathered into one message. A message
+/// costs both ends more than a frame in it.
+const GATHER_MILLISECONDS = 10;
+/// Size from which a message takes no further frame.
+const FULL_MESSAGE_BYTES = 16_384;
 
 export interface LinkConnectionOptions {
   readonly clock: Clock;
@@ -47,7 +53,10 @@
   /// Queues a frame; one with the same key that still waits is replaced.
   send(frame: Frame, replaceKey?: string): void;
   /// Queues a frame that has been encoded, as for several connections.
-  sendEncoded(bytes: Buffer, replaceKey?: string): void;
+  sendEncoded(
+    bytes: Buffer,
+    options?: { readonly replaceKey?: string; readonly mayWait?: boolean },
+  ): void;
   close(reason: string): void;
 }
 
@@ -63,6 +72,7 @@
   const queue = createSendQueue();
   const monitor = createHeartbeatMonitor(startedAt);
   let other: LinkEnd | undefined;
+  let version = options.versions.oldest;
   let ready = false;
   let closed = false;
   let heartbeat: Timer | undefined;
@@ -89,10 +99,25 @@
     heartbeat = clock.schedule(HEARTBEAT_INTERVAL_MILLISECONDS, beat);
   };
 
+  /// The next frames that fit one message.
+  const nextMessage = (): Buffer | undefined => {
+    const first = queue.shift();
+    if (!first || version < SEVERAL_FRAMES_VERSION) return first;
+    const frames = [first];
+    let size = first.length;
+    while (size < FULL_MESSAGE_BYTES) {
+      const next = queue.shift();
+      if (!next) break;
+      frames.push(next);
+      size += next.length;
+    }
+    return frames.length === 1 ? first : Buffer.concat(frames);
+  };
+
   const flush = () => {
     drain = undefined;
     while (socket.bufferedAmount <= SOCKET_BUFFER_BYTES) {
-      const bytes = queue.shift();
+      const bytes = nextMessage();
       if (!bytes) return;
       if (socket.readyState === socket.OPEN) socket.send(bytes);
     }
@@ -102,8 +127,9 @@
   const receiveHello = (frame: Frame & { kind: "hello" }) => {
     if (other) return close("second hello");
     if (frame.identity.vm === own.identity.vm) return close("own name");
-    const version = negotiateVersion(own.versions, frame.versions);
-    if (version === undefined) return close("no common protocol version");
+    const common = negotiateVersion(own.versions, frame.versions);
+    if (common === undefined) return close("no common protocol version");
+    version = common;
     const otherRole = role === "dialler" ? "acceptor" : "dialler";
     other = { ...frame, role: otherRole };
     const ends = { sender: own, receiver: other };
@@ -131,8 +157,9 @@
     if (closed) return;
     monitor.noteFrame(clock.now());
     try {
-      const frame = decodeFrame(data);
-      if (frame) receive(frame);
+      for (const frame of decodeFrames(data)) {
+        if (!closed) receive(frame);
+      }
     } catch {
       close("malformed frame");
     }
@@ -143,16 +170,21 @@
   write({ kind: "hello", versions, identity, nonce });
   beat();
 
-  const sendEncoded = (bytes: Buffer, replaceKey?: string) => {
+  const sendEncoded: LinkConnection["sendEncoded"] = (
+    bytes,
+    { replaceKey, mayWait } = {},
+  ) => {
     if (closed) return;
     queue.push(bytes, replaceKey);
-    if (!drain) flush();
+    if (mayWait) drain ??= clock.schedule(GATHER_MILLISECONDS, flush);
+    else if (!drain) flush();
   };
 
   return {
     role,
     sendEncoded,
-    send: (frame, replaceKey) => sendEncoded(encodeFrame(frame), replaceKey),
+    send: (frame, replaceKey) =>
+      sendEncoded(encodeFrame(frame), { replaceKey }),
     close,
   };
 }
--- a/src/links/link_mesh.ts
+++ b/src/links/link_mesh.ts
@@ -205,7 +205,7 @@
       const bytes = encodeFrame(payload);
       for (const vm of reachable.keys()) {
         const peer = direct.get(vm);
-        if (peer) peer.connection.sendEncoded(bytes, key);
+        if (peer) peer.connection.sendEncoded(bytes, { replaceKey: key });
         else relay.send(vm, payload, key);
       }
     },
--- a/src/links/relay.ts
+++ b/src/links/relay.ts
@@ -87,14 +87,17 @@
 
   const sendToAll = (
     frame: RelayFrame,
-    { targets, key }: {
+    { targets, replaceKey, mayWait }: {
       readonly targets: readonly DirectPeer[];
-      readonly key?: string;
+      readonly replaceKey?: string;
+      readonly mayWait?: boolean;
     },
   ) => {
     if (targets.length === 0) return;
     const bytes = encodeFrame(frame);
-    for (const { connection } of targets) connection.sendEncoded(bytes, key);
+    for (const { connection } of targets) {
+      connection.sendEncoded(bytes, { replaceKey, mayWait });
+    }
   };
 
   return {
@@ -127,8 +130,10 @@
         payload,
       };
       remember(frame);
-      const key = keyOf(frame, replaceKey);
-      sendToAll(frame, { targets: peers.all(), key });
+      sendToAll(frame, {
+        targets: peers.all(),
+        replaceKey: keyOf(frame, replaceKey),
+      });
     },
     peersChanged() {
       const here = peers.all()
@@ -149,7 +154,8 @@
       if (!remember(frame)) return;
       options.deliver(payload, origin);
       if (hopsLeft <= 1) return;
-      sendToAll(onward, { targets: nextOf(frame, from) });
+      // Several are on their way at a time, so that they can share a message.
+      sendToAll(onward, { targets: nextOf(frame, from), mayWait: true });
     },
   };
 }
