Give engines that read parts of many prompts no more parts

An engine refuses to help once it helps as many prompts as it has slots. The board told only the reading that was expected of it, which runs out by itself, so an engine whose reading took longer looked idle to all VMs.

Now the board counts the prompts of which an engine reads a part, and long prompts leave out engines with four fifths of their slots' number of them.

--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -57,9 +57,10 @@
 /// Share of an engine's slots up to which short requests are gathered on it.
 /// The rest takes what other VMs send before this one hears of it.
 const GATHERED_SLOTS_SHARE = 0.6;
-/// Share of an engine's slots up to which prompts that wait are sent to it. An
-/// engine that is kept full lets the next one wait for a slot though it has been
-/// read.
+/// Share of an engine's slots up to which prompts that wait are sent to it, and
+/// up to which it is given parts of others' prompts. An engine that is kept full
+/// lets the next one wait for a slot though it has been read, and one that reads
+/// parts of as many prompts as it has slots refuses more.
 const FILLED_SLOTS_SHARE = 0.8;
 /// Share of the objective that a gathered request may be expected to take. The
 /// estimate leaves out what the pass under way reads, about a third of it.
@@ -241,7 +242,9 @@
   const { objective, pause } = request;
   const whole = readTime(profile, request.promptTokens);
   const own = request.promptTokens + OUTPUT_WEIGHT * request.outputTokens;
-  const known = candidates.map((candidate) => ({
+  const most = profile.slots * FILLED_SLOTS_SHARE;
+  const open = candidates.filter(({ work }) => work.helped < most);
+  const known = (open.length > 0 ? open : candidates).map((candidate) => ({
     candidate,
     pass: passOf(profile, candidate),
     wait: waitOf(profile, candidate) + penaltyOf(candidate),
@@ -275,13 +278,13 @@
     const arrivals = shortRequests * stop / SHORT_REQUEST_MILLISECONDS;
     return arrivals * lacking * SHORT_REQUEST_WEIGHT;
   };
-  const most = Math.min(
+  const mostParts = Math.min(
     MOST_PARTS,
     known.length,
     Math.max(1, Math.floor(request.promptTokens / SMALLEST_PART_TOKENS)),
   );
   let best: { cost: number; chosen: readonly Known[] } | undefined;
-  for (let count = 1; count <= most; count++) {
+  for (let count = 1; count <= mostParts; count++) {
     const part = whole / count;
     const chosen = known
       .map((item) => ({
--- a/src/gateway/request_placer.ts
+++ b/src/gateway/request_placer.ts
@@ -159,6 +159,7 @@
         requests: 1,
         shortRequests: isShort ? 1 : 0,
         memoryTokens: profile ? memoryOf(engineRequest) : 0,
+        helped: 0,
         readMilliseconds: partTime,
       }),
     ];
@@ -167,6 +168,7 @@
         requests: 0,
         shortRequests: 0,
         memoryTokens: 0,
+        helped: 1,
         readMilliseconds: partTime,
       }));
     }
--- a/src/gateway/work_board.ts
+++ b/src/gateway/work_board.ts
@@ -26,6 +26,8 @@
   requests: Type.Number(),
   shortRequests: Type.Number(),
   memoryTokens: Type.Number(),
+  /// Prompts of other engines of which it reads a part.
+  helped: Type.Number(),
   /// Reading that is still to be done.
   readMilliseconds: Type.Number(),
 });
@@ -46,6 +48,8 @@
   /// Those among them whose streams bear short pauses only.
   readonly shortRequests: number;
   readonly memoryTokens: number;
+  /// Prompts of other engines of which it reads a part.
+  readonly helped: number;
   /// Reading that is still to be done.
   readonly readMilliseconds: Milliseconds;
 }
@@ -71,6 +75,7 @@
   requests: number;
   shortRequests: number;
   memoryTokens: number;
+  helped: number;
   reads: number;
   readUntil: Milliseconds;
 }
@@ -94,6 +99,7 @@
       requests: account?.requests ?? 0,
       shortRequests: account?.shortRequests ?? 0,
       memoryTokens: account?.memoryTokens ?? 0,
+      helped: account?.helped ?? 0,
       readMilliseconds: Math.round(
         Math.max(0, (account?.readUntil ?? 0) - clock.now()),
       ),
@@ -128,7 +134,8 @@
     for (const row of rows) {
       const readUntil = now + row.readMilliseconds;
       accounts.set(row.upstream, { ...row, reads: 0, readUntil });
-      if (row.requests === 0 && row.readMilliseconds === 0) {
+      const isIdle = row.requests === 0 && row.helped === 0;
+      if (isIdle && row.readMilliseconds === 0) {
         accounts.delete(row.upstream);
       }
     }
@@ -158,6 +165,7 @@
           requests: 0,
           shortRequests: 0,
           memoryTokens: 0,
+          helped: 0,
           reads: 0,
           readUntil: now,
         };
@@ -165,6 +173,7 @@
       account.requests += work.requests;
       account.shortRequests += work.shortRequests;
       account.memoryTokens += work.memoryTokens;
+      account.helped += work.helped;
       account.reads += 1;
       account.readUntil = Math.max(now, account.readUntil) +
         work.readMilliseconds;
@@ -175,11 +184,12 @@
         if (!isReading) return;
         isReading = false;
         account.reads -= 1;
-        if (account.reads > 0) return;
+        account.helped -= work.helped;
         const left = account.readUntil - clock.now();
-        account.readUntil = clock.now();
+        if (account.reads === 0) account.readUntil = clock.now();
         // What others expect runs out by itself, about as soon.
-        if (left > NOTED_READING_MILLISECONDS) note(upstream);
+        const isNews = account.reads === 0 && left > NOTED_READING_MILLISECONDS;
+        if (isNews || work.helped > 0) note(upstream);
       };
       return {
         readDone,
@@ -188,7 +198,10 @@
           isOpen = false;
           // An engine goes on reading for a request that was broken off; the
           // estimate runs out by itself.
-          if (isReading) account.reads -= 1;
+          if (isReading) {
+            account.reads -= 1;
+            account.helped -= work.helped;
+          }
           isReading = false;
           account.requests -= work.requests;
           account.shortRequests -= work.shortRequests;
@@ -207,17 +220,25 @@
       let requests = 0;
       let shortRequests = 0;
       let memoryTokens = 0;
+      let helped = 0;
       let readMilliseconds = 0;
       const add = (account: Account | undefined) => {
         if (!account) return;
         requests += account.requests;
         shortRequests += account.shortRequests;
         memoryTokens += account.memoryTokens;
+        helped += account.helped;
         readMilliseconds += Math.max(0, account.readUntil - now);
       };
       add(own.get(upstream));
       for (const accounts of ofPeers.values()) add(accounts.get(upstream));
-      return { requests, shortRequests, memoryTokens, readMilliseconds };
+      return {
+        requests,
+        shortRequests,
+        memoryTokens,
+        helped,
+        readMilliseconds,
+      };
     },
   };
 }
--- a/test/gateway/decisions_test.ts
+++ b/test/gateway/decisions_test.ts
@@ -124,6 +124,7 @@
     requests: 1,
     shortRequests: 1,
     memoryTokens: 500,
+    helped: 0,
     readMilliseconds: 300,
   };
   const item = first.start("e1", work);
@@ -139,6 +140,7 @@
     requests: 0,
     shortRequests: 0,
     memoryTokens: 0,
+    helped: 0,
     readMilliseconds: 0,
   });
 });
--- a/test/gateway/placement_test.ts
+++ b/test/gateway/placement_test.ts
@@ -43,6 +43,7 @@
   requests: 0,
   shortRequests: 0,
   memoryTokens: 0,
+  helped: 0,
   readMilliseconds: 0,
 };
 
@@ -69,6 +70,7 @@
   requests,
   shortRequests: requests,
   memoryTokens: requests * 6_000,
+  helped: 0,
   readMilliseconds: 0,
 });
 
@@ -139,6 +141,18 @@
   t.true(plan.helpers.length > 0);
 });
 
+test("an engine that reads parts of many prompts is given no more", (t) => {
+  const engines = Array.from(
+    { length: 12 },
+    (_, index) =>
+      candidate(`e${index}`, {
+        work: { ...busy(0), helped: index < 6 ? PROFILE.slots : 0 },
+      }),
+  );
+  const plan = placeLong(PROFILE, LONG, engines)!;
+  for (const { work } of [plan.primary, ...plan.helpers]) t.is(work.helped, 0);
+});
+
 test("no prompt is read by more engines than the platform allows", (t) => {
   const many = Array.from({ length: 30 }, (_, n) => candidate(`e${n}`));
   const plan = placeLong(PROFILE, LONG, many)!;
