Take doubled parts of the gateway together, and split what had grown

Cause: read as a whole, the change held some things twice or in the wrong place.

One count of VMs. A bare 0.3 in placement.ts is named. Tests share the making of a service and of an upstream; their assertions and bounds are as before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,10 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
-import type {
-  PacedStore,
-  WatchPace,
-} from "../infrastructure/key_value_store.ts";
+import type { PacedStore } from "../infrastructure/key_value_store.ts";
 import { createLinkMesh } from "../links/link_mesh.ts";
 import { createCrashMarks } from "../requests/crash_marks.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
@@ -20,19 +17,20 @@
   ReservationClient,
 } from "./dialect.ts";
 import { createFleetView } from "./fleet_view.ts";
+import { createFreeSlots } from "./free_slots.ts";
 import { createFrontServer } from "./front_server.ts";
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
-import { usableSlots } from "./placement.ts";
 import { createRepeatBudget } from "./repeat_budget.ts";
+import { createStoreMirror } from "./store_mirror.ts";
 import { createUpstreamConnections } from "./upstream_connections.ts";
 import { createUpstreamHealth } from "./upstream_health.ts";
-import { createVmDirectory, startRegistration } from "./vm_directory.ts";
-import { createStoreMirror } from "./store_mirror.ts";
 import { startViewBuilder } from "./view_builder.ts";
 import { startViewFollower } from "./view_follower.ts";
 import { startViewSharing } from "./view_sharing.ts";
+import { createVmDirectory, startRegistration } from "./vm_directory.ts";
 import { createWaitingRoom } from "./waiting_room.ts";
+import { watchPace } from "./watch_pace.ts";
 import { createWorkBoard } from "./work_board.ts";
 
 /// One gateway process: its view of the fleet, its requests and its links.
@@ -56,59 +54,6 @@
 /// key.
 const LINK_SECRET = "sequoiaturn-gateway-links";
 
-/// VMs tell each other what they have learned, so that each reader may ask the
-/// store less often the more there are: one reader's call ends in each such
-/// time. It is well within the bound of configurations, of which the platform
-/// names two seconds.
-const CALL_INTERVAL_MILLISECONDS: Milliseconds = 450;
-/// Hold of a watch when readers are few.
-const SHORTEST_HOLD_MILLISECONDS: Milliseconds = 3_500;
-const LONGEST_HOLD_MILLISECONDS: Milliseconds = 25_000;
-/// Hold of a watch that other VMs rely on. If the connections of all readers go
-/// silent, they notice after this and the store client's half second, which
-/// leaves the others time to read within the bound.
-const RELIED_HOLD_MILLISECONDS: Milliseconds = 1_200;
-/// Pause after a change, for each VM that a change wakes.
-const PAUSE_PER_VM_MILLISECONDS: Milliseconds = 6;
-/// Least pause where few VMs follow the store for many: changes that come in
-/// rows, as when upstreams are replaced, then share a call.
-const RELIED_PAUSE_MILLISECONDS: Milliseconds = 150;
-const LONGEST_PAUSE_MILLISECONDS: Milliseconds = 500;
-
-/// How often one of `readerCount` VMs that follow the store asks it for changes.
-/// The holds of many VMs differ: were they alike, all would notice at the same
-/// late moment that their connections have gone silent.
-export function watchPace(
-  { readerCount, vmCount }: {
-    readonly readerCount: number;
-    readonly vmCount: number;
-  },
-  random: RandomSource,
-): WatchPace {
-  const longest = Math.min(
-    LONGEST_HOLD_MILLISECONDS,
-    Math.max(
-      SHORTEST_HOLD_MILLISECONDS,
-      readerCount * CALL_INTERVAL_MILLISECONDS,
-    ),
-  );
-  const spread = longest - SHORTEST_HOLD_MILLISECONDS;
-  const isReliedOn = readerCount < vmCount;
-  return {
-    hold: () =>
-      isReliedOn
-        ? RELIED_HOLD_MILLISECONDS
-        : SHORTEST_HOLD_MILLISECONDS + random.next() * spread,
-    pause: Math.min(
-      LONGEST_PAUSE_MILLISECONDS,
-      Math.max(
-        isReliedOn ? RELIED_PAUSE_MILLISECONDS : 0,
-        readerCount * PAUSE_PER_VM_MILLISECONDS,
-      ),
-    ),
-  };
-}
-
 /// What the gateway needs of the platform that it runs on.
 export interface GatewayPlatform {
   readonly dialect: GatewayDialect;
@@ -181,26 +126,21 @@
   });
   /// The most VMs that were linked at a time; a partition makes them no fewer.
   let linkedVms = 1;
-  let mostVms = ASSUMED_VMS;
+  const mostVms = () => linkedVms > 1 ? linkedVms : ASSUMED_VMS;
   links.onPeersChange(() => {
     linkedVms = Math.max(linkedVms, links.peers().length + 1);
-    mostVms = linkedVms > 1 ? linkedVms : ASSUMED_VMS;
     metrics.peers.set(links.peers().length);
   });
   const health = createUpstreamHealth({ clock, random, log, links });
   const connections = createUpstreamConnections(clock);
   const board = createWorkBoard({ clock, links });
-  /// This VM's part of the slots that are free, rounded up or down by chance:
-  /// if all VMs rounded up, each would send to the one slot that is free.
-  const freeSlots = (service: string) => {
-    let free = 0;
-    for (const upstream of view.available(service)) {
-      const { id } = upstream;
-      if (health.isSuspended(id)) continue;
-      free += Math.max(0, usableSlots(upstream) - board.of(id).requests);
-    }
-    return Math.floor(free / mostVms + random.next());
-  };
+  const freeSlots = createFreeSlots({
+    random,
+    view,
+    health,
+    board,
+    vmCount: mostVms,
+  });
   const front = createFrontServer({
     clock,
     random,
@@ -221,7 +161,7 @@
         allowance: settings.repeatAllowance,
         window: settings.repeatWindowSeconds * 1_000,
       },
-      vmCount: () => mostVms,
+      vmCount: mostVms,
     }),
     connections,
     crashMarks: createCrashMarks({ clock, links }),
@@ -273,7 +213,7 @@
     mirror,
     isConnected: follower.isConnected,
     setActive(isActive, followers) {
-      const vmCount = Math.max(mostVms, vms.count());
+      const vmCount = Math.max(mostVms(), vms.count());
       const readerCount = followers ?? vmCount;
       const pace = watchPace({ readerCount, vmCount }, random);
       callPause = pace.pause;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -62,6 +62,9 @@
 /// lets the next one wait for a slot though it has been read, and one that reads
 /// parts of as many prompts as it has slots refuses more.
 const FILLED_SLOTS_SHARE = 0.8;
+/// Share of failed results from which short requests are gathered elsewhere:
+/// three failures in a row reach it, by the weight of one result.
+const GATHERED_FAILURE_SHARE = 0.3;
 /// Share of the objective that a gathered request may be expected to take. The
 /// estimate leaves out what the pass under way reads, about a third of it.
 const GATHERED_OBJECTIVE_SHARE = 0.55;
@@ -162,17 +165,17 @@
   return best;
 }
 
+function shortRequestsOf(candidates: readonly Candidate[]): number {
+  return candidates.reduce((sum, { work }) => sum + work.shortRequests, 0);
+}
+
 /// About how many short requests are placed in the time in which VMs don't hear
 /// of each other's placements.
 function unseenRequests(
   { unseen }: EngineRequest,
   candidates: readonly Candidate[],
 ): number {
-  const running = candidates.reduce(
-    (sum, { work }) => sum + work.shortRequests,
-    0,
-  );
-  return running * unseen / SHORT_REQUEST_MILLISECONDS;
+  return shortRequestsOf(candidates) * unseen / SHORT_REQUEST_MILLISECONDS;
 }
 
 /// Chooses the engine for a prompt that is read in one piece.
@@ -198,7 +201,7 @@
   // one in a moment in which they don't hear of each other.
   const open = [...fitting].sort(byId).filter((candidate) =>
     candidate.work.requests < profile.slots * GATHERED_SLOTS_SHARE &&
-    candidate.failureShare < 0.3 && !candidate.isSuspended &&
+    candidate.failureShare < GATHERED_FAILURE_SHARE && !candidate.isSuspended &&
     expected(candidate) <= request.objective * GATHERED_OBJECTIVE_SHARE
   );
   const count = 1 + ENGINES_PER_UNSEEN * unseenRequests(request, candidates);
@@ -263,9 +266,8 @@
     return own * (lateChance(share, FIRST_EVENT_RAMP) +
       EARLINESS_WEIGHT * share);
   };
-  const shortRequests = known.reduce(
-    (sum, { candidate }) => sum + candidate.work.shortRequests,
-    0,
+  const shortRequests = shortRequestsOf(
+    known.map(({ candidate }) => candidate),
   );
   const neededByShort = 1 +
     shortRequests / (profile.slots * GATHERED_SLOTS_SHARE);
--- a/src/gateway/request_placer.ts
+++ b/src/gateway/request_placer.ts
@@ -14,6 +14,7 @@
 } from "./placement.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { Upstream } from "./upstream.ts";
+import type { Waiting } from "./waiting_room.ts";
 import type { WorkItem } from "./work_board.ts";
 
 /// Places one request with what is known of the fleet at that moment, and says
@@ -36,6 +37,12 @@
 /// Callers name the largest number of tokens that they take; answers have about
 /// half of it.
 const LIKELY_OUTPUT_SHARE = 0.5;
+/// Share of the objective within which an engine's first event is to come, for
+/// a request that waits for a slot; the rest is for what isn't foreseen.
+const IN_TIME_SHARE = 0.9;
+/// Wait for a slot after which a request is refused. Callers leave after two
+/// seconds without an event, and a refused one has to come back within that.
+const USEFUL_WAIT_MILLISECONDS: Milliseconds = 1_000;
 /// Urgencies of prompts, by reading time: the shorter, the sooner.
 const URGENCIES: readonly { upTo: Milliseconds; urgency: number }[] = [
   { upTo: 150, urgency: 2 },
@@ -58,6 +65,7 @@
   place(avoided: ReadonlySet<string>): Placement | undefined;
   /// Whether a short prompt has to wait for a slot.
   mustWait(plan: EnginePlan): boolean;
+  enterWaitingRoom(plan: EnginePlan): Waiting;
   /// Time by which an answer would come too late for its caller; negative if
   /// it comes in time.
   excessOf(plan: EnginePlan, deadline: Milliseconds): Milliseconds;
@@ -149,6 +157,13 @@
       context.waitingRoom.size(service.name) > 0;
   };
 
+  const enterWaitingRoom = ({ firstEvent }: EnginePlan): Waiting =>
+    context.waitingRoom.enter(service.name, {
+      inTimeUntil: request.arrivedAt +
+        route.objectiveMilliseconds * IN_TIME_SHARE - firstEvent,
+      usefulUntil: request.arrivedAt + USEFUL_WAIT_MILLISECONDS,
+    });
+
   const noteWork = (
     { upstream, plan }: Placement,
   ): { readDone(): void; end(): void } => {
@@ -189,6 +204,7 @@
     urgency: profile && urgencyOf(profile, facts.promptTokens),
     place,
     mustWait,
+    enterWaitingRoom,
     excessOf,
     shareMemory: (plan) =>
       profile ? shareMemory(profile, engineRequest, plan) : [],
--- a/src/gateway/request_run.ts
+++ b/src/gateway/request_run.ts
@@ -32,12 +32,6 @@
 /// Work that depends on a lost engine stalls for 1.5 s on the platform before
 /// it is refused; a full engine refuses within a round trip.
 const STALL_MILLISECONDS: Milliseconds = 700;
-/// Share of the objective within which an engine's first event is to come, for
-/// a request that waits for a slot; the rest is for what isn't foreseen.
-const IN_TIME_SHARE = 0.9;
-/// Wait for a slot after which a request is refused. Callers leave after two
-/// seconds without an event, and a refused one has to come back within that.
-const USEFUL_WAIT_MILLISECONDS: Milliseconds = 1_000;
 /// How a request ended, for logs and metrics.
 export interface RunOutcome {
   readonly outcome:
@@ -289,12 +283,7 @@
     const isWaiting = placement?.plan && !answer.isStarted() &&
       placer.mustWait(placement.plan);
     if (placement?.plan && isWaiting) {
-      const waiting = context.waitingRoom.enter(service.name, {
-        inTimeUntil: request.arrivedAt + route.objectiveMilliseconds *
-            IN_TIME_SHARE -
-          placement.plan.firstEvent,
-        usefulUntil: request.arrivedAt + USEFUL_WAIT_MILLISECONDS,
-      });
+      const waiting = placer.enterWaitingRoom(placement.plan);
       leaveRoom = waiting.leave;
       const mayGo = await waiting.turn;
       leaveRoom = () => {};
--- a/src/gateway/work_board.ts
+++ b/src/gateway/work_board.ts
@@ -1,6 +1,7 @@
 import { type Static, Type } from "@sinclair/typebox";
 import type { Links } from "../links/links.ts";
 import { defineMessage } from "../links/message.ts";
+import { createNewPeers } from "../links/new_peers.ts";
 import type { Clock, Milliseconds, Timer } from "../support/clock.ts";
 
 /// The work that upstreams have been given by all VMs. Each VM counts its own
@@ -88,7 +89,7 @@
   const own = new Map<string, Account>();
   const ofPeers = new Map<string, Map<string, Account>>();
   const changed = new Set<string>();
-  let known = new Set<string>();
+  const newPeers = createNewPeers(links);
   let timer: Timer | undefined;
 
   const rowOf = (upstream: string): WorkRow => {
@@ -148,19 +149,12 @@
   });
 
   links.onPeersChange(() => {
-    const peers = links.peers();
-    const names = new Set(peers.map((peer) => peer.vm));
+    const names = new Set(links.peers().map((peer) => peer.vm));
     for (const vm of ofPeers.keys()) if (!names.has(vm)) ofPeers.delete(vm);
-    const runs = peers.map(({ vm, incarnation }) => ({
-      vm,
-      run: `${vm} ${incarnation}`,
-    }));
-    for (const { vm, run } of runs) {
-      if (known.has(run)) continue;
+    for (const { vm } of newPeers()) {
       const rows = [...own.keys()].map(rowOf);
       links.send(vm, workMessage, { isWhole: true, rows });
     }
-    known = new Set(runs.map(({ run }) => run));
   });
 
   return {
--- a/src/links/link_mesh.ts
+++ b/src/links/link_mesh.ts
@@ -8,7 +8,6 @@
 import { SOCKET_OPTIONS, startDialler } from "./dialler.ts";
 import { createDirectPeers, type DirectPeer } from "./direct_peers.ts";
 import {
-  encodeFrame,
   type Frame,
   LINK_PROTOCOL_VERSIONS,
   type PayloadFrame,
@@ -200,14 +199,9 @@
     },
     broadcast(type, value) {
       const payload = { kind: "message" as const, name: type.name, value };
-      const key = replaceKeyOf(type as never, value);
-      if (dialler.isSparse()) return relay.flood(payload, key);
-      const bytes = encodeFrame(payload);
-      for (const vm of reachable.keys()) {
-        const peer = direct.get(vm);
-        if (peer) peer.connection.sendEncoded(bytes, { replaceKey: key });
-        else relay.send(vm, payload, key);
-      }
+      const replaceKey = replaceKeyOf(type as never, value);
+      if (dialler.isSparse()) return relay.flood(payload, replaceKey);
+      relay.sendEach(reachable.keys(), { payload, replaceKey });
     },
     call(vm, type, value, limits) {
       if (!reachable.has(vm)) {
--- a/src/links/relay.ts
+++ b/src/links/relay.ts
@@ -30,6 +30,11 @@
   send(target: string, payload: PayloadFrame, replaceKey?: string): boolean;
   /// Sends to every VM over all links.
   flood(payload: PayloadFrame, replaceKey?: string): void;
+  /// Sends to each target, directly if it can.
+  sendEach(
+    targets: Iterable<string>,
+    message: { readonly payload: PayloadFrame; readonly replaceKey?: string },
+  ): void;
   /// Takes note of direct peers that have come or gone.
   peersChanged(): void;
   /// Takes a frame from a peer: delivers it or passes it on.
@@ -100,26 +105,36 @@
     }
   };
 
+  const send: Relay["send"] = (target, payload, replaceKey) => {
+    const direct = peers.get(target);
+    if (direct) {
+      direct.connection.send(payload, replaceKey);
+      return true;
+    }
+    const via = peers.get(presence.routeTo(target) ?? "");
+    if (!via) return false;
+    const frame: RelayFrame = {
+      kind: "relay",
+      origin: self,
+      target,
+      id: 0,
+      hopsLeft: HOP_LIMIT,
+      payload,
+    };
+    const key = replaceKey && `${target} ${replaceKey}`;
+    via.connection.send(frame, keyOf(frame, key));
+    return true;
+  };
+
   return {
-    send(target, payload, replaceKey) {
-      const direct = peers.get(target);
-      if (direct) {
-        direct.connection.send(payload, replaceKey);
-        return true;
+    send,
+    sendEach(targets, { payload, replaceKey }) {
+      const bytes = encodeFrame(payload);
+      for (const target of targets) {
+        const direct = peers.get(target);
+        if (direct) direct.connection.sendEncoded(bytes, { replaceKey });
+        else send(target, payload, replaceKey);
       }
-      const via = peers.get(presence.routeTo(target) ?? "");
-      if (!via) return false;
-      const frame: RelayFrame = {
-        kind: "relay",
-        origin: self,
-        target,
-        id: 0,
-        hopsLeft: HOP_LIMIT,
-        payload,
-      };
-      const key = replaceKey && `${target} ${replaceKey}`;
-      via.connection.send(frame, keyOf(frame, key));
-      return true;
     },
     flood(payload, replaceKey) {
       const frame: RelayFrame = {
--- a/src/requests/crash_marks.ts
+++ b/src/requests/crash_marks.ts
@@ -1,6 +1,7 @@
 import { type Static, Type } from "@sinclair/typebox";
 import type { Links } from "../links/links.ts";
 import { defineCall, defineMessage } from "../links/message.ts";
+import { createNewPeers } from "../links/new_peers.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 
 /// Which requests were running on engines when those died, as known on every
@@ -53,7 +54,7 @@
   const marks = new Map<string, Map<string, Milliseconds>>();
   /// Crashes that are cleared; a late mark of one is ignored.
   const cleared = new Set<string>();
-  let known = new Set<string>();
+  const newPeers = createNewPeers(links);
   let nextId = 0;
 
   const forgetOldest = <Key>(items: { keys(): Iterable<Key> }, size: number) =>
@@ -105,11 +106,7 @@
 
   /// Tells VMs that have just connected everything known here.
   const tellNewPeers = () => {
-    const peers = links.peers().map((peer) => `${peer.vm} ${peer.incarnation}`);
-    const added = links.peers().filter((peer) =>
-      !known.has(`${peer.vm} ${peer.incarnation}`)
-    );
-    known = new Set(peers);
+    const added = newPeers();
     const list = allMarks();
     if (list.length === 0) return;
     for (const { vm } of added) tell(vm, list).catch(() => {});
--- a/src/upstreams/load_digest.ts
+++ b/src/upstreams/load_digest.ts
@@ -1,6 +1,7 @@
 import { type Static, Type } from "@sinclair/typebox";
 import type { Links } from "../links/links.ts";
 import { defineMessage } from "../links/message.ts";
+import { createNewPeers } from "../links/new_peers.ts";
 import type { Clock, Timer } from "../support/clock.ts";
 import type { PrefillBook } from "./prefill_book.ts";
 
@@ -37,7 +38,7 @@
 export function startLoadDigests(options: LoadDigestOptions): () => void {
   const { clock, links, prefills } = options;
   const changed = new Set<string>();
-  let known = new Set<string>();
+  const newPeers = createNewPeers(links);
   let timer: Timer | undefined;
   let closed = false;
 
@@ -56,16 +57,13 @@
   };
 
   const followPeers = () => {
-    const peers = links.peers().map(({ vm, incarnation }) => ({
-      vm,
-      key: `${vm} ${incarnation}`,
-    }));
-    prefills.keepOnly(peers.map(({ key }) => key));
+    prefills.keepOnly(
+      links.peers().map(({ vm, incarnation }) => `${vm} ${incarnation}`),
+    );
     const whole = digestOf(prefills.ownEngines());
-    for (const { vm, key } of peers) {
-      if (!known.has(key) && !closed) links.send(vm, LOAD_DIGEST, whole);
+    for (const { vm } of newPeers()) {
+      if (!closed) links.send(vm, LOAD_DIGEST, whole);
     }
-    known = new Set(peers.map(({ key }) => key));
   };
 
   prefills.onOwnChange((engine) => {
--- a/stand_ins/platform/played_load.ts
+++ b/stand_ins/platform/played_load.ts
@@ -4,10 +4,10 @@
   Service,
 } from "../../src/gateway/configuration.ts";
 import { createFleetView } from "../../src/gateway/fleet_view.ts";
+import { createFreeSlots } from "../../src/gateway/free_slots.ts";
 import type { GatewayRequest } from "../../src/gateway/request_context.ts";
 import { createRequestPlacer } from "../../src/gateway/request_placer.ts";
 import type { RequestContext } from "../../src/gateway/request_context.ts";
-import { usableSlots } from "../../src/gateway/placement.ts";
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
 import { createWaitingRoom } from "../../src/gateway/waiting_room.ts";
 import { createWorkBoard } from "../../src/gateway/work_board.ts";
@@ -20,6 +20,7 @@
 import { createFakeClock } from "../fake_clock.ts";
 import { createLocalNetwork } from "../local_links.ts";
 import { createPassEngine } from "./pass_engine.ts";
+import { sampleUpstream } from "./sample_upstream.ts";
 
 /// Plays a load of prompts on engines under the fake clock, placed by several
 /// VMs that tell each other of their work, and counts what callers get.
@@ -72,15 +73,12 @@
   const engines = new Map(
     Array.from({ length: load.engines }, (_, index) => {
       const id = `e${String(index).padStart(3, "0")}`;
-      view.setUpstream({
-        id,
+      const upstream = sampleUpstream(id, {
         service: service.name,
         address: `10.0.0.${index}:80`,
-        dataCentre: "north",
         slots: profile.slots,
-        isLeaving: false,
-        startedAt: 1,
-      }, { kind: "store", revision: 1 });
+      });
+      view.setUpstream(upstream, { kind: "store", revision: 1 });
       return [id, createPassEngine(clock, profile)];
     }),
   );
@@ -103,13 +101,6 @@
       dataCentre: "north",
     });
     const board = createWorkBoard({ clock, links });
-    const free = () =>
-      view.available(service.name).reduce(
-        (sum, upstream) =>
-          sum +
-          Math.max(0, usableSlots(upstream) - board.of(upstream.id).requests),
-        0,
-      );
     const health = createUpstreamHealth({
       clock,
       random,
@@ -118,7 +109,13 @@
     });
     const waitingRoom = createWaitingRoom({
       clock,
-      room: () => Math.floor(free() / load.vms + random.next()),
+      room: createFreeSlots({
+        random,
+        view,
+        health,
+        board,
+        vmCount: () => load.vms,
+      }),
     });
     return {
       clock,
@@ -158,11 +155,7 @@
     );
     let placement = placer.place(new Set())!;
     if (!load.isPlain && placer.mustWait(placement.plan!)) {
-      const waiting = vm.waitingRoom.enter(service.name, {
-        inTimeUntil: arrivedAt + each.objective * 0.9 -
-          placement.plan!.firstEvent,
-        usefulUntil: arrivedAt + 1_000,
-      });
+      const waiting = placer.enterWaitingRoom(placement.plan!);
       if (!await waiting.turn) {
         result.refused += 1;
         return;
--- a/test/gateway/decisions_test.ts
+++ b/test/gateway/decisions_test.ts
@@ -7,23 +7,12 @@
 } from "../../src/gateway/gateway_settings.ts";
 import { createRepeatBudget } from "../../src/gateway/repeat_budget.ts";
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
-import type { Upstream } from "../../src/gateway/upstream.ts";
 import { createWorkBoard } from "../../src/gateway/work_board.ts";
 import { createLineSink, createSilentLogger } from "../../src/support/log.ts";
 import { createSeededRandom } from "../../src/support/random.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import { createLocalNetwork } from "../../stand_ins/local_links.ts";
-
-const upstream = (id: string, more: Partial<Upstream> = {}): Upstream => ({
-  id,
-  service: "engines",
-  address: "10.0.0.1:80",
-  dataCentre: "north",
-  slots: 8,
-  isLeaving: false,
-  startedAt: 1,
-  ...more,
-});
+import { sampleUpstream } from "../../stand_ins/platform/sample_upstream.ts";
 
 const ALONE = { vm: "vm-1", incarnation: "1", dataCentre: "north" };
 const STORE = { kind: "store" as const, revision: 1 };
@@ -92,8 +81,8 @@
 
 test("an upstream whose entry is gone gets nothing more", (t) => {
   const view = createFleetView(createFakeClock());
-  for (const id of ["e1", "e2"]) view.setUpstream(upstream(id), STORE);
-  view.setUpstream(upstream("e2", { isLeaving: true }), STORE);
+  for (const id of ["e1", "e2"]) view.setUpstream(sampleUpstream(id), STORE);
+  view.setUpstream(sampleUpstream("e2", { isLeaving: true }), STORE);
   t.deepEqual(view.available("engines").map(({ id }) => id), ["e1"]);
   view.removeUpstream("e1", STORE);
   t.deepEqual(view.available("engines"), []);
@@ -102,12 +91,12 @@
 test("entries that lapsed in an outage have two seconds to come back", async (t) => {
   const clock = createFakeClock();
   const view = createFleetView(clock);
-  for (const id of ["e1", "e2"]) view.setUpstream(upstream(id), STORE);
+  for (const id of ["e1", "e2"]) view.setUpstream(sampleUpstream(id), STORE);
   view.noteStoreReturn();
   for (const id of ["e1", "e2"]) view.removeUpstream(id, STORE);
   t.is(view.available("engines").length, 2);
   await clock.advance(500);
-  view.setUpstream(upstream("e2"), STORE);
+  view.setUpstream(sampleUpstream("e2"), STORE);
   await clock.advance(1_500);
   t.deepEqual(view.available("engines").map(({ id }) => id), ["e2"]);
 });
--- a/test/gateway/gateway_test.ts
+++ b/test/gateway/gateway_test.ts
@@ -34,6 +34,15 @@
   return deployment;
 }
 
+/// Adds a service whose calls succeed.
+function addDesk(deployment: PlatformDeployment, id = "d1") {
+  return deployment.addRunner(
+    "desk",
+    id,
+    () => ({ kind: "answer", body: "done" }),
+  );
+}
+
 /// Waits until the gateway knows as many upstreams.
 function knowsUpstreams(deployment: PlatformDeployment, count: number) {
   return until(async () =>
@@ -42,6 +51,14 @@
   );
 }
 
+/// A deployment whose gateway knows one such service.
+async function deployWithDesk(t: ExecutionContext) {
+  const deployment = await deploy(t);
+  const desk = await addDesk(deployment);
+  await knowsUpstreams(deployment, 1);
+  return { deployment, desk };
+}
+
 test("a stream and a call pass unchanged, with the gateway's headers", async (t) => {
   const deployment = await deploy(t);
   const engine = await deployment.addRunner(
@@ -49,11 +66,7 @@
     "e1",
     () => ({ kind: "stream", to: 5 }),
   );
-  const desk = await deployment.addRunner(
-    "desk",
-    "d1",
-    () => ({ kind: "answer", body: "done" }),
-  );
+  const desk = await addDesk(deployment);
   await knowsUpstreams(deployment, 2);
   const stream = await deployment.send({
     ...ASK,
@@ -183,11 +196,7 @@
   test(title, async (t) => {
     const deployment = await deploy(t);
     const failing = await deployment.addRunner("desk", "d1", () => first);
-    const working = await deployment.addRunner(
-      "desk",
-      "d2",
-      () => ({ kind: "answer", body: "done" }),
-    );
+    const working = await addDesk(deployment, "d2");
     await knowsUpstreams(deployment, 2);
     const result = await deployment.send(request);
     t.is(result.status, status);
@@ -272,13 +281,7 @@
 });
 
 test("hosts, paths and keys that the configuration lacks are refused", async (t) => {
-  const deployment = await deploy(t);
-  const desk = await deployment.addRunner(
-    "desk",
-    "d1",
-    () => ({ kind: "answer", body: "done" }),
-  );
-  await knowsUpstreams(deployment, 1);
+  const { deployment, desk } = await deployWithDesk(t);
   const statusOf = async (path: string, headers: Record<string, string>) =>
     (await deployment.send({ path, method: "GET", headers })).status;
   t.is(await statusOf("/none/2f", {}), 404);
@@ -291,13 +294,7 @@
 });
 
 test("a new configuration takes effect and an older one doesn't", async (t) => {
-  const deployment = await deploy(t);
-  await deployment.addRunner(
-    "desk",
-    "d1",
-    () => ({ kind: "answer", body: "done" }),
-  );
-  await knowsUpstreams(deployment, 1);
+  const { deployment } = await deployWithDesk(t);
   const tenants = [{ Name: CUSTOMER, ApiKeys: ["another"] }];
   deployment.store.put("op/config", configurationOf(7, { Tenants: tenants }));
   await until(async () => (await deployment.send(LOOK)).status === 401);
@@ -308,13 +305,7 @@
 });
 
 test("a change that the watch missed while history was dropped is found", async (t) => {
-  const deployment = await deploy(t);
-  await deployment.addRunner(
-    "desk",
-    "d1",
-    () => ({ kind: "answer", body: "done" }),
-  );
-  await knowsUpstreams(deployment, 1);
+  const { deployment } = await deployWithDesk(t);
   deployment.doors[0]!.setMode("deaf_watches");
   const tenants = [{ Name: CUSTOMER, ApiKeys: ["another"] }];
   deployment.store.put("op/config", configurationOf(2, { Tenants: tenants }));
@@ -324,13 +315,7 @@
 });
 
 test("an upstream that says it leaves gets nothing more", async (t) => {
-  const deployment = await deploy(t);
-  const desk = await deployment.addRunner(
-    "desk",
-    "d1",
-    () => ({ kind: "answer", body: "done" }),
-  );
-  await knowsUpstreams(deployment, 1);
+  const { deployment, desk } = await deployWithDesk(t);
   t.is((await deployment.send(LOOK)).status, 200);
   deployment.store.put("servers/d1", desk.entry("desk", "draining"));
   await until(async () => (await deployment.send(LOOK)).status === 503);
@@ -389,11 +374,7 @@
     (await deployment.readMetrics(1))
       .includes("sequoiaturn_gateway_store_connected 0\n")
   );
-  await deployment.addRunner(
-    "desk",
-    "d1",
-    () => ({ kind: "answer", body: "done" }),
-  );
+  await addDesk(deployment);
   deployment.store.put(
     "op/config",
     configurationOf(9, {
@@ -436,13 +417,7 @@
 });
 
 test("keys are compared with those in force", async (t) => {
-  const deployment = await deploy(t);
-  await deployment.addRunner(
-    "desk",
-    "d1",
-    () => ({ kind: "answer", body: "done" }),
-  );
-  await knowsUpstreams(deployment, 1);
+  const { deployment } = await deployWithDesk(t);
   const headers = { Authorization: `Token ${KEY}` };
   t.is((await deployment.send({ ...LOOK, headers })).status, 200);
 });
--- a/test/gateway/placement_test.ts
+++ b/test/gateway/placement_test.ts
@@ -10,6 +10,7 @@
   shareMemory,
 } from "../../src/gateway/placement.ts";
 import type { UpstreamWork } from "../../src/gateway/work_board.ts";
+import { sampleUpstream } from "../../stand_ins/platform/sample_upstream.ts";
 
 const PROFILE: EngineProfile = {
   slots: 8,
@@ -49,15 +50,7 @@
 
 function candidate(id: string, more: Partial<Candidate> = {}): Candidate {
   return {
-    upstream: {
-      id,
-      service: "engines",
-      address: "10.0.0.1:80",
-      dataCentre: "north",
-      slots: 8,
-      isLeaving: false,
-      startedAt: 1,
-    },
+    upstream: sampleUpstream(id),
     work: IDLE,
     failureShare: 0,
     isSuspended: false,
--- a/test/gateway/watch_pace_test.ts
+++ b/test/gateway/watch_pace_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { watchPace } from "../../src/gateway/gateway.ts";
+import { watchPace } from "../../src/gateway/watch_pace.ts";
 import { createSeededRandom } from "../../src/support/random.ts";
 
 /// Bound of configurations on the platform, less the time that the change
