Place requests by owners and link large fleets over hubs

Cause: above 32 VMs every VM kept links to all VMs of its data centre, announced each change of them to all, and broadcast each start and end of work to every VM, so messages grew with requests times VMs and links with the square of VMs. A single process with 100 gateways and no callers took 24.3 s of processor time in its first 14 s.

Change: HubTopology links each VM only to two hubs of its data centre, the largest VMs, and the hubs to each other; broadcasts and calls are relayed over them. The first hub of a data centre owns the placement on its engines: the other VMs ask it, it counts what it grants at once, and they report starts, ends and results only to it. Owners exchange free slots and pass requests on when their own engines are full. Three hubs follow the store for all. Decisions are plain data (PlacementQuery, PlacementDecision) made by code without a network. Fleets of up to 32 VMs work as before.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -79,7 +79,7 @@
   /// Whether a new attempt elsewhere costs more than a longer timeout.
   readonly extendsTimeout: boolean;
   /// Further inactivity that the upstream's other work accounts for.
-  readonly remainingPrefill: () => Milliseconds;
+  readonly remainingPrefill: () => Promise<Milliseconds>;
   /// Receives complete events. Returns false to pause the response.
   readonly onEvents: (
     bytes: Buffer,
@@ -130,16 +130,17 @@
     timer?.cancel();
     const scheduled = clock.schedule(timeout, () => {
       if (isPaused || !plan.mayRetry()) return watchInactivity(timeout);
-      const expected = plan.remainingPrefill();
-      if (expected > 0) {
-        return watchInactivity(expected + PREFILL_MARGIN_MILLISECONDS);
-      }
-      const { address } = plan.upstream;
-      context.connections.acceptsConnections(address).then((isReachable) => {
+      void Promise.all([
+        plan.remainingPrefill(),
+        context.connections.acceptsConnections(plan.upstream.address),
+      ]).then(([expected, isReachable]) => {
         // Data may have arrived meanwhile.
         if (timer !== scheduled) return;
         const reason = `silent for ${Math.round(timeout)} ms`;
         if (!isReachable) return fail(`${reason} and unreachable`, true);
+        if (expected > 0) {
+          return watchInactivity(expected + PREFILL_MARGIN_MILLISECONDS);
+        }
         // A busy engine resumes a long prompt sooner than another engine would
         // complete a new prefill.
         if (plan.extendsTimeout && !wasExtended) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { LongPollingStore } from "../infrastructure/key_value_store.ts";
+import { HubTopology } from "../links/hub_topology.ts";
 import { createLinkMesh } from "../links/link_mesh.ts";
 import { createCrashRecords } from "../requests/crash_records.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
@@ -18,10 +19,9 @@
   ReservationClient,
 } from "./dialect.ts";
 import { createFleetView } from "./fleet_view.ts";
-import { createFreeSlots } from "./free_slots.ts";
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
-import { createInFlightWork } from "./in_flight_work.ts";
+import { createPlacementParts } from "./placement_parts.ts";
 import { createRetryBudget } from "./retry_budget.ts";
 import { createStoreReplica } from "./store_replica.ts";
 import { startStoreWatcher } from "./store_watcher.ts";
@@ -30,7 +30,6 @@
 import { startViewBuilder } from "./view_builder.ts";
 import { startViewSharing } from "./view_sharing.ts";
 import { createVmDirectory, startRegistration } from "./vm_directory.ts";
-import { createWaitQueue } from "./wait_queue.ts";
 import { createWatchPace } from "./watch_pace.ts";
 
 /// One gateway process: its view of the fleet, its servers and its links.
@@ -126,6 +125,7 @@
     secrets: [LINK_SECRET],
     vmList: vms,
     server: linkServer,
+    topology: new HubTopology(),
   });
   /// Largest number of VMs linked at the same time, including this one. A
   /// partition doesn't decrease it.
@@ -138,12 +138,12 @@
   });
   const health = createUpstreamHealth({ clock, random, log, links });
   const connections = createUpstreamConnections(clock);
-  const inFlightWork = createInFlightWork({ clock, links });
-  const freeSlots = createFreeSlots({
+  const placementParts = createPlacementParts({
+    clock,
     random,
+    links,
     view,
     health,
-    inFlightWork,
     vmCount: estimateVmCount,
   });
   const callerServer = createCallerServer({
@@ -155,8 +155,8 @@
     reservations: platform.reservations,
     view,
     health,
-    inFlightWork,
-    waitQueue: createWaitQueue({ clock, capacity: freeSlots }),
+    inFlightWork: placementParts.inFlightWork,
+    placements: placementParts.placements,
     retryBudget: createRetryBudget({
       clock,
       random,
@@ -170,7 +170,6 @@
     }),
     connections,
     crashRecords: createCrashRecords({ clock, links }),
-    dataCentre: settings.dataCentre,
     reservationPrefix: `${settings.vm}-${incarnation}`,
     maximumReservationLifetime: settings.longestHoldMilliseconds,
   });
@@ -274,6 +273,7 @@
     entry: {
       dataCentre: settings.dataCentre,
       linkAddress: addresses.links,
+      capacity: (settings.processorShare ?? 1) * (settings.processorSpeed ?? 1),
     },
   });
   const stop = new AbortController();
@@ -293,6 +293,7 @@
   const close = () => {
     stop.abort(new Error("closed"));
     sharing.close();
+    placementParts.close();
     storeWatcher.close();
     registration.abandon();
     links.close();
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -28,6 +28,10 @@
   repeatWindowSeconds: Type.Number({ exclusiveMinimum: 0 }),
   /// Longest time for which an engine holds a memory reservation.
   longestHoldMilliseconds: Count,
+  /// Share of a processor core that the process may use, and the speed of that
+  /// core. VMs with more capacity do more of the fleet's common work.
+  processorShare: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
+  processorSpeed: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
 });
 export type GatewaySettings = Static<typeof GatewaySettings>;
 
--- a/src/gateway/memory_reservations.ts
+++ b/src/gateway/memory_reservations.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "../support/clock.ts";
 import type { HelperEngine } from "./dialect.ts";
-import type { EnginePlan, MemoryShare } from "./placement.ts";
 import type { RequestContext } from "./request_context.ts";
+import type { Placement } from "./request_placer.ts";
 
 /// Reserves memory on several engines for a prompt that fits into none of them
 /// alone. Each reservation is for one request. It has a short lifetime and is
@@ -28,24 +28,21 @@
 /// the call fails.
 export async function reserveMemory(
   context: RequestContext,
-  plan: EnginePlan,
-  options: {
-    readonly shares: readonly MemoryShare[];
-    readonly attemptId: string | undefined;
-  },
+  placement: Placement,
+  attemptId: string | undefined,
 ): Promise<MemoryReservations | undefined> {
   const { log, reservations, reservationPrefix } = context;
   const lifetime = Math.min(
     context.maximumReservationLifetime,
     RESERVATION_LIFETIME_MILLISECONDS,
   );
-  const entries = options.shares.map((share) => ({
+  const entries = placement.reserved.map((share) => ({
     ...share,
     id: `${reservationPrefix}-${nextReservation++}`,
   }));
   const results = await Promise.allSettled(
-    entries.map(({ candidate, tokens, id }) =>
-      reservations.reserve(candidate.upstream, {
+    entries.map(({ upstream, tokens, id }) =>
+      reservations.reserve(upstream, {
         id,
         tokens,
         leaseDuration: lifetime,
@@ -60,8 +57,7 @@
           // Released while waiting; the loop ends.
         });
       if (released.signal.aborted) return;
-      await Promise.all(entries.map(async ({ candidate, tokens, id }) => {
-        const { upstream } = candidate;
+      await Promise.all(entries.map(async ({ upstream, tokens, id }) => {
         try {
           await reservations.reserve(upstream, {
             id,
@@ -70,7 +66,7 @@
           });
         } catch (error) {
           log.warn("reservation not renewed", {
-            request: options.attemptId,
+            request: attemptId,
             upstream: upstream.id,
             reservation: id,
             reason: (error as Error).message,
@@ -86,8 +82,7 @@
       const result = results[index]!;
       return result.status === "rejected" || result.value;
     });
-    await Promise.all(held.map(async ({ candidate, id }) => {
-      const { upstream } = candidate;
+    await Promise.all(held.map(async ({ upstream, id }) => {
       try {
         await reservations.release(upstream, id);
       } catch (error) {
@@ -106,8 +101,8 @@
   if (refused >= 0) {
     const result = results[refused]!;
     log.warn("memory not reserved", {
-      request: options.attemptId,
-      upstream: entries[refused]!.candidate.upstream.id,
+      request: attemptId,
+      upstream: entries[refused]!.upstream.id,
       tokens: entries[refused]!.tokens,
       reason: result.status === "rejected"
         ? String(result.reason)
@@ -117,14 +112,14 @@
     return undefined;
   }
   void renew();
-  const ids = new Map(entries.map(({ candidate, id }) => [candidate, id]));
+  const ids = new Map(entries.map(({ upstream, id }) => [upstream, id]));
   // Engines fill the reservations in the order of this list.
   const helpers = [
-    ...entries.map(({ candidate }) => candidate),
-    ...plan.helpers.filter((candidate) => !ids.has(candidate)),
-  ].map((candidate): HelperEngine => ({
-    address: candidate.upstream.address,
-    reservation: ids.get(candidate),
+    ...entries.map(({ upstream }) => upstream),
+    ...placement.helpers.filter((upstream) => !ids.has(upstream)),
+  ].map((upstream): HelperEngine => ({
+    address: upstream.address,
+    reservation: ids.get(upstream),
   }));
   return { helpers, release };
 }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,8 +1,9 @@
 import type { Milliseconds } from "../support/clock.ts";
 import type { EngineProfile } from "./configuration.ts";
 import { passTime, prefillTime } from "./engine_cost.ts";
-import type { UpstreamWork } from "./in_flight_work.ts";
+
 import type { Upstream } from "./upstream.ts";
+import type { UpstreamWork } from "./work_table.ts";
 
 /// Chooses upstreams for requests. An engine prefills prompts within the same
 /// passes in which it decodes, so a long prompt delays every other stream on
@@ -33,7 +34,8 @@
   readonly objective: Milliseconds;
   /// Smallest of the maximum event gaps that streams on these engines allow.
   readonly maximumEventGap: Milliseconds;
-  /// Time until other VMs receive the report of a placement.
+  /// Time until other VMs receive the report of a placement; `Infinity` if the
+  /// work of other VMs is unknown.
   readonly reportDelay: Milliseconds;
   /// Random number for this placement, at least 0 and less than 1.
   readonly randomValue: number;
@@ -100,9 +102,13 @@
 
 /// Whether the prefill of the prompt as one span would cause event gaps that
 /// are too long in other streams on the engine.
-export function isLong(profile: EngineProfile, request: EngineRequest) {
-  const threshold = request.maximumEventGap * LONG_PREFILL_RATIO;
-  return prefillTime(profile, request.promptTokens) > threshold;
+export function isLongPrompt(
+  profile: EngineProfile,
+  promptTokens: number,
+  maximumEventGap: Milliseconds,
+): boolean {
+  const threshold = maximumEventGap * LONG_PREFILL_RATIO;
+  return prefillTime(profile, promptTokens) > threshold;
 }
 
 const byId = (left: Candidate, right: Candidate) =>
@@ -221,7 +227,7 @@
     firstEventTimeOf(candidate) <=
       request.objective * CONCENTRATION_OBJECTIVE_RATIO
   );
-  const count = 1 +
+  const count = request.reportDelay === Infinity ? eligible.length : 1 +
     ENGINES_PER_UNREPORTED_REQUEST * unreportedRequests(request, candidates);
   const concentrated = eligible[
     Math.floor(
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -11,10 +11,10 @@
 import type { FleetView } from "./fleet_view.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { InFlightWork } from "./in_flight_work.ts";
+import type { PlacementService } from "./placement_service.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
-import type { WaitQueue } from "./wait_queue.ts";
 
 /// Dependencies that all requests of a gateway share.
 export interface RequestContext {
@@ -27,11 +27,10 @@
   readonly view: FleetView;
   readonly health: UpstreamHealth;
   readonly inFlightWork: InFlightWork;
+  readonly placements: PlacementService;
   readonly retryBudget: RetryBudget;
-  readonly waitQueue: WaitQueue;
   readonly connections: UpstreamConnections;
   readonly crashRecords: CrashRecords;
-  readonly dataCentre: string;
   /// Prefix of the ids of this process's memory reservations.
   readonly reservationPrefix: string;
   /// Upper limit for the lifetime of a memory reservation, which the settings
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -76,6 +76,7 @@
     view,
     health,
     inFlightWork,
+    placements,
     retryBudget,
     dialect,
     log,
@@ -94,7 +95,8 @@
 
   let attempt: Attempt | undefined;
   let isTimedOut = false;
-  let leaveQueue = () => {};
+  /// Ends the wait for a slot.
+  const stopped = new AbortController();
   let retryAfter = DEFAULT_RETRY_AFTER_SECONDS;
   let attempts = 0;
   /// Attempts that have reached an upstream and count as its load.
@@ -115,11 +117,11 @@
   const remaining = () => deadline - clock.now();
   const timer = clock.schedule(Math.max(0, remaining()), () => {
     isTimedOut = true;
-    leaveQueue();
+    stopped.abort();
     attempt?.abort();
   });
   response.onDisconnect(() => {
-    leaveQueue();
+    stopped.abort();
     attempt?.abort();
   });
   response.onDrain(() => attempt?.resume());
@@ -152,14 +154,13 @@
   };
 
   /// Records a placement and its inputs for the log.
-  const recordPlacement = ({ upstream, plan }: Placement) => {
-    const before = inFlightWork.workAt(upstream.id);
+  const recordPlacement = ({ decision }: Placement) => {
     lastPlacement = {
-      upstream: upstream.id,
-      parts: 1 + (plan?.helpers.length ?? 0),
-      expectedFirst: Math.round(plan?.firstEventTime ?? 0),
-      requestsBefore: before.requests,
-      readingBefore: Math.round(before.prefillMilliseconds),
+      upstream: decision.upstream,
+      parts: 1 + decision.helpers.length,
+      expectedFirst: Math.round(decision.firstEventTime),
+      requestsBefore: decision.requestsBefore,
+      readingBefore: decision.prefillBefore,
     };
   };
 
@@ -167,8 +168,8 @@
     placement: Placement,
     helpers: readonly HelperEngine[],
   ): Promise<AttemptResult> => {
-    const { upstream } = placement;
-    const work = placer.startWork(placement);
+    const { upstream, decision } = placement;
+    const work = placer.startWork(decision);
     health.recordSent(upstream.id);
     const sentAt = clock.now();
     attempt = startAttempt(context, request, {
@@ -177,7 +178,7 @@
       priority: placer.priority,
       remaining: remaining(),
       resumeAfterEventId: response.isStarted() ? lastId : undefined,
-      firstEventTimeout: placer.firstEventTimeout(placement),
+      firstEventTimeout: placer.firstEventTimeout(decision),
       idleTimeout: Math.max(
         MINIMUM_IDLE_TIMEOUT_MILLISECONDS,
         IDLE_TIMEOUT_FACTOR * route.pauseMilliseconds,
@@ -185,8 +186,7 @@
       extendsTimeout: isLong,
       mayRetry: () =>
         isRetryable && mayHaveExecutedAt.length + 1 < route.maxUpstreams,
-      remainingPrefill: () =>
-        inFlightWork.workAt(upstream.id).prefillMilliseconds,
+      remainingPrefill: () => placements.remainingPrefill(upstream.id),
       onEvents: onEvents(work, upstream),
     });
     const result = await attempt.result;
@@ -208,6 +208,11 @@
     result: AttemptResult,
     took: Milliseconds,
   ) => {
+    if (result.kind !== "aborted") {
+      const hasFailed = result.kind !== "streamed" &&
+        (result.kind !== "answered" || result.status >= 500);
+      inFlightWork.recordResult(upstream.id, hasFailed);
+    }
     if (result.kind === "streamed") return health.recordSuccess(upstream.id);
     if (result.kind === "aborted") return;
     if (result.kind === "answered") {
@@ -297,66 +302,55 @@
       lastReason = "upstreams crashed with this request";
       return giveUp();
     }
-    let placement = placer.place(avoided);
-    const mustWait = placement?.plan && !response.isStarted() &&
-      placer.mustWait(placement.plan);
-    if (placement?.plan && mustWait) {
-      const queued = placer.enterWaitQueue(placement.plan);
-      leaveQueue = queued.remove;
-      const isAdmitted = await queued.admission;
-      leaveQueue = () => {};
-      if (!isAdmitted) {
-        lastReason = "no engine had a slot in time";
-        return giveUp();
-      }
-      placement = placer.place(avoided);
-    }
-    if (!placement) {
-      lastReason = view.available(service.name).length > 0
-        ? "the upstreams have no room for the request"
-        : "no upstream is listed";
+    const decision = await placer.decide({
+      avoided,
+      remaining: remaining(),
+      isResumed: response.isStarted(),
+      signal: stopped.signal,
+    });
+    if (decision.kind === "refused") {
+      lastReason = decision.reason;
+      retryAfter = Math.max(
+        DEFAULT_RETRY_AFTER_SECONDS,
+        (decision.retryAfter ?? 0) / 1_000,
+      );
       return giveUp();
     }
+    const placement = placer.resolve(decision);
+    if (!placement || isOver()) {
+      placements.abandon(decision);
+      if (!placement) avoided.add(decision.upstream);
+      continue;
+    }
     if (deliveredAttempts > 0 && !retryBudget.take(service.name)) {
+      placements.abandon(decision);
       lastReason = `${lastReason}; no repeats are left`;
       return giveUp();
     }
     if (attempts === 0) retryBudget.recordRequest(service.name);
     recordPlacement(placement);
-    const excess = placement.plan && !response.isStarted()
-      ? placer.lateness(placement.plan, deadline)
-      : 0;
-    if (excess > 0) {
-      lastReason = `the answer would come ${Math.round(excess)} ms too late`;
-      retryAfter = Math.max(DEFAULT_RETRY_AFTER_SECONDS, excess / 1_000);
-      return giveUp();
-    }
     let reservations: MemoryReservations | undefined;
-    let helpers: readonly HelperEngine[] = (placement.plan?.helpers ?? []).map(
-      ({ upstream }) => ({ address: upstream.address }),
+    let helpers: readonly HelperEngine[] = placement.helpers.map(
+      ({ address }) => ({ address }),
     );
-    if (placement.plan) {
-      const shares = placer.shareMemory(placement.plan);
-      if (!shares) {
-        lastReason = "the engines' memory has no room for the prompt";
-        return giveUp();
-      }
-      if (shares.length > 0) {
-        reservations = await reserveMemory(context, placement.plan, {
-          shares,
-          attemptId: metadata.attemptId,
-        });
-        if (!reservations) {
-          lastReason = "memory could not be reserved";
-          refusals += 1;
-          if (refusals >= MAXIMUM_REFUSALS || isOver()) return giveUp();
-          await clock.sleep(RETRY_DELAY_MILLISECONDS);
-          continue;
-        }
-        helpers = reservations.helpers;
+    if (placement.reserved.length > 0) {
+      reservations = await reserveMemory(
+        context,
+        placement,
+        metadata.attemptId,
+      );
+      if (!reservations) {
+        placements.abandon(decision);
+        lastReason = "memory could not be reserved";
+        refusals += 1;
+        if (refusals >= MAXIMUM_REFUSALS || isOver()) return giveUp();
+        await clock.sleep(RETRY_DELAY_MILLISECONDS);
+        continue;
       }
+      helpers = reservations.helpers;
     }
     if (isOver()) {
+      placements.abandon(decision);
       await reservations?.release();
       return giveUp();
     }
--- a/src/gateway/store_follower_selection.ts
+++ b/src/gateway/store_follower_selection.ts
@@ -5,8 +5,8 @@
 import { revisionMessage } from "./view_messages.ts";
 
 /// Decides whether this VM follows the store. A few VMs of each data centre
-/// follow it; the others also follow it while they receive reports from too few
-/// of these.
+/// follow it, or with hubs, the first hubs of a few data centres; the others also
+/// follow it while they receive reports from too few of these.
 
 /// Followers in each data centre with more than `MAXIMUM_VMS_ALL_FOLLOWING` VMs.
 /// If a third of all VMs lose the store at once, there is a chance of 1 in 700
@@ -17,6 +17,9 @@
 /// other VMs depend on must detect a stalled watch sooner, which takes more
 /// calls than one follower fewer among three would save.
 const MAXIMUM_VMS_ALL_FOLLOWING = 3;
+/// With hubs, number of data centres whose first hub follows the store. All hubs
+/// learn within a report interval that one of them has lost it.
+const DATA_CENTRES_WITH_FOLLOWER = 3;
 /// Followers of its data centre that must have reported recently for a VM not
 /// to follow the store itself.
 const MINIMUM_LIVE_FOLLOWERS = 1;
@@ -74,13 +77,37 @@
     return names;
   };
 
+  /// Names of the hubs that follow the store: enough of them even if the VMs are
+  /// in fewer data centres than there are to be followers.
+  const selectHubs = (): readonly string[] => {
+    const dataCentres = rankByRendezvous("reader", [
+      ...new Set([self, ...links.neighbours()].map((vm) => vm.dataCentre)),
+    ]);
+    const hubs = dataCentres.map((dataCentre) => links.hubs(dataCentre) ?? []);
+    return [
+      ...hubs.flatMap((names) => names.slice(0, 1)),
+      ...hubs.flatMap((names) => names.slice(1)),
+    ].slice(0, DATA_CENTRES_WITH_FOLLOWER);
+  };
+
+  const isLive = (vm: string) =>
+    clock.now() - (lastSeen.get(vm) ?? -Infinity) < REPORT_TIMEOUT_MILLISECONDS;
+
+  const isHub = () => links.hubs()?.includes(self.vm) ?? false;
+
   const updateSelection = () => {
+    if (links.hubs()) {
+      const canRely = options.revision() > 0 &&
+        links.neighbours().some(({ vm }) => isLive(vm));
+      const isSelected = isHub() && selectHubs().includes(self.vm);
+      return options.setActive(
+        isSelected || !canRely,
+        canRely ? DATA_CENTRES_WITH_FOLLOWER : undefined,
+      );
+    }
     const names = vmsByDataCentre();
     const localFollowers = selectFollowers(names.get(self.dataCentre)!);
-    const now = clock.now();
-    const live = localFollowers.filter((vm) =>
-      now - (lastSeen.get(vm) ?? -Infinity) < REPORT_TIMEOUT_MILLISECONDS
-    );
+    const live = localFollowers.filter(isLive);
     const canRely = options.revision() > 0 &&
       live.length >= MINIMUM_LIVE_FOLLOWERS;
     const followers = [...names.values()].reduce(
@@ -93,9 +120,26 @@
     );
   };
 
+  /// A hub reports to the other hubs whether it follows the store itself, and to
+  /// the other VMs whether it receives the changes from any hub.
+  const sendHubReports = () => {
+    const own = report();
+    const receives = own.isReader ||
+      links.neighbours().some(({ vm }) => isLive(vm));
+    const hubs = new Set(links.hubs());
+    for (const { vm, dataCentre } of links.neighbours()) {
+      const isToHub = dataCentre !== self.dataCentre || hubs.has(vm);
+      links.send(vm, revisionMessage, {
+        ...own,
+        isReader: isToHub ? own.isReader : receives,
+      });
+    }
+  };
+
   /// Whether the last periodic report stated that this VM follows the store.
   let wasFollower = false;
   const sendReports = () => {
+    if (links.hubs()) return isHub() ? sendHubReports() : undefined;
     const { isReader } = report();
     if (!isReader && !wasFollower) return;
     wasFollower = isReader;
@@ -123,8 +167,12 @@
   });
 
   links.onPeersChange(() => {
-    for (const { vm } of newPeers()) links.send(vm, revisionMessage, report());
-    const linked = new Set(links.peers().map(({ vm }) => vm));
+    for (const { vm } of newPeers()) {
+      // A VM that isn't a hub follows the store only for itself.
+      const isReader = report().isReader && (!links.hubs() || isHub());
+      links.send(vm, revisionMessage, { ...report(), isReader });
+    }
+    const linked = new Set(links.neighbours().map(({ vm }) => vm));
     for (const vm of lastSeen.keys()) if (!linked.has(vm)) lastSeen.delete(vm);
   });
 
--- a/src/gateway/upstream_health.ts
+++ b/src/gateway/upstream_health.ts
@@ -63,6 +63,14 @@
   /// suspension ends, the upstream gets one request at a time as a probe until
   /// one succeeds.
   isSuspended(id: string): boolean;
+  /// Ids of the suspended upstreams.
+  suspended(): readonly string[];
+  /// Records the results of other VMs' requests, as the owner of the placement
+  /// on the upstream.
+  recordReported(
+    id: string,
+    results: { readonly successes: number; readonly failures: number },
+  ): void;
   /// Records that a request is sent, which may be such a probe.
   recordSent(id: string): void;
   /// Removes the results of an upstream.
@@ -237,6 +245,19 @@
       const record = records.get(id);
       return record !== undefined && clock.now() < record.suspendedUntil;
     },
+    suspended: () =>
+      [...records].flatMap(([id, record]) =>
+        clock.now() < record.suspendedUntil ? [id] : []
+      ),
+    recordReported(id, { successes, failures }) {
+      for (let count = 0; count < failures; count++) addResult(id, 1);
+      if (successes === 0) return;
+      for (let count = 0; count < successes; count++) addResult(id, 0);
+      const record = recordOf(id);
+      // The VMs that still fail avoid the upstream by their own results.
+      record.suspension = 0;
+      record.suspendedUntil = -Infinity;
+    },
     recordSent(id) {
       const record = records.get(id);
       if (!record || record.suspension === 0) return;
--- a/src/gateway/view_catch_up.ts
+++ b/src/gateway/view_catch_up.ts
@@ -89,7 +89,9 @@
   /// call the few that reported it, others that have already caught up reply
   /// sooner.
   const candidates = () => {
-    const peers = links.peers().map(({ vm, dataCentre }) => ({
+    // With hubs, the others are reached over the VMs that have a link.
+    const called = links.hubs() ? links.neighbours() : links.peers();
+    const peers = called.map(({ vm, dataCentre }) => ({
       vm,
       isAhead: (reported.get(vm) ?? 0) > replica.revision(),
       order: random.next() + (dataCentre === self.dataCentre ? 0 : 1),
--- a/src/gateway/vm_directory.ts
+++ b/src/gateway/vm_directory.ts
@@ -1,5 +1,5 @@
 import { type Static, Type } from "@sinclair/typebox";
-import { Value } from "@sinclair/typebox/value";
+import { TypeCompiler } from "@sinclair/typebox/compiler";
 import type { KeyValueStore } from "../infrastructure/key_value_store.ts";
 import type { ListedVm, VmList } from "../infrastructure/vm_list.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
@@ -19,8 +19,11 @@
 const Entry = Type.Object({
   dataCentre: Type.String(),
   linkAddress: Type.String(),
+  /// Processor cores of the VM.
+  capacity: Type.Optional(Type.Number()),
 });
 type Entry = Static<typeof Entry>;
+const entryCheck = TypeCompiler.Compile(Entry);
 
 /// The list of VMs, made from the store's contents.
 export interface VmDirectory extends VmList {
@@ -40,7 +43,8 @@
       const name = key.slice(PREFIX.length);
       try {
         const text = Buffer.from(value).toString("utf8");
-        const entry: Entry = Value.Parse(Entry, JSON.parse(text));
+        const entry: unknown = JSON.parse(text);
+        if (!entryCheck.Check(entry)) throw new TypeError("not a VM entry");
         entries.set(name, { name, ...entry, state: "live" });
       } catch (error) {
         const reason = (error as Error).message;
--- a/src/infrastructure/vm_list.ts
+++ b/src/infrastructure/vm_list.ts
@@ -10,6 +10,8 @@
   /// `host:port` of its link port.
   linkAddress: Type.String(),
   state: Type.Union([Type.Literal("live"), Type.Literal("leaving")]),
+  /// Processor cores of the VM.
+  capacity: Type.Optional(Type.Number()),
   /// What runs on the VM; an entry VM if absent. An upstream has the same name
   /// here as in the sheet.
   kind: Type.Optional(
--- a/src/links/dialler.ts
+++ b/src/links/dialler.ts
@@ -4,7 +4,7 @@
 import type { Logger } from "../support/log.ts";
 import type { VmIdentity } from "../vms/identity.ts";
 import type { DirectPeers } from "./direct_peers.ts";
-import { allPeers, sparsePeers } from "./topology.ts";
+import { allPeers, type LinkTopology, type PeerSelection } from "./topology.ts";
 
 /// Opens connections to the VMs that this VM has to be connected to, and closes
 /// those that it opened and no longer needs.
@@ -14,6 +14,8 @@
 /// Of two VMs, the one with the smaller name dials. After this time without a
 /// link, the other one dials as well.
 const REVERSE_DIAL_DELAY_MILLISECONDS = 2_000;
+/// Time without a link after which a VM counts as unusable.
+const UNUSABLE_DELAY_MILLISECONDS = 1_200;
 /// Minimum age at which an unneeded connection is closed, so that a short-lived
 /// change of the VM list doesn't open and close connections.
 const MINIMUM_CONNECTION_AGE_MILLISECONDS = 30_000;
@@ -33,6 +35,8 @@
   readonly peers: DirectPeers;
   /// Number of VMs up to which all connect to each other.
   readonly maximumFullMeshVms: number;
+  /// Selects the links above that number.
+  readonly topology: LinkTopology;
   /// Called with a socket that has opened. The callee handles the socket from
   /// then on and calls `onClosed` once it has closed.
   readonly onOpen: (
@@ -45,6 +49,8 @@
 export interface Dialler {
   /// Whether the list has too many VMs for a full mesh.
   isSparse(): boolean;
+  /// The links of this VM, as last selected.
+  selection(): PeerSelection;
   close(): void;
 }
 
@@ -54,6 +60,10 @@
   const dialling = new Set<string>();
   const unconnectedSince = new Map<string, Milliseconds>();
   let isSparse = false;
+  let selection: PeerSelection = {
+    required: new Set(),
+    dialledHere: new Set(),
+  };
 
   const dial = ({ name, linkAddress }: ListedVm) => {
     dialling.add(name);
@@ -70,12 +80,20 @@
     const now = clock.now();
     const since = unconnectedSince.get(name) ?? now;
     unconnectedSince.set(name, since);
-    return name > self.vm || now - since >= REVERSE_DIAL_DELAY_MILLISECONDS;
+    return name > self.vm || selection.dialledHere.has(name) ||
+      now - since >= REVERSE_DIAL_DELAY_MILLISECONDS;
+  };
+
+  const isUsable = (name: string) => {
+    if (peers.get(name)) return true;
+    const since = unconnectedSince.get(name);
+    return since === undefined ||
+      clock.now() - since < UNUSABLE_DELAY_MILLISECONDS;
   };
 
   const dialUnconnected = (
     listed: readonly ListedVm[],
-    required: ReadonlySet<string>,
+    { required }: PeerSelection,
   ) => {
     for (const vm of listed) {
       if (!required.has(vm.name) || peers.get(vm.name)) {
@@ -84,7 +102,7 @@
     }
   };
 
-  const closeUnneeded = (required: ReadonlySet<string>) => {
+  const closeUnneeded = ({ required }: PeerSelection) => {
     if (!isSparse) return;
     for (const { identity, connection, connectedAt } of peers.all()) {
       const isOld =
@@ -101,13 +119,14 @@
     const listed = vms.filter((vm) =>
       vm.kind !== "upstream" && vm.state === "live"
     );
-    const location = { name: self.vm, dataCentre: self.dataCentre };
+    const location = listed.find((vm) => vm.name === self.vm) ??
+      { name: self.vm, dataCentre: self.dataCentre };
     isSparse = listed.length > options.maximumFullMeshVms;
-    const required = isSparse
-      ? sparsePeers(location, listed)
-      : allPeers(location, listed);
-    dialUnconnected(listed, required);
-    closeUnneeded(required);
+    selection = isSparse
+      ? options.topology.select(location, listed, isUsable)
+      : { required: allPeers(location, listed), dialledHere: new Set() };
+    dialUnconnected(listed, selection);
+    closeUnneeded(selection);
   };
 
   const pollVmList = async () => {
@@ -123,6 +142,7 @@
   void pollVmList();
   return {
     isSparse: () => isSparse,
+    selection: () => selection,
     close: () => stop.abort(new Error("closed")),
   };
 }
--- a/src/links/link_mesh.ts
+++ b/src/links/link_mesh.ts
@@ -22,7 +22,11 @@
 import { createPresenceAnnouncer } from "./presence_announcer.ts";
 import { createPresenceTable } from "./presence_table.ts";
 import { createRelay } from "./relay.ts";
-import { MAXIMUM_FULL_MESH_VMS } from "./topology.ts";
+import {
+  BridgeTopology,
+  type LinkTopology,
+  MAXIMUM_FULL_MESH_VMS,
+} from "./topology.ts";
 
 /// This VM's links: its direct connections, and relaying to VMs without one.
 
@@ -41,6 +45,8 @@
   readonly versions?: VersionRange;
   /// Number of VMs up to which all connect to each other.
   readonly maximumFullMeshVms?: number;
+  /// Selects the links above that number; by default `BridgeTopology`.
+  readonly topology?: LinkTopology;
 }
 
 export interface LinkMesh extends Links {
@@ -89,10 +95,21 @@
     router.deliver(payload.name, payload.value, from);
   };
 
+  const hubs = (dataCentre = identity.dataCentre) => {
+    if (!dialler.isSparse()) return undefined;
+    return dialler.selection().hubs?.get(dataCentre)?.filter((vm) =>
+      vm === identity.vm || directPeers.get(vm)
+    );
+  };
+
+  /// Whether this VM forwards messages for others; undefined without hubs.
+  const isHub = () => hubs()?.includes(identity.vm);
+
   const relay = createRelay({
     self: identity,
     peers: directPeers,
     presence,
+    isHub,
     deliver,
   });
 
@@ -179,6 +196,7 @@
     vmList: options.vmList,
     peers: directPeers,
     maximumFullMeshVms: options.maximumFullMeshVms ?? MAXIMUM_FULL_MESH_VMS,
+    topology: options.topology ?? new BridgeTopology(),
     onOpen: (socket, vm, onClosed) =>
       startConnection(socket, "dialler", { vm, onClosed }),
   });
@@ -188,6 +206,7 @@
     peers: directPeers,
     presence,
     isSparse: dialler.isSparse,
+    isHub,
   });
   // The HTTP server's errors are emitted here as well; the code that listens on
   // that server handles them.
@@ -199,6 +218,8 @@
   return {
     self: identity,
     peers: () => [...reachable.values()],
+    neighbours: () => directPeers.all().map((peer) => peer.identity),
+    hubs,
     send(vm, type, value) {
       const payload = { kind: "message" as const, name: type.name, value };
       return relay.send(vm, payload, replaceKeyFor(type as never, value));
--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -22,6 +22,13 @@
   readonly self: VmIdentity;
   /// Returns the VMs that are connected.
   peers(): readonly VmIdentity[];
+  /// Returns the VMs that this VM has a link to; the others are reached over
+  /// them.
+  neighbours(): readonly VmIdentity[];
+  /// Returns the names of the hubs of a data centre, this VM's own by default,
+  /// that this VM is or has a link to, the first one to be preferred. Undefined
+  /// if all VMs have links to each other, or the topology has no hubs.
+  hubs(dataCentre?: string): readonly string[] | undefined;
   /// Queues a message. Returns false if `vm` is not connected.
   send<Schema extends TSchema>(
     vm: string,
--- a/src/links/presence_announcer.ts
+++ b/src/links/presence_announcer.ts
@@ -9,6 +9,8 @@
 
 /// Delay in which changes are collected into one announcement.
 const ANNOUNCEMENT_DELAY_MILLISECONDS = 50;
+/// The delay of a hub, whose announcements go to all VMs of its data centre.
+const HUB_ANNOUNCEMENT_DELAY_MILLISECONDS = 400;
 
 export interface PresenceAnnouncerOptions {
   readonly clock: Clock;
@@ -17,6 +19,9 @@
   readonly presence: PresenceTable;
   /// Whether the VMs are too many for a full mesh.
   readonly isSparse: () => boolean;
+  /// Whether this VM is a hub; undefined if the topology has no hubs. With hubs,
+  /// only these announce.
+  readonly isHub: () => boolean | undefined;
 }
 
 export interface PresenceAnnouncer {
@@ -55,9 +60,12 @@
   };
 
   const announcementsFor = (peer: DirectPeer): Announcements => {
-    if (!options.isSparse()) return new Map();
+    const isHub = options.isHub();
+    if (!options.isSparse() || isHub === false) return new Map();
     const isLocal = peer.identity.dataCentre === self.dataCentre;
-    const announced = isLocal ? bridgedDataCentres() : [self.dataCentre];
+    const announced = isLocal
+      ? [...isHub ? [self.dataCentre] : [], ...bridgedDataCentres()]
+      : [self.dataCentre];
     return new Map(announced.map((dataCentre) => {
       const members = membersOf(dataCentre)
         .filter((identity) => identity.vm !== peer.identity.vm);
@@ -81,7 +89,10 @@
 
   return {
     schedule() {
-      timer ??= clock.schedule(ANNOUNCEMENT_DELAY_MILLISECONDS, () => {
+      const delay = options.isHub()
+        ? HUB_ANNOUNCEMENT_DELAY_MILLISECONDS
+        : ANNOUNCEMENT_DELAY_MILLISECONDS;
+      timer ??= clock.schedule(delay, () => {
         timer = undefined;
         peers.all().forEach(announceTo);
       });
--- a/src/links/relay.ts
+++ b/src/links/relay.ts
@@ -23,6 +23,8 @@
   readonly self: VmIdentity;
   readonly peers: DirectPeers;
   readonly presence: PresenceTable;
+  /// Whether this VM is a hub; undefined if the topology has no hubs.
+  readonly isHub?: () => boolean | undefined;
   /// Called with each payload for this VM.
   readonly deliver: (payload: PayloadFrame, origin: VmIdentity) => void;
 }
@@ -79,13 +81,22 @@
   /// If the broadcast originates in another data centre, a designated forwarder
   /// also forwards it to all local peers. A VM that is no designated forwarder and
   /// received it over a bridge also forwards it to the local designated forwarders.
+  /// With hubs, only these forward: broadcasts of their data centre to all their
+  /// peers, and others to the local ones.
   const forwardTargetsOf = (
     { origin }: RelayFrame,
     from: VmIdentity,
   ): readonly DirectPeer[] => {
+    const isHub = options.isHub?.();
+    if (isHub === false) return [];
     const others = peers.all().filter(({ identity }) =>
-      identity.vm !== from.vm
+      identity.vm !== from.vm && identity.vm !== origin.vm
     );
+    if (isHub) {
+      return isLocal(origin)
+        ? others
+        : others.filter(({ identity }) => isLocal(identity));
+    }
     if (isLocal(origin)) {
       return others.filter(({ identity }) => !isLocal(identity));
     }
--- a/src/links/topology.ts
+++ b/src/links/topology.ts
@@ -9,6 +9,30 @@
 export interface VmLocation {
   readonly name: string;
   readonly dataCentre: string;
+  /// Processor cores of the VM; 0 if unknown.
+  readonly capacity?: number;
+}
+
+/// The links that a VM keeps.
+export interface PeerSelection {
+  /// Names of the VMs that it keeps a link to.
+  readonly required: ReadonlySet<string>;
+  /// Those that don't select this VM in turn, so that only this VM dials.
+  readonly dialledHere: ReadonlySet<string>;
+  /// Names of the hubs of each data centre, the first one to be preferred.
+  /// Undefined if all VMs are alike.
+  readonly hubs?: ReadonlyMap<string, readonly string[]>;
+}
+
+/// Selects links for fleets that are too large for a full mesh.
+export interface LinkTopology {
+  /// Selects `self`'s peers among `vms`, which include it. `isUsable` returns
+  /// whether a VM is connected, or has not been dialled in vain.
+  select(
+    self: VmLocation,
+    vms: readonly VmLocation[],
+    isUsable: (vm: string) => boolean,
+  ): PeerSelection;
 }
 
 /// Number of VMs up to which all connect to each other.
@@ -69,3 +93,10 @@
   const bridges = bridgePeers(self, [...others, self]);
   return new Set([...localVms.map((vm) => vm.name), ...bridges]);
 }
+
+/// A full mesh in each data centre, and bridges between data centres.
+export class BridgeTopology implements LinkTopology {
+  select(self: VmLocation, vms: readonly VmLocation[]): PeerSelection {
+    return { required: sparsePeers(self, vms), dialledHere: new Set() };
+  }
+}
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -28,6 +28,13 @@
   reply: Type.Object({}),
 });
 
+/// Reports crashes without confirmation. Used with hubs, over which a call to
+/// each VM would take as many messages as there are VMs.
+const marksMessage = defineMessage(
+  "quarantine.marks",
+  Type.Object({ marks: Type.Array(CrashRecord) }),
+);
+
 const clearMessage = defineMessage(
   "quarantine.clear",
   Type.Object({ fingerprint: Type.String(), ids: Type.Array(Type.String()) }),
@@ -39,7 +46,7 @@
   /// Time until the last crash of a fingerprint expires.
   remaining(fingerprint: string): Milliseconds;
   /// Records a crash and reports it to all connected VMs. Resolves when they
-  /// have confirmed, or after a bounded time.
+  /// have confirmed, or after a bounded time; with hubs, once it is sent.
   record(fingerprint: string): Promise<void>;
   /// Removes the crashes of a request that has completed, on all VMs.
   clear(fingerprint: string): void;
@@ -110,6 +117,7 @@
     );
 
   /// Reports all records of this VM to VMs that have just connected.
+  /// With hubs, only the VMs that have a link to it do so.
   const reportToNewPeers = () => {
     const added = newPeers();
     const records = allRecords();
@@ -121,6 +129,7 @@
     records.forEach(add);
     return Promise.resolve({});
   });
+  links.onMessage(marksMessage, ({ marks: records }) => records.forEach(add));
   links.onMessage(clearMessage, ({ fingerprint, ids }) => {
     remove(fingerprint, ids);
   });
@@ -142,6 +151,10 @@
       const id = `${vm}:${incarnation}:${nextId++}`;
       const crash = { fingerprint, id, age: 0 };
       add(crash);
+      if (links.hubs() !== undefined) {
+        links.broadcast(marksMessage, { marks: [crash] });
+        return;
+      }
       const peers = links.peers();
       await Promise.allSettled(peers.map((peer) => report(peer.vm, [crash])));
     },
--- a/stand_ins/local_links.ts
+++ b/stand_ins/local_links.ts
@@ -18,6 +18,9 @@
   remove(vm: string): void;
   /// Cuts or restores the link in the direction from one VM to another.
   setCut(from: string, to: string, cut: boolean): void;
+  /// Makes a VM receive and send nothing, like a paused process. Its peers don't
+  /// detect it.
+  setSilent(vm: string, isSilent: boolean): void;
 }
 
 interface Member {
@@ -35,6 +38,9 @@
   /// direction. Messages sent to that VM or in that direction before then are
   /// lost.
   readonly detectionMilliseconds?: number;
+  /// Number of VMs of each data centre that are hubs, the first by name; by
+  /// default the topology has no hubs.
+  readonly hubsPerDataCentre?: number;
 }
 
 /// Creates a network between VMs of this process.
@@ -46,6 +52,7 @@
   const detection = options.detectionMilliseconds ?? 0;
   const members = new Map<string, Member>();
   const cuts = new Set<string>();
+  const silent = new Set<string>();
   /// The VMs and the cuts that `peers` applies. They follow the actual state after
   /// the detection time.
   let visibleMembers: ReadonlyMap<string, Member> = new Map();
@@ -70,7 +77,8 @@
   const transmit = (from: string, to: Member, action: () => void) => {
     clock.schedule(latency, () => {
       const isCurrent = members.get(to.identity.vm) === to;
-      if (isCurrent && isReachable(from, to.identity.vm)) action();
+      const isSilent = silent.has(from) || silent.has(to.identity.vm);
+      if (isCurrent && !isSilent && isReachable(from, to.identity.vm)) action();
     });
   };
 
@@ -86,6 +94,14 @@
       );
       return others.map((other) => other.identity);
     };
+    const hubs = (dataCentre = self.dataCentre) => {
+      if (options.hubsPerDataCentre === undefined) return undefined;
+      return [self, ...peers()]
+        .filter((vm) => vm.dataCentre === dataCentre)
+        .map(({ vm }) => vm)
+        .sort()
+        .slice(0, options.hubsPerDataCentre);
+    };
     const find = (vm: string) => {
       const connected = peers().some((peer) => peer.vm === vm);
       return connected ? visibleMembers.get(vm) : undefined;
@@ -93,6 +109,8 @@
     return {
       self,
       peers,
+      neighbours: peers,
+      hubs,
       send(vm, type, value) {
         const other = find(vm);
         if (!other) return false;
@@ -149,6 +167,10 @@
       members.delete(vm);
       scheduleUpdate();
     },
+    setSilent(vm, isSilent) {
+      if (isSilent) silent.add(vm);
+      else silent.delete(vm);
+    },
     setCut(from, to, cut) {
       if (cut) cuts.add(`${from} ${to}`);
       else cuts.delete(`${from} ${to}`);
--- a/stand_ins/platform/load_simulation.ts
+++ b/stand_ins/platform/load_simulation.ts
@@ -4,13 +4,11 @@
   Service,
 } from "../../src/gateway/configuration.ts";
 import { createFleetView } from "../../src/gateway/fleet_view.ts";
-import { createFreeSlots } from "../../src/gateway/free_slots.ts";
 import type { GatewayRequest } from "../../src/gateway/request_context.ts";
 import { createRequestPlacer } from "../../src/gateway/request_placer.ts";
 import type { RequestContext } from "../../src/gateway/request_context.ts";
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
-import { createWaitQueue } from "../../src/gateway/wait_queue.ts";
-import { createInFlightWork } from "../../src/gateway/in_flight_work.ts";
+import { createPlacementParts } from "../../src/gateway/placement_parts.ts";
 import { createSilentLogger } from "../../src/support/log.ts";
 import {
   createSeededRandom,
@@ -104,32 +102,21 @@
       incarnation: "1",
       dataCentre: "north",
     });
-    const inFlightWork = createInFlightWork({ clock, links });
     const health = createUpstreamHealth({
       clock,
       random,
       log: createSilentLogger(),
       links,
     });
-    const waitQueue = createWaitQueue({
-      clock,
-      capacity: createFreeSlots({
-        random,
-        view,
-        health,
-        inFlightWork,
-        vmCount: () => load.vms,
-      }),
-    });
-    return {
+    const parts = createPlacementParts({
       clock,
       random,
+      links,
       view,
       health,
-      inFlightWork,
-      waitQueue,
-      dataCentre: "north",
-    };
+      vmCount: () => load.vms,
+    });
+    return { clock, random, view, health, ...parts };
   });
 
   const results = new Map(
@@ -157,25 +144,23 @@
       vm as unknown as RequestContext,
       request,
     );
-    let placement = placer.place(new Set())!;
-    if (!load.isBaseline && placer.mustWait(placement.plan!)) {
-      const queued = placer.enterWaitQueue(placement.plan!);
-      if (!await queued.admission) {
-        result.refused += 1;
-        return;
-      }
-      placement = placer.place(new Set())!;
+    const decision = await placer.decide({
+      avoided: new Set(),
+      remaining: request.route.timeoutMilliseconds,
+      isResumed: load.isBaseline === true,
+      signal: new AbortController().signal,
+    });
+    if (decision.kind === "refused") {
+      result.refused += 1;
+      return;
     }
     const all = view.available(service.name);
-    const helpers = load.isBaseline ? [] : placement.plan!.helpers;
     const primary = load.isBaseline
       ? all[randomInteger(random, all.length)]!.id
-      : placement.upstream.id;
-    const prefillEngines = [
-      primary,
-      ...helpers.map(({ upstream }) => upstream.id),
-    ];
-    const work = placer.startWork(placement);
+      : decision.upstream;
+    const helpers = load.isBaseline ? [] : decision.helpers;
+    const prefillEngines = [primary, ...helpers];
+    const work = placer.startWork(decision);
     await Promise.all(
       prefillEngines.map((id) =>
         new Promise<void>((resolve) =>
@@ -225,6 +210,7 @@
   }
   await clock.advance(load.seconds * 1_000);
   await clock.advanceUntil(Promise.all(running), 120_000);
+  for (const vm of vms) vm.close();
   return results;
 }
 
--- a/test/gateway/components_test.ts
+++ b/test/gateway/components_test.ts
@@ -6,6 +6,7 @@
   readGatewaySettings,
 } from "../../src/gateway/gateway_settings.ts";
 import { createInFlightWork } from "../../src/gateway/in_flight_work.ts";
+import { createPlacementOwners } from "../../src/gateway/placement_owners.ts";
 import { createRetryBudget } from "../../src/gateway/retry_budget.ts";
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
 import { createLineSink, createSilentLogger } from "../../src/support/log.ts";
@@ -106,8 +107,14 @@
   const network = createLocalNetwork(clock);
   const join = (vm: string) =>
     network.join({ vm, incarnation: "1", dataCentre: "north" });
-  const first = createInFlightWork({ clock, links: join("vm-1") });
-  const second = createInFlightWork({ clock, links: join("vm-2") });
+  const create = (vm: string) => {
+    const links = join(vm);
+    const owners = createPlacementOwners({ clock, links });
+    const dataCentreOf = () => "north";
+    return createInFlightWork({ clock, links, owners, dataCentreOf });
+  };
+  const first = create("vm-1");
+  const second = create("vm-2");
   await clock.advance(100);
   const work = {
     requests: 1,
--- a/test/gateway/placement_test.ts
+++ b/test/gateway/placement_test.ts
@@ -1,15 +1,15 @@
 import test from "ava";
 import type { EngineProfile } from "../../src/gateway/configuration.ts";
 import { prefillTime } from "../../src/gateway/engine_cost.ts";
-import type { UpstreamWork } from "../../src/gateway/in_flight_work.ts";
 import {
   type Candidate,
-  isLong,
+  isLongPrompt,
   placeCall,
   placeLong,
   placeShort,
   shareMemory,
 } from "../../src/gateway/placement.ts";
+import type { UpstreamWork } from "../../src/gateway/work_table.ts";
 import { sampleUpstream } from "../../stand_ins/platform/sample_upstream.ts";
 
 const PROFILE: EngineProfile = {
@@ -76,9 +76,9 @@
 });
 
 test("a prompt is long if its prefill exceeds the event gap of other streams", (t) => {
-  t.false(isLong(PROFILE, SHORT));
-  t.true(isLong(PROFILE, { ...SHORT, promptTokens: 40_000 }));
-  t.false(isLong(PROFILE, { ...LONG, maximumEventGap: 10_000 }));
+  t.false(isLongPrompt(PROFILE, SHORT.promptTokens, 250));
+  t.true(isLongPrompt(PROFILE, 40_000, 250));
+  t.false(isLongPrompt(PROFILE, LONG.promptTokens, 10_000));
 });
 
 test("short prompts are concentrated on few engines", (t) => {
--- a/test/links/mesh_network.ts
+++ b/test/links/mesh_network.ts
@@ -8,6 +8,7 @@
 } from "node:net";
 import { createLinkMesh, type LinkMesh } from "../../src/links/link_mesh.ts";
 import type { VersionRange } from "../../src/links/frame.ts";
+import type { LinkTopology } from "../../src/links/topology.ts";
 import type { Links } from "../../src/links/links.ts";
 import type { ListedVm } from "../../src/infrastructure/vm_list.ts";
 import { createSystemClock } from "../../src/support/clock.ts";
@@ -21,6 +22,7 @@
   readonly dataCentre?: string;
   readonly secrets?: readonly string[];
   readonly versions?: VersionRange;
+  readonly capacity?: number;
 }
 
 export interface MeshNetwork {
@@ -64,19 +66,27 @@
 export async function startMeshes(
   vms: readonly MeshVm[],
   maximumFullMeshVms?: number,
+  topology?: LinkTopology,
 ): Promise<MeshNetwork> {
   const listed: ListedVm[] = [];
   const blockedSenders = new Set<string>();
   const meshes = new Map<string, LinkMesh>();
   const servers: Server[] = [];
-  for (const { vm, dataCentre = "muttrah", secrets, versions } of vms) {
+  for (const { vm, dataCentre = "muttrah", ...options } of vms) {
+    const { secrets, versions, capacity } = options;
     const server = createHttpServer();
     const proxy = createProxy(
       await listen(server),
       () => blockedSenders.has(vm),
     );
     const linkAddress = await listen(proxy);
-    listed.push({ name: vm, dataCentre, linkAddress, state: "live" });
+    listed.push({
+      name: vm,
+      dataCentre,
+      linkAddress,
+      capacity,
+      state: "live",
+    });
     servers.push(server, proxy);
     const mesh = createLinkMesh({
       clock: createSystemClock(),
@@ -88,6 +98,7 @@
       server,
       versions,
       maximumFullMeshVms,
+      topology,
     });
     meshes.set(vm, mesh);
   }
