Bound what an upstream in trouble can cost and never end a broken stream as complete

Cause: a stream without a length that the gateway broke off ended with a plain close, which is a complete response in HTTP/1.1. Every chunk of a stream counted as progress, so single bytes kept a dead one alive. Events without a boundary were forwarded in pieces of 1 MiB, a body could take 16 MiB for each request, informational responses had no limit, and the event splitter copied all buffered bytes with each chunk. An error that nothing caught ended the process; a second stop signal started a second drain.

Change: such a connection is reset. Progress is a complete event. Draining happens once, and a signal during the start takes effect after it.

--- a/src/bin/gateway.ts
+++ b/src/bin/gateway.ts
@@ -13,6 +13,7 @@
 import { createSystemClock } from "../support/clock.ts";
 import { createLineSink, createSinkLogger } from "../support/log.ts";
 import { createSystemRandom } from "../support/random.ts";
+import { createUnexpectedErrorHandler } from "../support/unexpected_errors.ts";
 
 /// Exit code for invalid settings.
 const USAGE_EXIT_CODE = 2;
@@ -46,7 +47,7 @@
   const sink = createLineSink(process.stdout);
   const log = createSinkLogger("gateway", { vm: settings.vm }, sink);
   const clock = createSystemClock();
-  const gateway = await startGateway({
+  const started = startGateway({
     settings,
     platform: {
       dialect: httpDialect,
@@ -59,9 +60,25 @@
     log,
     sink,
   });
-  process.on("SIGTERM", () => {
-    gateway.drain().then(() => process.exit(0));
+  // A signal during the start takes effect once the start is complete.
+  const stop = () =>
+    void started.then((gateway) => gateway.drain())
+      .catch((error: Error) =>
+        log.warn("stop failed", { reason: error.message })
+      )
+      .finally(() => process.exit(0));
+  process.on("SIGTERM", stop);
+  const handleError = createUnexpectedErrorHandler({
+    clock,
+    log,
+    onError: () =>
+      void started.then((gateway) => gateway.countUnexpectedError(), () => {
+        // The error that failed the start is reported below.
+      }),
+    onTooMany: stop,
   });
+  process.on("uncaughtException", handleError);
+  process.on("unhandledRejection", handleError);
   process.on("SIGHUP", () => {
     try {
       readGatewaySettings(readFileSync(path, "utf8"));
@@ -72,6 +89,7 @@
       });
     }
   });
+  await started;
 }
 
 main().catch((error: unknown) => {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -10,7 +10,10 @@
 const EVENT_STREAM = "text/event-stream";
 /// Limit for a response that is buffered before it is forwarded. A longer one
 /// is treated as corrupt; services respond with some kilobytes.
-const MAXIMUM_RESPONSE_BYTES = 16_777_216;
+const MAXIMUM_RESPONSE_BYTES = 2_097_152;
+/// Bytes that an upstream may send within one timeout without progress: a part
+/// of an event or of a head.
+const MAXIMUM_UNPRODUCTIVE_BYTES = 1_048_576;
 /// The upstream may have closed a connection that was idle for longer, so a
 /// request that must run at most once isn't sent on it. The platform states
 /// 300 ms as the shortest time after which upstreams drop idle connections.
@@ -70,9 +73,10 @@
   readonly remaining: Milliseconds;
   /// ID of the last event received of a stream that is to be resumed.
   readonly resumeAfterEventId: string | undefined;
-  /// Inactivity before the first data after which the attempt fails, if
-  /// `mayRetry` allows it.
+  /// Time without progress, before the first event, after which the attempt
+  /// fails if `mayRetry` allows it. Progress is a complete event.
   readonly firstEventTimeout: Milliseconds;
+  /// The same after the first event.
   readonly idleTimeout: Milliseconds;
   /// Whether an attempt at another upstream may follow a failure.
   readonly mayRetry: () => boolean;
@@ -108,6 +112,8 @@
   const splitter = createEventSplitter();
   const chunks: Buffer[] = [];
   let size = 0;
+  /// Part of the shared memory for responses that this one uses.
+  let held = 0;
   let head: ResponseHead | undefined;
   let isStream = false;
   let isPaused = false;
@@ -117,6 +123,8 @@
   const result = new Promise<AttemptResult>((resolve) => {
     settle = (value) => {
       timer?.cancel();
+      context.responseBytes.release(held);
+      held = 0;
       resolve(value);
     };
   });
@@ -126,9 +134,19 @@
     settle({ kind: "failed", reason, isUnreachable });
   };
 
+  let bytesAtProgress = 0;
+
   const watchInactivity = (timeout: Milliseconds) => {
     timer?.cancel();
+    bytesAtProgress = exchange.bytesReceived();
     const scheduled = clock.schedule(timeout, () => {
+      const received = exchange.bytesReceived() - bytesAtProgress;
+      if (received > MAXIMUM_UNPRODUCTIVE_BYTES && !isPaused && isStream) {
+        return fail("bytes without an event");
+      }
+      if (!head && received > MAXIMUM_UNPRODUCTIVE_BYTES) {
+        return fail("a head without end");
+      }
       if (isPaused || !plan.mayRetry()) return watchInactivity(timeout);
       void Promise.all([
         plan.remainingPrefill(),
@@ -148,7 +166,7 @@
           return watchInactivity(TIMEOUT_EXTENSION_MILLISECONDS);
         }
         fail(reason);
-      });
+      }).catch((error: Error) => fail(`not checked: ${error.message}`));
     });
     timer = scheduled;
   };
@@ -211,13 +229,19 @@
     onData(chunk) {
       if (!head) return;
       if (!isStream) {
-        chunks.push(chunk);
         size += chunk.length;
-        if (size > MAXIMUM_RESPONSE_BYTES) fail("an answer without end");
+        if (size > MAXIMUM_RESPONSE_BYTES) return fail("an answer without end");
+        if (!context.responseBytes.take(chunk.length)) {
+          return fail("too many bytes of answers are in memory");
+        }
+        held += chunk.length;
+        chunks.push(chunk);
         return;
       }
-      watchInactivity(plan.idleTimeout);
+      const eventsBefore = splitter.count();
       const events = splitter.push(chunk);
+      if (splitter.count() > eventsBefore) watchInactivity(plan.idleTimeout);
+      if (splitter.isTooLong()) return fail("an event without end");
       if (!events) return;
       if (plan.onEvents(events, head, splitter.lastId())) return;
       isPaused = true;
@@ -232,7 +256,7 @@
           if (isReachable) finish();
           else fail("the upstream went away at the end of its answer", true);
         },
-      );
+      ).catch((error: Error) => fail(`not checked: ${error.message}`));
     },
     onFailure({ wasSent, wasReused, reason }) {
       if (wasSent) {
--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -25,7 +25,8 @@
   write(bytes: Buffer): boolean;
   endStream(): void;
   /// Closes the connection, so that the partial response doesn't appear
-  /// complete.
+  /// complete. A response without a length ends with a plain close, so its
+  /// connection is reset.
   abort(): void;
   onDrain(listener: () => void): void;
   /// Calls `listener` if the caller disconnects before the response has ended.
@@ -90,7 +91,14 @@
     },
     write: (bytes) => isDisconnected || response.write(bytes),
     endStream: () => void response.end(),
-    abort: () => void response.destroy(),
+    abort() {
+      const isFramed = response.chunkedEncoding ||
+        response.hasHeader("Content-Length");
+      if (response.headersSent && !isFramed) {
+        response.socket?.resetAndDestroy();
+      }
+      response.destroy();
+    },
     onDrain: (listener) => void response.on("drain", listener),
     onDisconnect: (listener) => void disconnectListeners.push(listener),
   };
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -249,7 +249,8 @@
         log.warn("request failed by a fault of the gateway", {
           reason: error.stack ?? error.message,
         });
-        response.destroy();
+        createCallerResponse(response, { closesConnection: () => true })
+          .abort();
       });
     },
   );
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -52,8 +52,14 @@
   abort(): void;
   pause(): void;
   resume(): void;
+  /// Number of bytes received on the connection so far.
+  bytesReceived(): number;
 }
 
+/// Number of informational responses after which an exchange fails. A few may
+/// precede a response; an upstream in trouble may send them without end.
+const MAXIMUM_INFORMATIONAL_RESPONSES = 16;
+
 function hasFraming(headers: HeaderFields): boolean {
   return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
@@ -73,6 +79,7 @@
   let hasEnded = false;
   let wasSent = false;
   let isFramed = true;
+  let informationalResponses = 0;
   let control: { pause(): void; resume(): void } | undefined;
 
   const fail = (reason: string) => {
@@ -99,7 +106,14 @@
         fail("the upstream switched protocols");
       },
       onResponseStart(_controller, status, headers) {
-        if (hasEnded || status < 200) return;
+        if (hasEnded) return;
+        if (status < 200) {
+          informationalResponses += 1;
+          if (informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) {
+            fail("informational responses without end");
+          }
+          return;
+        }
         isFramed = hasFraming(headers) || status === 204 || status === 304;
         handler.onHead(status, headers, isFramed);
       },
@@ -134,5 +148,6 @@
     },
     pause: () => control?.pause(),
     resume: () => control?.resume(),
+    bytesReceived: connection.bytesReceived,
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { LineSink, Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
+import { createByteBudget } from "./byte_budget.ts";
 import { createCallerServer } from "./caller_server.ts";
 import type {
   FleetDocuments,
@@ -50,6 +51,9 @@
 const DEREGISTRATION_TIMEOUT_MILLISECONDS: Milliseconds = 200;
 /// Interval at which idle connections to removed upstreams are closed.
 const PRUNE_INTERVAL_MILLISECONDS: Milliseconds = 5_000;
+/// Limit for all responses in memory at the same time, which bounds the memory
+/// of this process.
+const MAXIMUM_RESPONSE_BYTES = 16_777_216;
 /// Shared by all VMs of a deployment, so that links to other programs are
 /// closed. The platform provides no secret. Links carry neither prompts nor
 /// keys.
@@ -83,10 +87,12 @@
 export interface Gateway {
   readonly addresses: GatewayAddresses;
   /// Stops accepting requests, waits for running ones to end or for the stop
-  /// time to pass, and closes the gateway.
+  /// time to pass, and closes the gateway. Further calls have no effect.
   drain(): Promise<void>;
   /// Closes all servers and connections at once.
   close(): void;
+  /// Counts an error that nothing caught.
+  countUnexpectedError(): void;
 }
 
 /// Listens and resolves to the bound address. Port 0 stands for any free port.
@@ -170,6 +176,7 @@
     }),
     connections,
     crashRecords: createCrashRecords({ clock, links }),
+    responseBytes: createByteBudget(MAXIMUM_RESPONSE_BYTES),
     reservationPrefix: `${settings.vm}-${incarnation}`,
     maximumReservationLifetime: settings.longestHoldMilliseconds,
   });
@@ -311,28 +318,32 @@
     }
   };
 
+  const drainOnce = async () => {
+    const startedAt = clock.now();
+    const endsAt = startedAt +
+      settings.stopSeconds * 1_000 * DRAIN_TIME_RATIO;
+    isDraining = true;
+    callerServer.startDraining(startedAt + READINESS_GRACE_MILLISECONDS);
+    log.info("stopping", { running: callerServer.running() });
+    // The port stays open, so that later requests get a response telling the
+    // caller to retry elsewhere.
+    await clock.sleep(READINESS_GRACE_MILLISECONDS);
+    while (callerServer.running() > 0 && clock.now() < endsAt) {
+      await clock.sleep(DRAIN_CHECK_INTERVAL_MILLISECONDS);
+    }
+    log.info("stopped", { unfinished: callerServer.running() });
+    await Promise.race([
+      registration.close(),
+      clock.sleep(DEREGISTRATION_TIMEOUT_MILLISECONDS),
+    ]);
+    close();
+  };
+  let drained: Promise<void> | undefined;
+
   return {
     addresses,
     close,
-    async drain() {
-      const startedAt = clock.now();
-      const endsAt = startedAt +
-        settings.stopSeconds * 1_000 * DRAIN_TIME_RATIO;
-      isDraining = true;
-      callerServer.startDraining(startedAt + READINESS_GRACE_MILLISECONDS);
-      log.info("stopping", { running: callerServer.running() });
-      // The port stays open, so that later requests get a response telling the
-      // caller to retry elsewhere.
-      await clock.sleep(READINESS_GRACE_MILLISECONDS);
-      while (callerServer.running() > 0 && clock.now() < endsAt) {
-        await clock.sleep(DRAIN_CHECK_INTERVAL_MILLISECONDS);
-      }
-      log.info("stopped", { unfinished: callerServer.running() });
-      await Promise.race([
-        registration.close(),
-        clock.sleep(DEREGISTRATION_TIMEOUT_MILLISECONDS),
-      ]);
-      close();
-    },
+    drain: () => drained ??= drainOnce(),
+    countUnexpectedError: () => metrics.unexpectedErrors.inc(),
   };
 }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -16,6 +16,7 @@
   readonly storeFollower: Gauge;
   readonly connectionsOpened: Gauge;
   readonly logLinesDropped: Gauge;
+  readonly unexpectedErrors: Counter;
 }
 
 /// From a fast response of a service to the longest deadline.
@@ -88,5 +89,10 @@
       "log_lines_dropped",
       "Log lines that were dropped because the reader was slow",
     ),
+    unexpectedErrors: new Counter({
+      name: "sequoiaturn_gateway_unexpected_errors_total",
+      help: "Errors that nothing caught",
+      registers,
+    }),
   };
 }
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
+import type { ByteBudget } from "./byte_budget.ts";
 import type { Route, Service } from "./configuration.ts";
 import type {
   CallerRequestMetadata,
@@ -31,6 +32,8 @@
   readonly retryBudget: RetryBudget;
   readonly connections: UpstreamConnections;
   readonly crashRecords: CrashRecords;
+  /// Bytes of responses that are buffered before they are forwarded.
+  readonly responseBytes: ByteBudget;
   /// Prefix of the ids of this process's memory reservations.
   readonly reservationPrefix: string;
   /// Upper limit for the lifetime of a memory reservation, which the settings
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -27,6 +27,8 @@
   /// The error of the underlying socket, which distinguishes a reset from a
   /// close.
   socketError(): Error | undefined;
+  /// Number of bytes received on it so far.
+  bytesReceived(): number;
   /// Whether it has carried a request before.
   isReused(): boolean;
   /// Returns the connection for reuse by other requests.
@@ -63,7 +65,7 @@
     address: string,
     callback: (error: Error | null, socket: Socket | null) => void,
     onSocketError: (error: Error | undefined) => void,
-  ) => {
+  ): Socket => {
     const separator = address.lastIndexOf(":");
     const host = address.slice(0, separator);
     const port = Number(address.slice(separator + 1));
@@ -87,11 +89,13 @@
       settle(error);
     });
     socket.once("connect", () => settle(null));
+    return socket;
   };
 
   const open = (address: string): UpstreamConnection => {
     let error: Error | undefined;
     let wasReleased = false;
+    let socket: Socket | undefined;
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -100,12 +104,13 @@
       keepAliveMaxTimeout: MAXIMUM_IDLE_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MILLISECONDS,
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
-      connect: (_options, callback) =>
-        openSocket(
+      connect: (_options, callback) => {
+        socket = openSocket(
           address,
           callback as (error: Error | null, socket: Socket | null) => void,
           (socketError) => void (error = socketError),
-        ),
+        );
+      },
     });
     // A disconnected client would reconnect by itself. It is marked as closed
     // and replaced by a new client, so that connections are opened only here.
@@ -116,6 +121,7 @@
     const connection: UpstreamConnection = {
       client,
       socketError: () => error,
+      bytesReceived: () => socket?.bytesRead ?? 0,
       isReused: () => wasReleased,
       release() {
         wasReleased = true;
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -39,6 +39,15 @@
   | { readonly kind: "answer_unframed"; readonly body: string }
   /// A response without a length that is truncated by a crash of the upstream.
   | { readonly kind: "crash_unframed"; readonly body: string }
+  /// Whatever `write` writes to the connection. `head` returns the head of a
+  /// response to this request, without the blank line after it.
+  | {
+    readonly kind: "raw";
+    readonly write: (
+      socket: Socket,
+      head: (fields?: readonly string[]) => string,
+    ) => void;
+  }
   /// A complete response with the attempt id of another request.
   | { readonly kind: "foreign"; readonly body: string };
 
@@ -112,6 +121,16 @@
         return response.socket?.resetAndDestroy();
       case "silence":
         return;
+      case "raw":
+        if (!response.socket) return;
+        return action.write(response.socket, (fields = []) =>
+          [
+            "HTTP/1.1 200 OK",
+            `X-Attempt-Id: ${attempt}`,
+            `X-Response-Signature: signed by ${id}`,
+            ...fields,
+            "",
+          ].join("\r\n"));
       case "answer_unframed":
       case "crash_unframed": {
         const socket = response.socket!;
