Decide again when a decision is a second old

Cause: a process that was paused, or that waited for a slow engine's reservation, sent the request under the old decision. The owner no longer counts such a placement, and a reservation may have expired.

Change: before each attempt the age of the decision is checked; an old one is given up, its reservations are released and the request is placed again.

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -24,6 +24,10 @@
 const MINIMUM_ATTEMPT_MILLISECONDS: Milliseconds = 20;
 /// Delay before a retry when all upstreams have had an attempt.
 const RETRY_DELAY_MILLISECONDS: Milliseconds = 60;
+/// Age from which a decision is not acted on: the owner of the placement no
+/// longer counts it, and a paused process can't know what has changed. It is less
+/// than the lifetime of a memory reservation.
+const MAXIMUM_DECISION_AGE_MILLISECONDS: Milliseconds = 1_000;
 /// Retry-After without a better estimate: about one pass of the platform's
 /// upstream list.
 const DEFAULT_RETRY_AFTER_SECONDS = 0.4;
@@ -316,6 +320,7 @@
       );
       return giveUp();
     }
+    const decidedAt = clock.now();
     const placement = placer.resolve(decision);
     if (!placement || isOver()) {
       placements.abandon(decision);
@@ -349,10 +354,13 @@
       }
       helpers = reservations.helpers;
     }
-    if (isOver()) {
+    const isOutdated =
+      clock.now() - decidedAt >= MAXIMUM_DECISION_AGE_MILLISECONDS;
+    if (isOver() || isOutdated) {
       placements.abandon(decision);
       await reservations?.release();
-      return giveUp();
+      lastReason = "the decision was outdated";
+      continue;
     }
     attempts += 1;
     if (attempts > 1) {
--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -13,6 +13,7 @@
 import {
   type ReceivedRequest,
   type ScriptedUpstream,
+  type ScriptedUpstreamOptions,
   startScriptedUpstream,
   type UpstreamAction,
 } from "./scripted_upstream.ts";
@@ -110,6 +111,7 @@
     service: string,
     id: string,
     act: (request: ReceivedRequest) => UpstreamAction,
+    options?: Partial<ScriptedUpstreamOptions>,
   ): Promise<ScriptedUpstream>;
   send(request: CallerRequest): Promise<CallerResult>;
   /// Whether a gateway reports that it accepts callers.
@@ -217,8 +219,12 @@
     store,
     storeEndpoints,
     gateways,
-    async addUpstream(service, id, act) {
-      const upstream = await startScriptedUpstream({ id, act });
+    async addUpstream(service, id, act, upstreamOptions) {
+      const upstream = await startScriptedUpstream({
+        id,
+        act,
+        ...upstreamOptions,
+      });
       upstreams.push(upstream);
       store.put(`servers/${id}`, upstream.entry(service));
       return upstream;
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -53,6 +53,8 @@
 
 export interface ScriptedUpstreamOptions {
   readonly id: string;
+  /// Delay of the response to its first order.
+  readonly firstOrderDelayMilliseconds?: number;
   readonly act: (request: ReceivedRequest) => UpstreamAction;
 }
 
@@ -71,7 +73,7 @@
 const defaultEvent = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
 
 export async function startScriptedUpstream(
-  { id, act }: ScriptedUpstreamOptions,
+  { id, act, firstOrderDelayMilliseconds = 0 }: ScriptedUpstreamOptions,
 ): Promise<ScriptedUpstream> {
   const requests: ReceivedRequest[] = [];
   const orders: Record<string, unknown>[] = [];
@@ -152,6 +154,8 @@
     const body = Buffer.concat(chunks).toString("utf8");
     if (message.url === "/sequoiaturn/order") {
       orders.push(JSON.parse(body) as Record<string, unknown>);
+      const delay = orders.length === 1 ? firstOrderDelayMilliseconds : 0;
+      await new Promise((resolve) => setTimeout(resolve, delay));
       return response.writeHead(200).end("{}");
     }
     const request: ReceivedRequest = {
