Make fewer store calls when VMs start and stay

Change: a process waits 1 s between its first read and its first watch, by which time it usually has a hub that follows the store. A VM's lease is 90 s instead of 45 s and renewed every 30 s; links detect a failed VM long before.

--- a/src/gateway/store_watcher.ts
+++ b/src/gateway/store_watcher.ts
@@ -20,6 +20,10 @@
 /// delivers changes while other VMs are ahead of it is only late, and reading
 /// the full contents again would delay it further.
 const STALLED_WATCH_MILLISECONDS: Milliseconds = 1_500;
+/// Pause between the first read and the first watch of a process. VMs that start
+/// together each make a change, which would end all of their watches. A VM that
+/// finds VMs that follow the store for it in this time needs no watch at all.
+const FIRST_WATCH_DELAY_MILLISECONDS: Milliseconds = 1_000;
 /// The prefix of all keys: one watch covers every key that this VM follows.
 const ALL_KEYS_PREFIX = "";
 
@@ -98,7 +102,11 @@
   const watchStore = async () => {
     watchAbort = new AbortController();
     const signal = AbortSignal.any([stop.signal, watchAbort.signal]);
-    if (followed === undefined) await readContents(signal);
+    if (followed === undefined) {
+      const isFirst = replica.revision() === 0;
+      await readContents(signal);
+      if (isFirst) await clock.sleep(FIRST_WATCH_DELAY_MILLISECONDS, signal);
+    }
     for await (const event of store.watch(ALL_KEYS_PREFIX, followed!, signal)) {
       recordSuccess();
       const revision = event.value.modifiedRevision;
--- a/src/gateway/vm_directory.ts
+++ b/src/gateway/vm_directory.ts
@@ -10,10 +10,10 @@
 const PREFIX = "sequoiaturn/vms/";
 /// Time after which the entry of a failed VM expires. Links detect the failure
 /// sooner; the expiry only ends the attempts to connect to the VM.
-const LEASE_SECONDS = 45;
+const LEASE_SECONDS = 90;
 /// A third of the lease, so that two renewals may fail. Each renewal takes one
 /// store call per VM.
-const RENEWAL_INTERVAL_MILLISECONDS: Milliseconds = 15_000;
+const RENEWAL_INTERVAL_MILLISECONDS: Milliseconds = 30_000;
 const RETRY_DELAY_MILLISECONDS: Milliseconds = 1_000;
 
 const Entry = Type.Object({
