Load less at the start of the gateway

Cause: a start parsed all of undici (fetch, WebSocket, cache) and ran the parser of the command line, which the deployment doesn't use.

Change: the bundle contains the parts of undici that are used, and meow is loaded only when there are arguments.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -11,6 +11,7 @@
   platform: "node",
   target: "node20",
   format: "esm",
+  alias: { undici: "./deploy/undici_parts.js" },
   sourcemap: "linked",
   // Libraries in CommonJS format load the modules of Node.js with `require`.
   banner: {
--- a/src/bin/gateway.ts
+++ b/src/bin/gateway.ts
@@ -1,6 +1,5 @@
 #!/usr/bin/env node
 import { readFileSync } from "node:fs";
-import meow from "meow";
 import { fleetDocuments } from "../../platform/fleet_documents.ts";
 import { httpDialect } from "../../platform/http_dialect.ts";
 import { reservationClient } from "../../platform/reservations.ts";
@@ -18,8 +17,7 @@
 /// Exit code for invalid settings.
 const USAGE_EXIT_CODE = 2;
 
-const command = meow(
-  `
+const HELP = `
 Usage
   $ sequoiaturn-gateway [--settings FILE]
 
@@ -28,22 +26,35 @@
 
   --settings FILE    Settings file
   --check            Check the settings file and exit
-`,
-  {
+`;
+
+interface Flags {
+  readonly settings?: string;
+  readonly check?: boolean;
+}
+
+/// Parses the command line. The deployment starts the program without arguments,
+/// and the parser is then not loaded.
+async function readFlags(): Promise<Flags> {
+  if (process.argv.length <= 2) return {};
+  const { default: meow } = await import("meow");
+  const { flags } = meow(HELP, {
     importMeta: import.meta,
     flags: { settings: { type: "string" }, check: { type: "boolean" } },
-  },
-);
+  });
+  return flags;
+}
 
 async function main(): Promise<void> {
-  const path = command.flags.settings ?? process.env["SEQUOIATURN_CONFIG"];
+  const flags = await readFlags();
+  const path = flags.settings ?? process.env["SEQUOIATURN_CONFIG"];
   if (!path) {
     throw new GatewaySettingsError(
       "no settings file: set --settings or SEQUOIATURN_CONFIG",
     );
   }
   const settings = readGatewaySettings(readFileSync(path, "utf8"));
-  if (command.flags.check) return;
+  if (flags.check) return;
   const sink = createLineSink(process.stdout);
   const log = createSinkLogger("gateway", { vm: settings.vm }, sink);
   const clock = createSystemClock();
