Spread the return of refused callers

Cause: Retry-After was 0.4 s or the request's own lateness, so callers that were refused in the same second returned in the same second.

Change: the time is longer by up to half, at random (retry_after.ts).

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -8,6 +8,7 @@
 } from "./memory_reservations.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { createRequestPlacer, type Placement } from "./request_placer.ts";
+import { retryAfterSeconds } from "./retry_after.ts";
 import type { Upstream } from "./upstream.ts";
 
 /// Handles one request: makes attempts at upstreams until one responds, the
@@ -28,9 +29,6 @@
 /// longer counts it, and a paused process can't know what has changed. It is less
 /// than the lifetime of a memory reservation.
 const MAXIMUM_DECISION_AGE_MILLISECONDS: Milliseconds = 1_000;
-/// Retry-After without a better estimate: about one pass of the platform's
-/// upstream list.
-const DEFAULT_RETRY_AFTER_SECONDS = 0.4;
 /// Idle timeout of a stream, in multiples of the route's maximum event gap. The
 /// engine then counts as failed.
 const IDLE_TIMEOUT_FACTOR = 2.5;
@@ -101,7 +99,8 @@
   let isTimedOut = false;
   /// Ends the wait for a slot.
   const stopped = new AbortController();
-  let retryAfter = DEFAULT_RETRY_AFTER_SECONDS;
+  /// When the request is expected to be served.
+  let retryEstimate: Milliseconds | undefined;
   let attempts = 0;
   /// Attempts that have reached an upstream and count as its load.
   let deliveredAttempts = 0;
@@ -288,7 +287,11 @@
       );
     }
     if (!mayHaveExecuted) {
-      response.sendText(503, `not run: ${lastReason}\n`, retryAfter);
+      response.sendText(
+        503,
+        `not run: ${lastReason}\n`,
+        retryAfterSeconds(retryEstimate, context.random),
+      );
       return end("refused", 503, lastReason);
     }
     const status = isTimedOut ? 504 : 502;
@@ -314,10 +317,7 @@
     });
     if (decision.kind === "refused") {
       lastReason = decision.reason;
-      retryAfter = Math.max(
-        DEFAULT_RETRY_AFTER_SECONDS,
-        (decision.retryAfter ?? 0) / 1_000,
-      );
+      retryEstimate = decision.retryAfter;
       return giveUp();
     }
     const decidedAt = clock.now();
