Count link messages and log owners that are passed over

Change: a counter by name of message, summed up in one log line every ten seconds, and a line for an owner that didn't reply. The handler of unexpected errors moves to the gateway, whose events the operators' page lists.

--- a/src/bin/gateway.ts
+++ b/src/bin/gateway.ts
@@ -9,10 +9,10 @@
   GatewaySettingsError,
   readGatewaySettings,
 } from "../gateway/gateway_settings.ts";
+import { createUnexpectedErrorHandler } from "../gateway/unexpected_errors.ts";
 import { createSystemClock } from "../support/clock.ts";
 import { createLineSink, createSinkLogger } from "../support/log.ts";
 import { createSystemRandom } from "../support/random.ts";
-import { createUnexpectedErrorHandler } from "../support/unexpected_errors.ts";
 
 /// Exit code for invalid settings.
 const USAGE_EXIT_CODE = 2;
@@ -73,11 +73,9 @@
   });
   // A signal during the start takes effect once the start is complete.
   const stop = () =>
-    void started.then((gateway) => gateway.drain())
-      .catch((error: Error) =>
-        log.warn("stop failed", { reason: error.message })
-      )
-      .finally(() => process.exit(0));
+    void started.then((gateway) => gateway.drain()).finally(() =>
+      process.exit(0)
+    );
   process.on("SIGTERM", stop);
   const handleError = createUnexpectedErrorHandler({
     clock,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { createPlacementParts } from "./placement_parts.ts";
+import { startLinkTraffic } from "./link_traffic.ts";
 import { createRetryBudget } from "./retry_budget.ts";
 import { createStoreReplica } from "./store_replica.ts";
 import { startStoreWatcher } from "./store_watcher.ts";
@@ -119,6 +120,7 @@
   const linkServer = createServer((_message, response) => {
     response.writeHead(404).end();
   });
+  const linkTraffic = startLinkTraffic({ clock, log, metrics });
   const links = createLinkMesh({
     clock,
     random,
@@ -132,6 +134,7 @@
     vmList: vms,
     server: linkServer,
     topology: new HubTopology(),
+    onReceived: linkTraffic.record,
   });
   /// Largest number of VMs linked at the same time, including this one. A
   /// partition doesn't decrease it.
@@ -147,6 +150,7 @@
   const placementParts = createPlacementParts({
     clock,
     random,
+    log,
     links,
     view,
     health,
@@ -301,6 +305,7 @@
     stop.abort(new Error("closed"));
     sharing.close();
     placementParts.close();
+    linkTraffic.close();
     storeWatcher.close();
     registration.abandon();
     links.close();
@@ -343,7 +348,10 @@
   return {
     addresses,
     close,
-    drain: () => drained ??= drainOnce(),
+    drain: () =>
+      drained ??= drainOnce().catch((error: Error) =>
+        log.warn("stop failed", { reason: error.message })
+      ),
     countUnexpectedError: () => metrics.unexpectedErrors.inc(),
   };
 }
--- a/src/gateway/gateway_events.ts
+++ b/src/gateway/gateway_events.ts
@@ -48,5 +48,13 @@
     "an engine refused a reservation or did not respond; tokens, reason",
   "reservation not renewed": "it may expire before its request ends; reason",
   "reservation not released": "it expires within the time given",
+  "owner passed over":
+    "the owner of a data centre's placement didn't reply; its name. The next " +
+    "hub is asked for a second",
+  "link messages": "messages received over links in ten seconds, by name",
+  "unexpected error": "nothing caught it; stack, number in ten seconds",
+  "stopping after too many unexpected errors":
+    "the process stops as on SIGTERM",
+  "stop failed": "the process exits without a complete stop; reason",
   "metrics not written": "the metrics could not be collected; reason",
 } as const;
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -17,6 +17,7 @@
   readonly connectionsOpened: Gauge;
   readonly logLinesDropped: Gauge;
   readonly unexpectedErrors: Counter;
+  readonly linkMessages: Counter<"name">;
 }
 
 /// From a fast response of a service to the longest deadline.
@@ -89,6 +90,12 @@
       "log_lines_dropped",
       "Log lines that were dropped because the reader was slow",
     ),
+    linkMessages: new Counter({
+      name: "sequoiaturn_gateway_link_messages_total",
+      help: "Messages received over links, by name",
+      labelNames: ["name"],
+      registers,
+    }),
     unexpectedErrors: new Counter({
       name: "sequoiaturn_gateway_unexpected_errors_total",
       help: "Errors that nothing caught",
--- a/src/gateway/placement_owners.ts
+++ b/src/gateway/placement_owners.ts
@@ -1,5 +1,6 @@
 import type { Links } from "../links/links.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
 
 /// Which VM places requests on the engines of a data centre. Without hubs, each
 /// VM places its own requests and reports its work to all others. With hubs, the
@@ -22,8 +23,14 @@
   passOver(vm: string): void;
 }
 
+export interface PlacementOwnersOptions {
+  readonly clock: Clock;
+  readonly links: Links;
+  readonly log: Logger;
+}
+
 export function createPlacementOwners(
-  { clock, links }: { readonly clock: Clock; readonly links: Links },
+  { clock, links, log }: PlacementOwnersOptions,
 ): PlacementOwners {
   const passedOverUntil = new Map<string, Milliseconds>();
   const isResponsive = (vm: string) =>
@@ -36,7 +43,9 @@
     isBroadcast: () => links.hubs() === undefined,
     ownerOf,
     isOwner: () => ownerOf() === links.self.vm,
-    passOver: (vm) =>
-      void passedOverUntil.set(vm, clock.now() + PASSED_OVER_MILLISECONDS),
+    passOver(vm) {
+      if (isResponsive(vm)) log.warn("owner passed over", { owner: vm });
+      passedOverUntil.set(vm, clock.now() + PASSED_OVER_MILLISECONDS);
+    },
   };
 }
--- a/src/gateway/placement_parts.ts
+++ b/src/gateway/placement_parts.ts
@@ -1,5 +1,6 @@
 import type { Links } from "../links/links.ts";
 import type { Clock } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
 import { startCellSummaries } from "./cell_summaries.ts";
 import type { FleetView } from "./fleet_view.ts";
@@ -19,6 +20,7 @@
 export interface PlacementPartsOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly log: Logger;
   readonly links: Links;
   readonly view: FleetView;
   readonly health: UpstreamHealth;
@@ -37,7 +39,7 @@
 ): PlacementParts {
   const { clock, links, view, health } = options;
   const { dataCentre } = links.self;
-  const owners = createPlacementOwners({ clock, links });
+  const owners = createPlacementOwners(options);
   const inFlightWork = createInFlightWork({
     clock,
     links,
--- a/src/support/unexpected_errors.ts
+++ b/src/gateway/unexpected_errors.ts
@@ -1,5 +1,5 @@
-import type { Clock, Milliseconds } from "./clock.ts";
-import type { Logger } from "./log.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
 
 /// What a process does on an error that nothing caught. It logs and counts the
 /// error and goes on: the requests and streams of other callers are independent
--- a/src/links/link_mesh.ts
+++ b/src/links/link_mesh.ts
@@ -47,6 +47,9 @@
   readonly maximumFullMeshVms?: number;
   /// Selects the links above that number; by default `BridgeTopology`.
   readonly topology?: LinkTopology;
+  /// Called with the name of each frame or message that a link receives, whether
+  /// it is for this VM or passed on.
+  readonly onReceived?: (name: string) => void;
 }
 
 export interface LinkMesh extends Links {
@@ -58,6 +61,11 @@
   return key === undefined ? undefined : `${type.name} ${key}`;
 }
 
+function nameOfFrame(frame: Frame): string {
+  if (frame.kind === "relay") return nameOfFrame(frame.payload);
+  return "name" in frame ? frame.name : frame.kind;
+}
+
 export function createLinkMesh(options: LinkMeshOptions): LinkMesh {
   const { clock, identity, log } = options;
   const router = createMessageRouter();
@@ -178,7 +186,11 @@
         log.info("link established", { peer: from.vm });
         updateReachable();
       },
-      onFrame: (frame) => peer && receive(frame, peer.identity),
+      onFrame: (frame) => {
+        if (!peer) return;
+        options.onReceived?.(nameOfFrame(frame));
+        receive(frame, peer.identity);
+      },
       onClosed: (reason) => {
         connections.delete(connection);
         dialled?.onClosed();
--- a/stand_ins/ledger_check.ts
+++ b/stand_ins/ledger_check.ts
@@ -38,6 +38,8 @@
   /// entries have a link, that of a call over the link.
   readonly pauseMilliseconds: number;
   readonly defect?: LedgerDefect;
+  /// Number of states after which the exploration fails as too large.
+  readonly maximumStates?: number;
 }
 
 export interface LedgerCheckResult {
@@ -231,6 +233,9 @@
       const state = describeState(simulation);
       if (seen.has(state)) break;
       seen.add(state);
+      if (seen.size > (options.maximumStates ?? Infinity)) {
+        throw new RangeError(`more than ${options.maximumStates} states`);
+      }
       const finding = findViolation(simulation, options);
       if (finding) {
         const violation = `${finding}: ${path.join("; ")}`;
--- a/stand_ins/platform/load_simulation.ts
+++ b/stand_ins/platform/load_simulation.ts
@@ -102,15 +102,12 @@
       incarnation: "1",
       dataCentre: "north",
     });
-    const health = createUpstreamHealth({
-      clock,
-      random,
-      log: createSilentLogger(),
-      links,
-    });
+    const log = createSilentLogger();
+    const health = createUpstreamHealth({ clock, random, log, links });
     const parts = createPlacementParts({
       clock,
       random,
+      log,
       links,
       view,
       health,
--- a/test/gateway/placement_owner_test.ts
+++ b/test/gateway/placement_owner_test.ts
@@ -86,6 +86,7 @@
     const parts = createPlacementParts({
       clock,
       random,
+      log,
       links,
       view,
       health,
--- a/test/support/unexpected_errors_test.ts
+++ b/test/gateway/unexpected_errors_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { createSilentLogger } from "../../src/support/log.ts";
-import { createUnexpectedErrorHandler } from "../../src/support/unexpected_errors.ts";
+import { createUnexpectedErrorHandler } from "../../src/gateway/unexpected_errors.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 
 function createHandler() {
