Place in another data centre only what the own one serves late

Cause: an owner asked another data centre when its estimate exceeded 0.8 of the objective and a tenth more of the slots were free there.

Change: the estimate has to exceed the objective, and the difference is 0.2.

--- a/src/gateway/placement_service.ts
+++ b/src/gateway/placement_service.ts
@@ -26,11 +26,9 @@
 /// the time for which it may wait.
 const QUEUE_TIMEOUT_MILLISECONDS: Milliseconds = 1_300;
 /// Difference in the share of free slots from which a request is placed in
-/// another data centre.
-const MINIMUM_SHARE_GAIN = 0.1;
-/// Share of the objective that the estimated time to the first event may take
-/// before another data centre is considered.
-const TIMELY_OBJECTIVE_RATIO = 0.8;
+/// another data centre. Its bytes then go between data centres, so small
+/// differences aren't worth it.
+const MINIMUM_SHARE_GAIN = 0.2;
 
 const WaitingDecision = Type.Object({
   kind: Type.Literal("waiting"),
@@ -113,14 +111,14 @@
     return decision;
   };
 
-  /// Whether the engines of this data centre are too busy for a request, if
-  /// those of another one have more free slots.
+  /// Whether the engines of this data centre are too busy to meet the request's
+  /// objective.
   const isUnsatisfactory = (
     decision: PlacementDecision | undefined,
     { objective, age }: PlacementQuery,
   ) =>
     decision?.kind !== "placed" ||
-    age + decision.firstEventTime > objective * TIMELY_OBJECTIVE_RATIO;
+    age + decision.firstEventTime > objective;
 
   const askOther = async (
     query: PlacementQuery,
