Wait for bodies and responses under way during a planned stop

Cause: only requests that had been read and placed counted as running. A stop with no others closed all connections after 2.6 s, also one on which a caller was still sending its body: it was cut off without an answer.

Change: a request counts from its head until its response has been sent.

Measured: test/gateway/planned_stop_test.ts; its case of a body that arrives 2.9 s after the signal failed before (empty answer) and gets 503 now.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -37,6 +37,8 @@
   /// and requests that arrive after `until` are refused.
   startDraining(until: Milliseconds): void;
   applyLimits(limits: CallerLimits): void;
+  /// Number of requests whose response hasn't been sent in full, including those
+  /// whose body is still being read.
   running(): number;
 }
 
@@ -204,7 +206,6 @@
     request: GatewayRequest,
     callerResponse: CallerResponse,
   ) => {
-    running += 1;
     bufferedBytes += request.body.length;
     try {
       const outcome = await handleRequest(context, request, callerResponse);
@@ -234,7 +235,6 @@
         took: Math.round(took),
       });
     } finally {
-      running -= 1;
       bufferedBytes -= request.body.length;
     }
   };
@@ -245,6 +245,8 @@
       noDelay: true,
     },
     (message, response) => {
+      running += 1;
+      response.on("close", () => void (running -= 1));
       handle(message, response).catch((error: Error) => {
         log.warn("request failed by a fault of the gateway", {
           reason: error.stack ?? error.message,
