Test a load on many VMs with an owner of placement

Cause: the load tests placed by broadcasts only.

Change: simulateLoad takes a number of hubs and counts messages; 60 and 180 VMs place 200 short prompts and one long one a second through an owner.

--- a/stand_ins/local_links.ts
+++ b/stand_ins/local_links.ts
@@ -21,6 +21,8 @@
   /// Makes a VM receive and send nothing, like a paused process. Its peers don't
   /// detect it.
   setSilent(vm: string, isSilent: boolean): void;
+  /// Number of messages, calls and replies that a VM has received.
+  received(vm: string): number;
 }
 
 interface Member {
@@ -53,6 +55,7 @@
   const members = new Map<string, Member>();
   const cuts = new Set<string>();
   const silent = new Set<string>();
+  const receivedBy = new Map<string, number>();
   /// The VMs and the cuts that `peers` applies. They follow the actual state after
   /// the detection time.
   let visibleMembers: ReadonlyMap<string, Member> = new Map();
@@ -78,7 +81,10 @@
     clock.schedule(latency, () => {
       const isCurrent = members.get(to.identity.vm) === to;
       const isSilent = silent.has(from) || silent.has(to.identity.vm);
-      if (isCurrent && !isSilent && isReachable(from, to.identity.vm)) action();
+      if (!isCurrent || isSilent || !isReachable(from, to.identity.vm)) return;
+      const { vm } = to.identity;
+      receivedBy.set(vm, (receivedBy.get(vm) ?? 0) + 1);
+      action();
     });
   };
 
@@ -167,6 +173,7 @@
       members.delete(vm);
       scheduleUpdate();
     },
+    received: (vm) => receivedBy.get(vm) ?? 0,
     setSilent(vm, isSilent) {
       if (isSilent) silent.add(vm);
       else silent.delete(vm);
--- a/stand_ins/platform/load_simulation.ts
+++ b/stand_ins/platform/load_simulation.ts
@@ -46,6 +46,9 @@
   /// Sends each request immediately to a random engine that prefills the whole
   /// prompt, as a baseline.
   readonly isBaseline?: boolean;
+  /// Number of hubs, the first of which places the requests of all VMs; by
+  /// default each VM places its own.
+  readonly hubs?: number;
 }
 
 export interface ClassResult {
@@ -55,16 +58,22 @@
   readonly refused: number;
 }
 
+/// The results by class.
+export interface LoadResults extends ReadonlyMap<string, ClassResult> {
+  /// Median number of messages that a VM received.
+  readonly messagesPerVm: number;
+}
+
 function exponential(random: RandomSource, mean: number): number {
   return -Math.log(1 - random.next()) * mean;
 }
 
 export async function simulateLoad(
   load: SimulatedLoad,
-): Promise<ReadonlyMap<string, ClassResult>> {
+): Promise<LoadResults> {
   const clock = createFakeClock();
   const random = createSeededRandom(load.seed);
-  const network = createLocalNetwork(clock);
+  const network = createLocalNetwork(clock, { hubsPerDataCentre: load.hubs });
   const view = createFleetView(clock);
   const { profile } = load;
   const service: Service = {
@@ -208,7 +217,10 @@
   await clock.advance(load.seconds * 1_000);
   await clock.advanceUntil(Promise.all(running), 120_000);
   for (const vm of vms) vm.close();
-  return results;
+  const received = vms.map((_, index) => network.received(`vm-${index}`))
+    .sort((left, right) => left - right);
+  const messagesPerVm = received[Math.floor(received.length / 2)]!;
+  return Object.assign(results, { messagesPerVm });
 }
 
 function routeOf(loadClass: LoadClass, service: string): Route {
--- a/test/gateway/load_test.ts
+++ b/test/gateway/load_test.ts
@@ -101,6 +101,30 @@
   }
 });
 
+test("with an owner, many VMs are served in time with few messages", async (t) => {
+  t.timeout(180_000);
+  const perRequest: number[] = [];
+  for (const vms of [60, 180]) {
+    const load = {
+      ...base,
+      vms,
+      hubs: 2,
+      engines: 78,
+      seconds: 3,
+      classes: [short(200), long(1)],
+    };
+    const results = await simulateLoad(load);
+    const shorts = results.get("short")!;
+    t.true(
+      inTimeRatio(shorts) >= QUIET_SHORT_IN_TIME_RATIO,
+      `${vms} VMs: ${inTimeRatio(shorts)}`,
+    );
+    perRequest.push(results.messagesPerVm / (shorts.sent / vms));
+  }
+  // What a VM that isn't a hub receives follows its own requests.
+  t.true(perRequest[1]! <= 1.5 * perRequest[0]!, perRequest.join());
+});
+
 test("overloaded engines serve the prompts that can be in time", async (t) => {
   for (const seed of [1, 2]) {
     const load = { ...base, seed, seconds: 20, classes: [short(115)] };
