--- a/src/gateway/placement_service.ts
+++ b/src/gateway/placement_service.ts
@@ -2,6 +2,7 @@
 import type { Links } from "../links/links.ts";
 import { defineCall, defineMessage } from "../links/message.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
+import { createAwaitedDecisions } from "./awaited_decisions.ts";
 import type { CellSummaries } from "./cell_summaries.ts";
 import { workOfDecision } from "./decided_work.ts";
 import type { FleetView } from "./fleet_view.ts";
@@ -22,9 +23,6 @@
 /// Time in which an owner replies. A request that gets no reply is placed
 /// without the knowledge of the others' work.
 const REPLY_TIMEOUT_MILLISECONDS: Milliseconds = 200;
-/// Time in which an owner decides on a request that waits for a slot, beyond
-/// the time for which it may wait.
-const QUEUE_TIMEOUT_MILLISECONDS: Milliseconds = 1_300;
 /// Difference in the share of free slots from which a request is placed in
 /// another data centre. Its bytes then go between data centres, so small
 /// differences aren't worth it.
@@ -86,10 +84,7 @@
   const { clock, links, view, health, inFlightWork, owners } = options;
   const { decider, summaries } = options;
   const ownDataCentre = links.self.dataCentre;
-  const waiting = new Map<
-    string,
-    (decision: PlacementDecision | undefined) => void
-  >();
+  const awaited = createAwaitedDecisions(clock);
   let nextTicket = 0;
 
   const claim = (vm: string, query: PlacementQuery, placed: PlacedDecision) => {
@@ -186,44 +181,13 @@
     }
   };
 
-  const waitKey = (vm: string, ticket: number) => `${vm} ${ticket}`;
-
   links.onMessage(placedMessage, ({ ticket, decision }, { vm }) => {
-    const settle = waiting.get(waitKey(vm, ticket));
-    if (settle) settle(decision);
-    else abandon(decision);
-  });
-
-  links.onPeersChange(() => {
-    const linked = new Set(links.neighbours().map((peer) => peer.vm));
-    for (const [key, settle] of waiting) {
-      if (!linked.has(key.split(" ")[0]!)) settle(undefined);
-    }
+    if (!awaited.settle(vm, ticket, decision)) abandon(decision);
   });
 
-  /// Waits for a decision that an owner announced; undefined if none arrives.
-  const awaitDecision = (
-    vm: string,
-    ticket: number,
-    signal: AbortSignal | undefined,
-  ) =>
-    new Promise<PlacementDecision | undefined>((resolve) => {
-      const key = waitKey(vm, ticket);
-      const settle = (decision: PlacementDecision | undefined) => {
-        waiting.delete(key);
-        timer.cancel();
-        signal?.removeEventListener("abort", leave);
-        resolve(decision);
-      };
-      const leave = () =>
-        settle({ kind: "refused", reason: "no engine had a slot in time" });
-      const timer = clock.schedule(
-        QUEUE_TIMEOUT_MILLISECONDS,
-        () => settle(undefined),
-      );
-      signal?.addEventListener("abort", leave, { once: true });
-      waiting.set(key, settle);
-    });
+  links.onPeersChange(() =>
+    awaited.retain(new Set(links.neighbours().map((peer) => peer.vm)))
+  );
 
   const askOwner = async (
     vm: string,
@@ -236,7 +200,7 @@
         isForwarded: false,
       }, { timeoutMilliseconds: REPLY_TIMEOUT_MILLISECONDS });
       if (reply.kind !== "waiting") return reply;
-      return await awaitDecision(vm, reply.ticket, signal);
+      return await awaited.wait(vm, reply.ticket, signal);
     } catch {
       owners.passOver(vm);
       return undefined;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -359,7 +359,7 @@
     if (isOver() || isOutdated) {
       placements.abandon(decision);
       await reservations?.release();
-      lastReason = "the decision was outdated";
+      if (isOutdated) lastReason = "the decision was outdated";
       continue;
     }
     attempts += 1;
