Don't let a refusal by an owner wait

Cause: an owner that couldn't place a prompt well replied that a decision would follow and sent it in a message. If it refused without asking another data centre, the message left before the reply; the asking VM found no request waiting for it and waited 1.3 s for one that had already come.

Change: the asking VM chooses the ticket and waits for it before it asks.

Measured: the new case of placement_owner_test.ts failed before (over 30 ms of the fake clock) and passes.

--- a/src/gateway/awaited_decisions.ts
+++ b/src/gateway/awaited_decisions.ts
@@ -1,23 +1,28 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { PlacementDecision } from "./placement_decision.ts";
 
-/// Decisions that owners of placement have announced, for requests that wait for
-/// a slot.
+/// Decisions that owners of placement send after their reply, for requests that
+/// wait for a slot or for another data centre.
 
-/// Time after which an announced decision is given up: a bit more than a request
-/// may wait for a slot.
+/// Time after which a decision is given up: a bit more than a request may wait
+/// for a slot.
 const TIMEOUT_MILLISECONDS: Milliseconds = 1_300;
 
 export interface AwaitedDecisions {
-  /// Waits for the decision that `vm` announced with `ticket`. Resolves to
+  /// Waits for the decision of `vm` on the question with `ticket`. Resolves to
   /// undefined if none arrives, and to a refusal when `signal` aborts.
   wait(
     vm: string,
     ticket: number,
     signal: AbortSignal | undefined,
   ): Promise<PlacementDecision | undefined>;
-  /// Passes on a decision; returns false if no request waits for it.
-  settle(vm: string, ticket: number, decision: PlacementDecision): boolean;
+  /// Passes on a decision, or ends the wait with undefined; returns false if no
+  /// request waits.
+  settle(
+    vm: string,
+    ticket: number,
+    decision: PlacementDecision | undefined,
+  ): boolean;
   /// Ends the waits for VMs that aren't in `vms`.
   retain(vms: ReadonlySet<string>): void;
 }
--- a/src/gateway/placement_service.ts
+++ b/src/gateway/placement_service.ts
@@ -28,10 +28,8 @@
 /// differences aren't worth it.
 const MINIMUM_SHARE_GAIN = 0.2;
 
-const WaitingDecision = Type.Object({
-  kind: Type.Literal("waiting"),
-  ticket: Type.Number(),
-});
+/// The decision follows in a message.
+const WaitingDecision = Type.Object({ kind: Type.Literal("waiting") });
 
 const placeCall = defineCall("gateway.place", {
   request: Type.Object({
@@ -39,6 +37,8 @@
     /// Whether an owner asks for another data centre, so that the request is
     /// neither queued nor passed on.
     isForwarded: Type.Boolean(),
+    /// Chosen by the asking VM; a decision that follows later carries it.
+    ticket: Type.Number(),
   }),
   reply: Type.Union([PlacementDecision, WaitingDecision]),
 });
@@ -125,6 +125,7 @@
       const decision = await links.call(best.vm, placeCall, {
         query,
         isForwarded: true,
+        ticket: nextTicket++,
       }, { timeoutMilliseconds: REPLY_TIMEOUT_MILLISECONDS });
       return decision.kind === "placed" ? decision : undefined;
     } catch {
@@ -153,20 +154,18 @@
     mayWait,
   });
 
-  links.onCall(placeCall, async ({ query, isForwarded }, { vm }) => {
+  links.onCall(placeCall, async ({ query, isForwarded, ticket }, { vm }) => {
     if (isForwarded) {
       const decision = await decider.decide(query, ownScope(false));
       return claimed(vm, query, decision);
     }
     const now = decider.decideNow(query, ownScope(true));
     if (now && !isUnsatisfactory(now, query)) return claimed(vm, query, now);
-    const ticket = nextTicket++;
-    const settled = decideAsOwner(query, ownScope(true)).then((decision) => {
+    void decideAsOwner(query, ownScope(true)).then((decision) => {
       claimed(vm, query, decision);
       links.send(vm, placedMessage, { ticket, decision });
     });
-    void settled;
-    return { kind: "waiting" as const, ticket };
+    return { kind: "waiting" as const };
   });
 
   links.onCall(remainingCall, ({ upstream }) =>
@@ -194,14 +193,20 @@
     query: PlacementQuery,
     signal: AbortSignal | undefined,
   ): Promise<PlacementDecision | undefined> => {
+    const ticket = nextTicket++;
+    // The decision may arrive before the reply that announces it.
+    const announced = awaited.wait(vm, ticket, signal);
     try {
       const reply = await links.call(vm, placeCall, {
         query: { ...query, avoided: [...query.avoided, ...health.suspended()] },
         isForwarded: false,
+        ticket,
       }, { timeoutMilliseconds: REPLY_TIMEOUT_MILLISECONDS });
-      if (reply.kind !== "waiting") return reply;
-      return await awaited.wait(vm, reply.ticket, signal);
+      if (reply.kind === "waiting") return await announced;
+      awaited.settle(vm, ticket, undefined);
+      return reply;
     } catch {
+      awaited.settle(vm, ticket, undefined);
       owners.passOver(vm);
       return undefined;
     }
--- a/test/gateway/placement_owner_test.ts
+++ b/test/gateway/placement_owner_test.ts
@@ -179,6 +179,21 @@
   t.is(decision.kind, "placed");
 });
 
+test("a prompt that no engine can take is refused at once", async (t) => {
+  const fleet = createFleet({ vmsPerDataCentre: 40, enginesPerDataCentre: 2 });
+  await fleet.clock.advance(1_000);
+  const cases = [
+    { ...SHORT, promptTokens: 5_000_000 },
+    { ...SHORT, promptTokens: 400_000, remaining: 500 },
+  ];
+  for (const query of cases) {
+    const startedAt = fleet.clock.now();
+    const decision = await fleet.place(fleet.vms[2]!, query);
+    t.is(decision.kind, "refused");
+    t.true(fleet.clock.now() - startedAt <= 30);
+  }
+});
+
 test("the next hub places while the owner is gone, and knows the running work", async (t) => {
   const fleet = createFleet({ vmsPerDataCentre: 40, enginesPerDataCentre: 2 });
   await fleet.clock.advance(1_000);
