Log and count the crashes that are recorded for a request

Now each crash that is recorded or cleared writes a line with the fingerprint, the count and the VM that reported it, failed attempts name the fingerprint, and a metric counts records by source.

No decision changed.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -199,7 +199,11 @@
     engineNames: () => engines.all().map((engine) => engine.upstream.name),
     isHeldLocally: holdings.isHeld,
   });
-  const quarantine = createQuarantine({ clock, links });
+  const quarantine = createQuarantine({
+    clock,
+    links,
+    log: logFor("requests"),
+  });
   const services = createServiceDirectory({
     book,
     random,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -179,7 +179,15 @@
       vmCount: estimateVmCount,
     }),
     connections,
-    crashRecords: createCrashRecords({ clock, links }),
+    crashRecords: createCrashRecords({
+      clock,
+      links,
+      log,
+      onRecorded: (vm) =>
+        metrics.crashesRecorded.inc({
+          source: vm === settings.vm ? "this VM" : "other VM",
+        }),
+    }),
     responseBytes: createByteBudget(MAXIMUM_RESPONSE_BYTES),
     reservationPrefix: `${settings.vm}-${incarnation}`,
     maximumReservationLifetime: settings.longestHoldMilliseconds,
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -17,6 +17,8 @@
   readonly connectionsOpened: Gauge;
   readonly logLinesDropped: Gauge;
   readonly unexpectedErrors: Counter;
+  /// Crashes of upstreams by the VM that reported them.
+  readonly crashesRecorded: Counter<"source">;
   readonly linkMessages: Counter<"name">;
 }
 
@@ -96,6 +98,13 @@
       labelNames: ["name"],
       registers,
     }),
+    crashesRecorded: new Counter({
+      name: "sequoiaturn_gateway_crashes_recorded_total",
+      help: "Crashes of upstreams that were recorded for a request, by the " +
+        "VM that reported them",
+      labelNames: ["source"],
+      registers,
+    }),
     unexpectedErrors: new Counter({
       name: "sequoiaturn_gateway_unexpected_errors_total",
       help: "Errors that nothing caught",
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -1,3 +1,4 @@
+import { abbreviateFingerprint } from "../requests/crash_records.ts";
 import type { Milliseconds } from "../support/clock.ts";
 import { type Attempt, type AttemptResult, startAttempt } from "./attempt.ts";
 import type { CallerResponse } from "./caller_response.ts";
@@ -234,6 +235,7 @@
     }
     log.warn("try ended", {
       request: metadata.attemptId,
+      fingerprint: abbreviateFingerprint(request.fingerprint),
       route: route.name,
       upstream: upstream.id,
       address: upstream.address,
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -3,6 +3,7 @@
 import { defineCall, defineMessage } from "../links/message.ts";
 import { createNewPeers } from "../links/new_peers.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
 
 /// Records which requests were running on engines when these crashed, and
 /// shares the records with every VM of the fleet.
@@ -40,6 +41,14 @@
   Type.Object({ fingerprint: Type.String(), ids: Type.Array(Type.String()) }),
 );
 
+/// Characters of a fingerprint in log lines.
+const LOGGED_FINGERPRINT_LENGTH = 12;
+
+/// Returns the part of a fingerprint that log lines contain.
+export function abbreviateFingerprint(fingerprint: string): string {
+  return fingerprint.slice(0, LOGGED_FINGERPRINT_LENGTH);
+}
+
 export interface CrashRecords {
   /// Number of crashes during which a request with this fingerprint ran.
   count(fingerprint: string): number;
@@ -55,10 +64,13 @@
 export interface CrashRecordsOptions {
   readonly clock: Clock;
   readonly links: Links;
+  readonly log: Logger;
+  /// Called for each crash that is recorded, with the VM that reported it.
+  readonly onRecorded?: (vm: string) => void;
 }
 
 export function createCrashRecords(options: CrashRecordsOptions): CrashRecords {
-  const { clock, links } = options;
+  const { clock, links, log } = options;
   /// Times of crashes by fingerprint and id.
   const crashTimes = new Map<string, Map<string, Milliseconds>>();
   /// Ids of cleared crashes. A late report of one is ignored.
@@ -71,12 +83,22 @@
     size: number,
   ) => size > MAXIMUM_ENTRIES ? [...items.keys()][0] : undefined;
 
-  const add = ({ fingerprint, id, age }: CrashRecord) => {
+  const add = ({ fingerprint, id, age }: CrashRecord, vm: string) => {
     if (cleared.has(id)) return;
     const crashes = crashTimes.get(fingerprint) ??
       new Map<string, Milliseconds>();
     crashTimes.set(fingerprint, crashes);
-    if (!crashes.has(id)) crashes.set(id, clock.now() - age);
+    if (!crashes.has(id)) {
+      crashes.set(id, clock.now() - age);
+      options.onRecorded?.(vm);
+      log.warn("crash recorded", {
+        fingerprint: abbreviateFingerprint(fingerprint),
+        crash: id,
+        reportedBy: vm,
+        age: Math.round(age),
+        crashes: crashes.size,
+      });
+    }
     const oldest = oldestAboveLimit(crashTimes, crashTimes.size);
     if (oldest !== undefined) crashTimes.delete(oldest);
   };
@@ -93,7 +115,15 @@
     return [...crashes];
   };
 
-  const remove = (fingerprint: string, ids: readonly string[]) => {
+  const remove = (
+    fingerprint: string,
+    { ids, vm }: { ids: readonly string[]; vm: string },
+  ) => {
+    log.info("crashes cleared", {
+      fingerprint: abbreviateFingerprint(fingerprint),
+      crashes: ids.length,
+      reportedBy: vm,
+    });
     for (const id of ids) {
       crashTimes.get(fingerprint)?.delete(id);
       cleared.add(id);
@@ -125,13 +155,15 @@
     for (const { vm } of added) report(vm, records).catch(() => {});
   };
 
-  links.onCall(reportCall, ({ marks: records }) => {
-    records.forEach(add);
+  links.onCall(reportCall, ({ marks: records }, { vm }) => {
+    for (const record of records) add(record, vm);
     return Promise.resolve({});
   });
-  links.onMessage(marksMessage, ({ marks: records }) => records.forEach(add));
-  links.onMessage(clearMessage, ({ fingerprint, ids }) => {
-    remove(fingerprint, ids);
+  links.onMessage(marksMessage, ({ marks: records }, { vm }) => {
+    for (const record of records) add(record, vm);
+  });
+  links.onMessage(clearMessage, ({ fingerprint, ids }, { vm }) => {
+    remove(fingerprint, { ids, vm });
   });
   links.onPeersChange(reportToNewPeers);
 
@@ -150,7 +182,7 @@
       const { vm, incarnation } = links.self;
       const id = `${vm}:${incarnation}:${nextId++}`;
       const crash = { fingerprint, id, age: 0 };
-      add(crash);
+      add(crash, vm);
       if (links.hubs() !== undefined) {
         links.broadcast(marksMessage, { marks: [crash] });
         return;
@@ -161,7 +193,7 @@
     clear(fingerprint) {
       const ids = crashesOf(fingerprint).map(([id]) => id);
       if (ids.length === 0) return;
-      remove(fingerprint, ids);
+      remove(fingerprint, { ids, vm: links.self.vm });
       links.broadcast(clearMessage, { fingerprint, ids });
     },
   };
--- a/src/requests/quarantine.ts
+++ b/src/requests/quarantine.ts
@@ -3,6 +3,7 @@
 import type { Links } from "../links/links.ts";
 import { defineMessage } from "../links/message.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Logger } from "../support/log.ts";
 import { createCrashRecords } from "./crash_records.ts";
 import { createFleetPermits, type Permit } from "./fleet_permits.ts";
 import { RequestError } from "./request_error.ts";
@@ -73,6 +74,7 @@
 export interface QuarantineOptions {
   readonly clock: Clock;
   readonly links: Links;
+  readonly log: Logger;
 }
 
 const UNCOUNTED: Permit = { release: () => {} };
--- a/test/requests/completion_run_test.ts
+++ b/test/requests/completion_run_test.ts
@@ -6,6 +6,7 @@
 import { startDeadline } from "../../src/requests/deadline.ts";
 import { RequestError } from "../../src/requests/request_error.ts";
 import { createRequestRegistry } from "../../src/requests/request_registry.ts";
+import { createSilentLogger } from "../../src/support/log.ts";
 import { createSeededRandom } from "../../src/support/random.ts";
 import { createEngineDirectory } from "../../src/upstreams/engine_directory.ts";
 import { createEngineHoldings } from "../../src/upstreams/engine_holdings.ts";
@@ -49,7 +50,11 @@
     engines,
     holdings,
     placement,
-    quarantine: createQuarantine({ clock, links }),
+    quarantine: createQuarantine({
+      clock,
+      links,
+      log: createSilentLogger(),
+    }),
     resumables: { claim: () => Promise.resolve(undefined) },
   });
   const registry = createRequestRegistry(clock);
