Show that a request that crashes upstreams is never refused

A test that passes holds the other side: responses lost by upstreams that still run are not crashes.

--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -29,6 +29,8 @@
     readonly from?: number;
     readonly to: number;
     readonly resetAfter?: number;
+    /// The process ends after this event.
+    readonly crashAfter?: number;
     readonly pauseMilliseconds?: number;
     readonly formatEvent?: (event: number) => string;
   }
@@ -39,6 +41,8 @@
   | { readonly kind: "answer_unframed"; readonly body: string }
   /// A response without a length that is truncated by a crash of the upstream.
   | { readonly kind: "crash_unframed"; readonly body: string }
+  /// The process ends, and with it its listener and all of its connections.
+  | { readonly kind: "crash" }
   /// Whatever `write` writes to the connection. `head` returns the head of a
   /// response to this request, without the blank line after it.
   | {
@@ -79,19 +83,26 @@
   const orders: Record<string, unknown>[] = [];
   const connections = new Set<Socket>();
 
+  const crash = () => {
+    server.close();
+    for (const connection of connections) connection.destroy();
+  };
+
   const stream = async (
     action: UpstreamAction & { kind: "stream" },
     request: ReceivedRequest,
     response: ServerResponse,
   ) => {
     response.writeHead(200, { "Content-Type": "text/event-stream" });
-    const { from = 1, to, resetAfter, pauseMilliseconds = 1 } = action;
+    const { from = 1, to, resetAfter, crashAfter } = action;
+    const { pauseMilliseconds = 1 } = action;
     const formatEvent = action.formatEvent ?? defaultEvent;
     for (let event = from; event <= to; event++) {
       if (request.wasAborted) return;
       response.write(formatEvent(event));
       await new Promise((resolve) => setTimeout(resolve, pauseMilliseconds));
       if (event === resetAfter) return response.socket?.resetAndDestroy();
+      if (event === crashAfter) return crash();
     }
     response.end();
   };
@@ -123,6 +134,8 @@
         return response.socket?.resetAndDestroy();
       case "silence":
         return;
+      case "crash":
+        return crash();
       case "raw":
         if (!response.socket) return;
         return action.write(response.socket, (fields = []) =>
--- /dev/null
+++ b/test/gateway/crashing_request_test.ts
@@ -0,0 +1,139 @@
+import test, { type ExecutionContext } from "ava";
+import {
+  type CallerRequest,
+  type PlatformDeployment,
+  startPlatformDeployment,
+  until,
+} from "../../stand_ins/platform/platform_deployment.ts";
+import type { UpstreamAction } from "../../stand_ins/platform/scripted_upstream.ts";
+
+/// Requests that crash the upstreams that run them, at several gateways.
+
+const GATEWAYS = 3;
+const UPSTREAMS = 8;
+/// Longer than a report takes from one gateway to another.
+const PAUSE_MILLISECONDS = 150;
+
+const SAFE = { path: "/look/crash", method: "GET" };
+const ONCE = { path: "/once/crash", body: "an order" };
+const STREAM = {
+  path: "/ask/crash",
+  headers: { "X-Token-Counts": "1460,80", "X-Model": "m" },
+  body: "a prompt",
+};
+
+const pause = () =>
+  new Promise((resolve) => setTimeout(resolve, PAUSE_MILLISECONDS));
+
+/// Starts linked gateways with upstreams that run `action` for requests to
+/// paths that end with `/crash`, and serve all others.
+async function deploy(
+  t: ExecutionContext,
+  service: string,
+  action: UpstreamAction,
+) {
+  const deployment = await startPlatformDeployment({ gateways: GATEWAYS });
+  t.teardown(deployment.close);
+  const upstreams = await Promise.all(
+    Array.from({ length: UPSTREAMS }, (_, index) =>
+      deployment.addUpstream(
+        service,
+        `u${index}`,
+        ({ target }) =>
+          target.endsWith("/crash")
+            ? action
+            : service === "engines"
+            ? { kind: "stream", to: 3 }
+            : { kind: "answer", body: "done" },
+      )),
+  );
+  await until(() => isLinked(deployment));
+  const executions = () =>
+    upstreams.reduce(
+      (total, { requests }) =>
+        total +
+        requests.filter(({ target, wasExecuted }) =>
+          wasExecuted && target.endsWith("/crash")
+        ).length,
+      0,
+    );
+  return { deployment, executions };
+}
+
+/// Whether every gateway lists all upstreams and is linked to all others.
+async function isLinked(deployment: PlatformDeployment): Promise<boolean> {
+  const metrics = await Promise.all(
+    deployment.gateways.map((_, gateway) => deployment.readMetrics(gateway)),
+  );
+  return metrics.every((text) =>
+    text.includes(`sequoiaturn_gateway_upstreams ${UPSTREAMS}\n`) &&
+    text.includes(`sequoiaturn_gateway_peers ${GATEWAYS - 1}\n`)
+  );
+}
+
+/// Sends a request to the gateways in turn.
+async function sendInTurn(
+  deployment: PlatformDeployment,
+  { request, times }: { request: CallerRequest; times: number },
+) {
+  const results = [];
+  for (let count = 0; count < times; count++) {
+    const gateway = count % GATEWAYS;
+    results.push(await deployment.send({ ...request, gateway }));
+    await pause();
+  }
+  return results;
+}
+
+interface CrashCase {
+  readonly title: string;
+  readonly service: string;
+  readonly request: CallerRequest;
+  readonly action: UpstreamAction;
+}
+
+const CRASH_CASES: readonly CrashCase[] = [
+  {
+    title: "a safe request that crashes services without a response",
+    service: "desk",
+    request: SAFE,
+    action: { kind: "crash" },
+  },
+  {
+    title: "an at-most-once request that crashes services without a response",
+    service: "desk",
+    request: ONCE,
+    action: { kind: "crash" },
+  },
+  {
+    title: "a stream that crashes engines before its first event",
+    service: "engines",
+    request: STREAM,
+    action: { kind: "crash" },
+  },
+  {
+    title: "a stream that crashes engines after an event",
+    service: "engines",
+    request: STREAM,
+    action: { kind: "stream", to: 9, crashAfter: 1 },
+  },
+];
+
+for (const { title, service, request, action } of CRASH_CASES) {
+  test.failing(`${title} is refused by all VMs after three crashes`, async (t) => {
+    const { deployment, executions } = await deploy(t, service, action);
+    const results = await sendInTurn(deployment, { request, times: 8 });
+    t.is(executions(), 3);
+    t.is(results.at(-1)!.status, 503);
+    const path = request.path.replace("crash", "sound");
+    const sound = await deployment.send({ ...request, path });
+    t.is(sound.status, 200);
+    t.true(sound.isWhole);
+  });
+}
+
+test("a request whose responses are lost by running upstreams stays allowed", async (t) => {
+  const { deployment, executions } = await deploy(t, "desk", { kind: "reset" });
+  await sendInTurn(deployment, { request: ONCE, times: 5 });
+  t.is(executions(), 5);
+});
