Recognise a crash by the upstream that accepts no connections any more

Cause: a request is refused after three crashes, but a crash was recorded only for an attempt that was silent or whose response ended without a length. The usual crash closes the connection while the response is awaited, and that was reported as failed at a reachable upstream without a look whether it was reachable. The class of fault: a protection whose trigger is a state that the layer below never reports.

Change: a connection that closes after the request was sent is followed by a check whether the upstream accepts connections, as for responses without a length; checks of one address share a connection. The count is looked at again right before a request is sent, since a decision may wait. Retry-After of the refusal is the time for which the records are kept.

Why it works: a process that has ended refuses connections, one that only drops a connection or loses a response doesn't, so lost responses are still not crashes.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -49,7 +49,8 @@
   | {
     readonly kind: "failed";
     readonly reason: string;
-    /// Whether the upstream also accepts no connections.
+    /// Whether the upstream accepts no connections any more, so that its process
+    /// has ended.
     readonly isUnreachable: boolean;
     /// Whether the upstream may have closed the reused connection before the
     /// request arrived, which doesn't indicate poor health.
@@ -134,6 +135,16 @@
     settle({ kind: "failed", reason, isUnreachable });
   };
 
+  /// Finds out whether the upstream still accepts connections after it has
+  /// closed one: a process that crashes closes all of them, and so does one that
+  /// only loses a response or drops a connection.
+  const checkReachable = (onResult: (isReachable: boolean) => void) => {
+    timer?.cancel();
+    context.connections.acceptsConnections(plan.upstream.address)
+      .then(onResult)
+      .catch((error: Error) => fail(`not checked: ${error.message}`));
+  };
+
   let bytesAtProgress = 0;
 
   const watchInactivity = (timeout: Milliseconds) => {
@@ -249,23 +260,26 @@
     },
     onEnd() {
       if (head?.isFramed !== false) return finish();
-      // A crash of the process closes its connections too. The response is
-      // complete only if the upstream still accepts connections.
-      context.connections.acceptsConnections(plan.upstream.address).then(
-        (isReachable) => {
-          if (isReachable) finish();
-          else fail("the upstream went away at the end of its answer", true);
-        },
-      ).catch((error: Error) => fail(`not checked: ${error.message}`));
+      // The response is complete only if the upstream is still there.
+      checkReachable((isReachable) => {
+        if (isReachable) finish();
+        else fail("the upstream went away at the end of its answer", true);
+      });
     },
     onFailure({ wasSent, wasReused, reason }) {
-      if (wasSent) {
-        const mayBeStale = wasReused && !head;
-        const isUnreachable = false;
-        return settle({ kind: "failed", reason, isUnreachable, mayBeStale });
+      if (!wasSent) {
+        const detail = `not connected: ${reason}`;
+        return settle({
+          kind: "not_run",
+          reason: detail,
+          isUnreachable: true,
+        });
       }
-      const detail = `not connected: ${reason}`;
-      settle({ kind: "not_run", reason: detail, isUnreachable: true });
+      const mayBeStale = wasReused && !head;
+      checkReachable((isReachable) => {
+        const isUnreachable = !isReachable;
+        settle({ kind: "failed", reason, isUnreachable, mayBeStale });
+      });
     },
   });
   watchInactivity(plan.firstEventTimeout);
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -302,13 +302,14 @@
   };
 
   const isOver = () => response.isClosed() || isTimedOut;
+  const hasCrashedUpstreams = () =>
+    context.crashRecords.count(request.fingerprint) >= CRASHES_UNTIL_REFUSED;
 
   while (true) {
     if (isOver() || remaining() < MINIMUM_ATTEMPT_MILLISECONDS) return giveUp();
-    if (
-      context.crashRecords.count(request.fingerprint) >= CRASHES_UNTIL_REFUSED
-    ) {
+    if (hasCrashedUpstreams()) {
       lastReason = "upstreams crashed with this request";
+      retryEstimate = context.crashRecords.remaining(request.fingerprint);
       return giveUp();
     }
     const decision = await placer.decide({
@@ -358,7 +359,7 @@
     }
     const isOutdated =
       clock.now() - decidedAt >= MAXIMUM_DECISION_AGE_MILLISECONDS;
-    if (isOver() || isOutdated) {
+    if (isOver() || isOutdated || hasCrashedUpstreams()) {
       placements.abandon(decision);
       await reservations?.release();
       if (isOutdated) lastReason = "the decision was outdated";
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -41,7 +41,8 @@
   /// Returns a connection to `address`. One that has been idle for longer than
   /// `maximumIdle` is not reused.
   acquire(address: string, maximumIdle?: Milliseconds): UpstreamConnection;
-  /// Whether `address` accepts connections now.
+  /// Whether `address` accepts connections now. Concurrent calls for an address
+  /// share one connection.
   acceptsConnections(address: string): Promise<boolean>;
   /// Number of connections opened so far.
   opened(): number;
@@ -59,6 +60,8 @@
 export function createUpstreamConnections(clock: Clock): UpstreamConnections {
   const idleByAddress = new Map<string, IdleConnection[]>();
   const idleByClient = new Map<Client, IdleConnection>();
+  /// Checks in progress by address.
+  const checks = new Map<string, Promise<boolean>>();
   let opened = 0;
 
   const openSocket = (
@@ -144,6 +147,16 @@
     return connection;
   };
 
+  const checkAddress = (address: string) =>
+    new Promise<boolean>((resolve) => {
+      openSocket(address, (error, socket) => {
+        socket?.destroy();
+        resolve(error === null);
+      }, () => {
+        // The callback receives the error too.
+      });
+    });
+
   return {
     acquire(address, maximumIdle = MAXIMUM_IDLE_MILLISECONDS) {
       const entries = idleByAddress.get(address) ?? [];
@@ -158,15 +171,12 @@
       }
       return open(address);
     },
-    acceptsConnections: (address) =>
-      new Promise((resolve) => {
-        openSocket(address, (error, socket) => {
-          socket?.destroy();
-          resolve(error === null);
-        }, () => {
-          // The callback receives the error too.
-        });
-      }),
+    acceptsConnections(address) {
+      const check = checks.get(address) ??
+        checkAddress(address).finally(() => void checks.delete(address));
+      checks.set(address, check);
+      return check;
+    },
     opened: () => opened,
     prune(addresses) {
       for (const [address, entries] of idleByAddress) {
--- a/test/gateway/crashing_request_test.ts
+++ b/test/gateway/crashing_request_test.ts
@@ -47,7 +47,7 @@
             : { kind: "answer", body: "done" },
       )),
   );
-  await until(() => isLinked(deployment));
+  await until(() => isReady(deployment, UPSTREAMS));
   const executions = () =>
     upstreams.reduce(
       (total, { requests }) =>
@@ -57,16 +57,26 @@
         ).length,
       0,
     );
-  return { deployment, executions };
+  /// Removes the entries of crashed upstreams, as the end of their lease does.
+  const removeCrashed = async () => {
+    const crashed = upstreams.filter(({ requests }) => requests.length > 0);
+    for (const { id } of crashed) deployment.store.remove(`servers/${id}`);
+    await until(() => isReady(deployment, UPSTREAMS - crashed.length));
+  };
+  return { deployment, executions, removeCrashed };
 }
 
-/// Whether every gateway lists all upstreams and is linked to all others.
-async function isLinked(deployment: PlatformDeployment): Promise<boolean> {
+/// Whether every gateway lists `upstreams` upstreams and is linked to all
+/// others.
+async function isReady(
+  deployment: PlatformDeployment,
+  upstreams: number,
+): Promise<boolean> {
   const metrics = await Promise.all(
     deployment.gateways.map((_, gateway) => deployment.readMetrics(gateway)),
   );
   return metrics.every((text) =>
-    text.includes(`sequoiaturn_gateway_upstreams ${UPSTREAMS}\n`) &&
+    text.includes(`sequoiaturn_gateway_upstreams ${upstreams}\n`) &&
     text.includes(`sequoiaturn_gateway_peers ${GATEWAYS - 1}\n`)
   );
 }
@@ -120,11 +130,17 @@
 ];
 
 for (const { title, service, request, action } of CRASH_CASES) {
-  test.failing(`${title} is refused by all VMs after three crashes`, async (t) => {
-    const { deployment, executions } = await deploy(t, service, action);
+  test(`${title} is refused by all VMs after three crashes`, async (t) => {
+    const { deployment, executions, removeCrashed } = await deploy(
+      t,
+      service,
+      action,
+    );
     const results = await sendInTurn(deployment, { request, times: 8 });
     t.is(executions(), 3);
     t.is(results.at(-1)!.status, 503);
+    t.true(Number(results.at(-1)!.headers["retry-after"]) > 60);
+    await removeCrashed();
     const path = request.path.replace("crash", "sound");
     const sound = await deployment.send({ ...request, path });
     t.is(sound.status, 200);
