Refuse calls that crash services at the daemon too

The daemon limits completions that crash engines, by a probe of the engine after a lost connection, but calls of services had no such limit: a call that crashes the instances that run it was sent to up to three of them each time that a caller sent it, at every VM.

Change: after a lost call the instance is checked for accepting connections; if it doesn't, a crash is recorded for the call's fingerprint (without its key) and shared with all VMs. After two crashes the call is refused with "quarantined" before anything is sent, and its claim is given back.

--- a/src/requests/quarantine.ts
+++ b/src/requests/quarantine.ts
@@ -8,8 +8,10 @@
 import { createFleetPermits, type Permit } from "./fleet_permits.ts";
 import { RequestError } from "./request_error.ts";
 
-/// Limits a request that crashes engines to two crashes in the whole fleet,
-/// however often it is resent and whichever VMs receive it.
+/// Limits a request that crashes upstreams to two crashes in the whole fleet,
+/// however often it is resent and whichever VMs receive it. Attempts at engines
+/// need a permit, so that the limit also holds for concurrent ones; calls of
+/// services are refused once two crashes are recorded.
 
 /// Crashes after which a fingerprint is refused.
 const MAXIMUM_CRASHES = 2;
@@ -65,6 +67,13 @@
   /// Waits until the request may run. Throws `RequestError` when it is
   /// quarantined, or the signal's reason.
   admit(fingerprint: string, signal: AbortSignal): Promise<WatchedAttempt>;
+  /// Throws `RequestError` when the fingerprint is quarantined.
+  requireAllowed(fingerprint: string): void;
+  /// Records a crash outside of a watched attempt. Resolves when the connected
+  /// VMs have confirmed it, or after a bounded time.
+  recordCrash(fingerprint: string): Promise<void>;
+  /// Records that a request has completed outside of a watched attempt.
+  recordCompleted(fingerprint: string): void;
   /// Whether the engine is reserved for a suspect request, so that other
   /// requests must use another engine.
   isExclusive(engine: string): boolean;
@@ -161,7 +170,7 @@
     };
   };
 
-  const requireNotQuarantined = (fingerprint: string) => {
+  const requireAllowed = (fingerprint: string) => {
     if (crashes.count(fingerprint) < MAXIMUM_CRASHES) return;
     const retryAfterSeconds = Math.ceil(crashes.remaining(fingerprint) / 1_000);
     throw new RequestError("quarantined", { retryAfterSeconds });
@@ -178,13 +187,16 @@
     async admit(fingerprint, signal) {
       while (true) {
         signal.throwIfAborted();
-        requireNotQuarantined(fingerprint);
+        requireAllowed(fingerprint);
         if (isHarmless(fingerprint)) return watch(fingerprint, UNCOUNTED);
         const permit = await permits.acquire(fingerprint);
         if (permit) return watch(fingerprint, permit);
         await clock.sleep(PERMIT_RETRY_DELAY_MILLISECONDS, signal);
       }
     },
+    requireAllowed,
+    recordCrash: crashes.record,
+    recordCompleted: crashes.clear,
     isExclusive: (engine) => (exclusiveUntil.get(engine) ?? 0) > clock.now(),
     close: () => permits.close(),
   };
--- a/src/requests/request_error.ts
+++ b/src/requests/request_error.ts
@@ -17,7 +17,7 @@
   body_too_large: [413, "The body is too large"],
   prompt_too_long: [413, "No set of engines can hold the prompt"],
   key_reused: [422, "The key was used with another request"],
-  quarantined: [422, "The request has crashed engines"],
+  quarantined: [422, "The request has crashed upstreams"],
   limit_spent: [429, "The customer's limit is spent"],
   queue_full: [503, "The queue is full"],
   deadline_infeasible: [503, "The deadline can't be met"],
--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -6,6 +6,7 @@
 import {
   type ServiceAnswer,
   type ServiceCall,
+  type ServiceClient,
   ServiceLostError,
   ServiceNotReachedError,
 } from "../upstreams/service_client.ts";
@@ -15,6 +16,7 @@
 import { parseKey } from "./idempotency_key.ts";
 import type { Ledger } from "./ledger.ts";
 import { LedgerUnavailableError } from "./ledger_router.ts";
+import type { Quarantine } from "./quarantine.ts";
 import { RECORDED_BODY_BYTES, type RecordedOutcome } from "./ledger_state.ts";
 import {
   type ProblemCode,
@@ -37,6 +39,10 @@
   readonly random: RandomSource;
   readonly services: ServiceDirectory;
   readonly ledger: Ledger;
+  readonly quarantine: Pick<
+    Quarantine,
+    "requireAllowed" | "recordCrash" | "recordCompleted"
+  >;
 }
 
 export interface ServiceRunner {
@@ -55,6 +61,11 @@
 /// outcome can be recorded.
 const LATE_ANSWER_TIMEOUT_MILLISECONDS = 30_000;
 const RETRY_AFTER_SECONDS = 1;
+/// Errors of an attempt that ended before anything was sent.
+const CODES_BEFORE_SEND: ReadonlySet<ProblemCode> = new Set([
+  "no_upstream",
+  "quarantined",
+]);
 const LEDGER_FULL_RETRY_AFTER_SECONDS = 60;
 
 function fingerprintOf(request: ServiceRequest): string {
@@ -101,13 +112,25 @@
 export function createServiceRunner(
   options: ServiceRunnerOptions,
 ): ServiceRunner {
-  const { clock, services, ledger } = options;
+  const { clock, services, ledger, quarantine } = options;
+
+  /// Records a crash if the instance is gone: one that only loses a response
+  /// still accepts connections.
+  const recordIfCrashed = async (
+    client: ServiceClient,
+    fingerprint: string,
+  ) => {
+    if (await client.acceptsConnections()) return;
+    await quarantine.recordCrash(fingerprint);
+  };
 
   const sendOnce = async (
     request: ServiceRequest,
     excluded: Set<string>,
     options: { open: RunContext["open"]; signal: AbortSignal },
   ) => {
+    const fingerprint = fingerprintOf(request);
+    quarantine.requireAllowed(fingerprint);
     const instance = services.choose(request.service, excluded);
     if (!instance) {
       const retryAfterSeconds = RETRY_AFTER_SECONDS;
@@ -120,7 +143,15 @@
     const recordEnd = services.recordCall(name);
     try {
       const sent = instance.client.send(request.call, options.signal);
-      return await raceAbort(sent, options.signal);
+      const answer = await raceAbort(sent, options.signal);
+      quarantine.recordCompleted(fingerprint);
+      return answer;
+    } catch (error) {
+      if (error instanceof ServiceLostError) {
+        const recorded = recordIfCrashed(instance.client, fingerprint);
+        await raceAbort(recorded, options.signal);
+      }
+      throw error;
     } finally {
       recordEnd();
     }
@@ -185,7 +216,7 @@
           return answer;
         } catch (error) {
           const isNotSent = error instanceof ServiceNotReachedError ||
-            error instanceof RequestError && error.code === "no_upstream";
+            error instanceof RequestError && CODES_BEFORE_SEND.has(error.code);
           if (!isNotSent) {
             ledger.finish(claim, undefined);
             throw unknownOutcome(request, "upstream_lost", error);
--- a/src/upstreams/service_client.ts
+++ b/src/upstreams/service_client.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { Pool } from "undici";
 
 /// Client of services that are not engines.
@@ -21,6 +22,8 @@
   /// Throws `ServiceNotReachedError` if no byte was sent and
   /// `ServiceLostError` if the call may have been executed.
   send(call: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer>;
+  /// Whether the instance accepts connections now.
+  acceptsConnections(): Promise<boolean>;
 }
 
 /// No byte of the call reached the service, so it was not executed.
@@ -54,6 +57,24 @@
     : new ServiceLostError(reason, { cause: error });
 }
 
+function acceptsConnections(address: string): Promise<boolean> {
+  const separator = address.lastIndexOf(":");
+  const socket = connect({
+    host: address.slice(0, separator),
+    port: Number(address.slice(separator + 1)),
+    timeout: CONNECT_TIMEOUT_MILLISECONDS,
+  });
+  return new Promise((resolve) => {
+    const settle = (isConnected: boolean) => {
+      socket.destroy();
+      resolve(isConnected);
+    };
+    socket.once("connect", () => settle(true));
+    socket.once("timeout", () => settle(false));
+    socket.on("error", () => settle(false));
+  });
+}
+
 /// Creates a client of the service at `address`, which is `host:port`.
 export function createHttpServiceClient(address: string): HttpServiceClient {
   const pool = new Pool(`http://${address}`, {
@@ -85,6 +106,7 @@
         throw toServiceError(error);
       }
     },
+    acceptsConnections: () => acceptsConnections(address),
     close: () => pool.destroy(),
   };
 }
--- a/stand_ins/fleet.ts
+++ b/stand_ins/fleet.ts
@@ -174,8 +174,8 @@
       onDeclaredGone: () => void declaredGone.push(vm),
       createEngineClient: ({ name }) =>
         createVmClient(engines.get(name)!, context, name),
-      createServiceClient: ({ serves }) =>
-        createVmClient(services.get(serves)!.connect(), context, serves),
+      createServiceClient: ({ name, serves }) =>
+        createVmClient(services.get(serves)!.connect(name), context, serves),
       ...options.entry,
     });
     gates.set(vm, gate);
--- a/stand_ins/service_model.ts
+++ b/stand_ins/service_model.ts
@@ -10,8 +10,8 @@
 /// Model of a service that counts the executions of each non-idempotent action.
 /// Its replicas share one model.
 export interface ServiceModel {
-  /// Returns a client of one replica.
-  connect(): ServiceClient;
+  /// Returns a client of the replica `name`.
+  connect(name?: string): ServiceClient;
   /// Number of executions of a `POST` with this idempotency key.
   executionCount(key: string): number;
   /// Number of executions by idempotency key.
@@ -24,6 +24,11 @@
   loseCalls(count: number): void;
   /// While down, connections are refused and no call is executed.
   setDown(down: boolean): void;
+  /// A replica that executes a call for which `crashes` returns true ends and
+  /// stays down.
+  crashOn(crashes: (call: ServiceCall) => boolean): void;
+  /// Number of replicas that have crashed.
+  crashCount(): number;
 }
 
 function toAnswer(value: object): ServiceAnswer {
@@ -39,6 +44,8 @@
   let answersToLose = 0;
   let callsToLose = 0;
   let isDown = false;
+  let crashes: (call: ServiceCall) => boolean = () => false;
+  const crashed = new Set<string>();
 
   const execute = (call: ServiceCall): ServiceAnswer => {
     if (call.method === "GET") {
@@ -53,10 +60,16 @@
   };
 
   return {
-    connect: () => ({
+    connect: (name = "") => ({
       async send(call, signal) {
-        if (isDown) throw new ServiceNotReachedError("the service is down");
+        if (isDown || crashed.has(name)) {
+          throw new ServiceNotReachedError("the service is down");
+        }
         signal.throwIfAborted();
+        if (crashes(call)) {
+          crashed.add(name);
+          throw new ServiceLostError("the connection was closed");
+        }
         if (callsToLose > 0) {
           callsToLose--;
           throw new ServiceLostError("the connection was cut");
@@ -69,6 +82,7 @@
         if (lost) throw new ServiceLostError("the answer was lost");
         return answer;
       },
+      acceptsConnections: () => Promise.resolve(!isDown && !crashed.has(name)),
     }),
     executionCount: (key) => executionCounts.get(key) ?? 0,
     executionCounts: () => executionCounts,
@@ -76,5 +90,7 @@
     loseAnswers: (count) => void (answersToLose = count),
     loseCalls: (count) => void (callsToLose = count),
     setDown: (value) => void (isDown = value),
+    crashOn: (predicate) => void (crashes = predicate),
+    crashCount: () => crashed.size,
   };
 }
--- a/test/requests/service_run_test.ts
+++ b/test/requests/service_run_test.ts
@@ -35,6 +35,11 @@
       random,
       services,
       ledger: LEDGER,
+      quarantine: {
+        requireAllowed: () => {},
+        recordCrash: () => Promise.resolve(),
+        recordCompleted: () => {},
+      },
     });
     const idempotencyKey = createKey(clock.wallTime(), random.hex(10));
     const call = {
