--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -16,6 +16,8 @@
   readonly promptTokens: number;
   /// Maximum number of output tokens.
   readonly outputTokens: number;
+  /// IDs of the parts of the prompt that other requests may share, in order.
+  readonly sharedParts: readonly string[];
 }
 
 /// Inputs of the header fields that the gateway adds to a request.
--- a/stand_ins/platform/load_simulation.ts
+++ b/stand_ins/platform/load_simulation.ts
@@ -143,7 +143,7 @@
     const request = {
       route: routeOf(loadClass, service.name),
       service,
-      metadata: { promptTokens, outputTokens },
+      metadata: { promptTokens, outputTokens, sharedParts: [] },
       arrivedAt,
     } as unknown as GatewayRequest;
     const placer = createRequestPlacer(
