--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -250,6 +250,21 @@
   };
 }
 
+/// Whether every gateway lists `upstreams` upstreams and is linked to all
+/// others.
+export async function isConnected(
+  { gateways, readMetrics }: PlatformDeployment,
+  upstreams: number,
+): Promise<boolean> {
+  const metrics = await Promise.all(
+    gateways.map((_, gateway) => readMetrics(gateway)),
+  );
+  return metrics.every((text) =>
+    text.includes(`sequoiaturn_gateway_upstreams ${upstreams}\n`) &&
+    text.includes(`sequoiaturn_gateway_peers ${gateways.length - 1}\n`)
+  );
+}
+
 /// Waits until `condition` holds. Throws if it doesn't hold within 15 seconds.
 export async function until(
   condition: () => boolean | Promise<boolean>,
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -40,7 +40,11 @@
   /// A response without a length, ended by the close of its connection.
   | { readonly kind: "answer_unframed"; readonly body: string }
   /// A response without a length that is truncated by a crash of the upstream.
-  | { readonly kind: "crash_unframed"; readonly body: string }
+  | {
+    readonly kind: "crash_unframed";
+    readonly contentType?: string;
+    readonly body: string;
+  }
   /// The process ends, and with it its listener and all of its connections.
   | { readonly kind: "crash" }
   /// Whatever `write` writes to the connection. `head` returns the head of a
@@ -149,9 +153,13 @@
       case "answer_unframed":
       case "crash_unframed": {
         const socket = response.socket!;
+        const contentType = action.kind === "crash_unframed"
+          ? action.contentType
+          : undefined;
         socket.write(
           `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\n` +
             `X-Response-Signature: signed by ${id}\r\n` +
+            (contentType ? `Content-Type: ${contentType}\r\n` : "") +
             `Connection: close\r\n\r\n${action.body}`,
         );
         if (action.kind === "answer_unframed") return socket.end();
--- a/test/gateway/crashing_request_test.ts
+++ b/test/gateway/crashing_request_test.ts
@@ -1,6 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import {
   type CallerRequest,
+  isConnected,
   type PlatformDeployment,
   startPlatformDeployment,
   until,
@@ -47,7 +48,7 @@
             : { kind: "answer", body: "done" },
       )),
   );
-  await until(() => isReady(deployment, UPSTREAMS));
+  await until(() => isConnected(deployment, UPSTREAMS));
   const executions = () =>
     upstreams.reduce(
       (total, { requests }) =>
@@ -61,26 +62,11 @@
   const removeCrashed = async () => {
     const crashed = upstreams.filter(({ requests }) => requests.length > 0);
     for (const { id } of crashed) deployment.store.remove(`servers/${id}`);
-    await until(() => isReady(deployment, UPSTREAMS - crashed.length));
+    await until(() => isConnected(deployment, UPSTREAMS - crashed.length));
   };
   return { deployment, executions, removeCrashed };
 }
 
-/// Whether every gateway lists `upstreams` upstreams and is linked to all
-/// others.
-async function isReady(
-  deployment: PlatformDeployment,
-  upstreams: number,
-): Promise<boolean> {
-  const metrics = await Promise.all(
-    deployment.gateways.map((_, gateway) => deployment.readMetrics(gateway)),
-  );
-  return metrics.every((text) =>
-    text.includes(`sequoiaturn_gateway_upstreams ${upstreams}\n`) &&
-    text.includes(`sequoiaturn_gateway_peers ${GATEWAYS - 1}\n`)
-  );
-}
-
 /// Sends a request to the gateways in turn.
 async function sendInTurn(
   deployment: PlatformDeployment,
