Pass by crashed upstreams that are still listed

A refused connection counted like a refusal for lack of capacity, and three of those end the request. Crashed upstreams stay listed until their lease expires.

Change: a refused connection counts only when no upstream is left that is neither tried nor suspended; then the request is refused at once, as before.

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -137,6 +137,11 @@
     return listed !== undefined && listed.startedAt === upstream.startedAt;
   };
 
+  const hasUntriedUpstream = () =>
+    view.available(service.name).some(({ id }) =>
+      !avoided.has(id) && !health.isSuspended(id)
+    );
+
   const mayUseAnotherUpstream = () =>
     mayHaveExecutedAt.filter(isStillListed).length < route.maxUpstreams;
 
@@ -431,9 +436,13 @@
           if (took > STALL_MILLISECONDS) health.recordUnreachable(faulty.id);
         }
       }
-      refusals += 1;
-      if (refusals >= MAXIMUM_REFUSALS) return giveUp();
-      if (avoided.size >= view.available(service.name).length) {
+      const isLast = !hasUntriedUpstream();
+      // An upstream that is gone says nothing about the capacity of the others.
+      if (isLast || !result.isUnreachable) refusals += 1;
+      const isGone = isLast && result.isUnreachable &&
+        attempts >= MAXIMUM_REFUSALS;
+      if (isGone || refusals >= MAXIMUM_REFUSALS) return giveUp();
+      if (isLast) {
         await clock.sleep(RETRY_DELAY_MILLISECONDS);
       }
       continue;
--- a/test/gateway/gateway_test.ts
+++ b/test/gateway/gateway_test.ts
@@ -254,6 +254,29 @@
   t.true(Number(result.headers["retry-after"]) > 0);
 });
 
+test("a request passes by any number of crashed upstreams that are still listed", async (t) => {
+  const deployment = await deploy(t);
+  const count = 12;
+  for (let index = 0; index < count; index++) {
+    (await addDesk(deployment, `d${index}`)).close();
+  }
+  await addDesk(deployment, "running");
+  await untilUpstreamsListed(deployment, count + 1);
+  t.is((await deployment.send(ONCE_REQUEST)).status, 200);
+});
+
+test("a request is refused soon when all listed upstreams have crashed", async (t) => {
+  const deployment = await deploy(t);
+  const count = 6;
+  for (let index = 0; index < count; index++) {
+    (await addDesk(deployment, `d${index}`)).close();
+  }
+  await untilUpstreamsListed(deployment, count);
+  const sentAt = performance.now();
+  t.is((await deployment.send(ONCE_REQUEST)).status, 503);
+  t.true(performance.now() - sentAt < 1_000);
+});
+
 test("no upstream gets more requests than its connection limit permits", async (t) => {
   const base = sampleConfiguration(1);
   const services = base.Services.map((service) => ({
