--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -247,7 +247,7 @@
     log.warn("try ended", {
       request: metadata.attemptId,
       fingerprint: abbreviateFingerprint(request.fingerprint),
-      parts: metadata.sharedParts.join() || undefined,
+      promptParts: metadata.sharedParts.join() || undefined,
       route: route.name,
       upstream: upstream.id,
       address: upstream.address,
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -130,7 +130,7 @@
     options.onRecorded?.(vm);
     log.warn("crash recorded", {
       fingerprint: abbreviateFingerprint(fingerprint),
-      parts: parts.join() || undefined,
+      promptParts: parts.join() || undefined,
       crash: id,
       reportedBy: vm,
       age: Math.round(age),
