Don't take the loss of many upstreams at once for a part that crashes them

VMs without power or beyond a partition even counted as crashed upstreams.

Change: a crash is recorded only if the address refuses connections, since then the process has ended and its VM hasn't; crashes within 50 ms count as one for a part, not for a request, which is on one upstream at a time.

Not tested: a VM that doesn't respond to a connection, which needs another address than loopback's.

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -231,7 +231,7 @@
       else health.recordFailure(upstream.id);
       if (result.status < 300) return;
     }
-    if (result.kind === "failed" && result.isUnreachable) {
+    if (result.kind === "failed" && result.hasCrashed) {
       const { id, startedAt } = upstream;
       void context.crashRecords.record({
         ...suspects,
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -21,6 +21,11 @@
 const MAXIMUM_IDLE_CONNECTIONS = 4;
 const MAXIMUM_HEADER_BYTES = 65_536;
 
+/// Whether an upstream accepts connections. `refuses`: its VM responds that no
+/// process listens, so the process has ended. `silent`: there is no response, as
+/// from a VM without power or beyond a partition.
+export type Reachability = "accepts" | "refuses" | "silent";
+
 /// A connection in use by one request.
 export interface UpstreamConnection {
   readonly client: Client;
@@ -41,9 +46,9 @@
   /// Returns a connection to `address`. One that has been idle for longer than
   /// `maximumIdle` is not reused.
   acquire(address: string, maximumIdle?: Milliseconds): UpstreamConnection;
-  /// Whether `address` accepts connections now. Concurrent calls for an address
-  /// share one connection.
-  acceptsConnections(address: string): Promise<boolean>;
+  /// Finds out whether `address` accepts connections now. Concurrent calls for
+  /// an address share one connection.
+  check(address: string): Promise<Reachability>;
   /// Number of connections opened so far.
   opened(): number;
   /// Closes idle connections to addresses that are no longer in use.
@@ -61,7 +66,7 @@
   const idleByAddress = new Map<string, IdleConnection[]>();
   const idleByClient = new Map<Client, IdleConnection>();
   /// Checks in progress by address.
-  const checks = new Map<string, Promise<boolean>>();
+  const checks = new Map<string, Promise<Reachability>>();
   let opened = 0;
 
   const openSocket = (
@@ -148,10 +153,12 @@
   };
 
   const checkAddress = (address: string) =>
-    new Promise<boolean>((resolve) => {
+    new Promise<Reachability>((resolve) => {
       openSocket(address, (error, socket) => {
         socket?.destroy();
-        resolve(error === null);
+        if (!error) return resolve("accepts");
+        const { code } = error as NodeJS.ErrnoException;
+        resolve(code === "ECONNREFUSED" ? "refuses" : "silent");
       }, () => {
         // The callback receives the error too.
       });
@@ -171,7 +178,7 @@
       }
       return open(address);
     },
-    acceptsConnections(address) {
+    check(address) {
       const check = checks.get(address) ??
         checkAddress(address).finally(() => void checks.delete(address));
       checks.set(address, check);
--- a/src/requests/crash_attribution.ts
+++ b/src/requests/crash_attribution.ts
@@ -13,6 +13,9 @@
 /// The same for a part that requests have completed with, and for one that can't
 /// be told from another part.
 const CRASHES_UNTIL_DOUBTFUL_REFUSED = 5;
+/// Crashes of several upstreams within this time count as one for a part: the
+/// loss of a rack or of a data centre ends what runs there at the same moment.
+const SIMULTANEOUS_MILLISECONDS: Milliseconds = 50;
 
 /// Why a request is refused.
 export interface CrashRefusal {
@@ -31,7 +34,7 @@
 /// What is known of crashes.
 export type KnownCrashes = Pick<
   CrashRecords,
-  "crashesOf" | "requestsIn" | "hasCompleted" | "remaining"
+  "crashesOf" | "requestsIn" | "hasCompleted" | "timeOf" | "remaining"
 >;
 
 /// Returns why a request is refused; undefined if it may run.
@@ -74,14 +77,25 @@
       return index >= 0 && parts.slice(index + 1).some(isCause);
     });
 
+  /// Number of crashes, counting simultaneous ones once.
+  const countMoments = (crashes: readonly string[]): number => {
+    const times = crashes.map(known.timeOf).sort((left, right) => left - right);
+    let last = -Infinity;
+    return times.filter((time) => {
+      const isSeparate = time - last > SIMULTANEOUS_MILLISECONDS;
+      if (isSeparate) last = time;
+      return isSeparate;
+    }).length;
+  };
+
   const decide = (part: string): boolean => {
     const all = known.crashesOf(partKey(part));
     const threshold = known.hasCompleted(partKey(part))
       ? CRASHES_UNTIL_DOUBTFUL_REFUSED
       : CRASHES_UNTIL_REFUSED;
-    if (all.length < threshold) return false;
+    if (countMoments(all) < threshold) return false;
     const crashes = all.filter((crash) => !hasCauseAfter(crash, part));
-    if (crashes.length < threshold) return false;
+    if (countMoments(crashes) < threshold) return false;
     const isInAll = (key: string) => {
       const others = known.crashesOf(key);
       return crashes.every((crash) => others.includes(crash));
@@ -97,7 +111,7 @@
       const key = partKey(other);
       if (related.has(other) || !isInAll(key)) return false;
       return known.crashesOf(key).length > all.length ||
-        crashes.length < CRASHES_UNTIL_DOUBTFUL_REFUSED;
+        countMoments(crashes) < CRASHES_UNTIL_DOUBTFUL_REFUSED;
     });
   };
 
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -82,6 +82,8 @@
   requestsIn(crash: string): readonly CrashedRequest[];
   /// Whether a request with the key has completed, as far as this VM knows.
   hasCompleted(key: string): boolean;
+  /// Time of a crash.
+  timeOf(crash: string): Milliseconds;
   /// Time until the last crash of a key expires.
   remaining(key: string): Milliseconds;
   /// Records a crash and reports it to all connected VMs. Resolves when they
@@ -188,6 +190,7 @@
     crashesOf: table.crashesOf,
     requestsIn: table.requestsIn,
     hasCompleted: table.hasCompleted,
+    timeOf: table.timeOf,
     remaining: table.remaining,
     async record({ fingerprint, process, upstream, parts }) {
       const { vm, incarnation } = links.self;
--- a/src/requests/crash_table.ts
+++ b/src/requests/crash_table.ts
@@ -28,6 +28,8 @@
   crashesOf(key: string): readonly string[];
   /// The requests that took part in a crash.
   requestsIn(crash: string): readonly CrashedRequest[];
+  /// Time of a crash.
+  timeOf(crash: string): Milliseconds;
   /// Time until the last crash of a key expires.
   remaining(key: string): Milliseconds;
   /// Records that a request with the key has completed, and that the key caused
@@ -121,6 +123,7 @@
       return [...crashesByKey.get(key) ?? []];
     },
     requestsIn: (id) => [...crashes.get(id)?.requests.values() ?? []],
+    timeOf: (id) => crashes.get(id)?.at ?? -Infinity,
     remaining(key) {
       const times = [...crashesByKey.get(key) ?? []]
         .map((id) => crashes.get(id)!.at);
