Remember completed parts of prompts only, at a constant cost

Fingerprints seldom come again, so they drove the parts out, and removing the oldest entry copied the whole set, for each completed request once it was full.

Change: parts alone are remembered, and the oldest entry is found without a copy. The message that clears crashes names the part. Tests of the records under a fake clock hold that a crash seen by several VMs counts once and that a late report of a cleared crash is ignored.

--- a/src/requests/crash_attribution.ts
+++ b/src/requests/crash_attribution.ts
@@ -78,7 +78,7 @@
     });
 
   /// Number of crashes, counting simultaneous ones once.
-  const countMoments = (crashes: readonly string[]): number => {
+  const countSeparate = (crashes: readonly string[]): number => {
     const times = crashes.map(known.timeOf).sort((left, right) => left - right);
     let last = -Infinity;
     return times.filter((time) => {
@@ -90,12 +90,12 @@
 
   const decide = (part: string): boolean => {
     const all = known.crashesOf(partKey(part));
-    const threshold = known.hasCompleted(partKey(part))
+    const threshold = known.hasCompleted(part)
       ? CRASHES_UNTIL_DOUBTFUL_REFUSED
       : CRASHES_UNTIL_REFUSED;
-    if (countMoments(all) < threshold) return false;
+    if (countSeparate(all) < threshold) return false;
     const crashes = all.filter((crash) => !hasCauseAfter(crash, part));
-    if (countMoments(crashes) < threshold) return false;
+    if (countSeparate(crashes) < threshold) return false;
     const isInAll = (key: string) => {
       const others = known.crashesOf(key);
       return crashes.every((crash) => others.includes(crash));
@@ -111,7 +111,7 @@
       const key = partKey(other);
       if (related.has(other) || !isInAll(key)) return false;
       return known.crashesOf(key).length > all.length ||
-        countMoments(crashes) < CRASHES_UNTIL_DOUBTFUL_REFUSED;
+        countSeparate(crashes) < CRASHES_UNTIL_DOUBTFUL_REFUSED;
     });
   };
 
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -50,6 +50,8 @@
     /// The fingerprint or the key of a part.
     fingerprint: Type.String(),
     ids: Type.Array(Type.String()),
+    /// The part, if it is one.
+    part: Type.Optional(Type.String()),
   }),
 );
 
@@ -61,12 +63,13 @@
   return fingerprint.slice(0, LOGGED_FINGERPRINT_LENGTH);
 }
 
-/// A request whose upstream has crashed.
+/// A request whose upstream has crashed. Without a process or an upstream, each
+/// record counts as a crash of its own.
 export interface ObservedCrash {
   readonly fingerprint: string;
-  /// Identifies the process that crashed, or its upstream if processes have no
-  /// identity. Without either, each record counts as a crash of its own.
+  /// Identifies the process that crashed.
   readonly process?: string;
+  /// The upstream, if its processes have no identity: its crashes are numbered.
   readonly upstream?: string;
   /// IDs of the parts of its prompt that other requests may share.
   readonly parts?: readonly string[];
@@ -80,8 +83,9 @@
   crashesOf(key: string): readonly string[];
   /// The requests that took part in a crash.
   requestsIn(crash: string): readonly CrashedRequest[];
-  /// Whether a request with the key has completed, as far as this VM knows.
-  hasCompleted(key: string): boolean;
+  /// Whether a request with the part in its prompt has completed at this VM, or
+  /// at another one after a crash.
+  hasCompleted(part: string): boolean;
   /// Time of a crash.
   timeOf(crash: string): Milliseconds;
   /// Time until the last crash of a key expires.
@@ -94,6 +98,15 @@
   clear(fingerprint: string, parts?: readonly string[]): void;
 }
 
+interface NumberedCrash {
+  readonly upstream: string;
+  readonly number: number;
+}
+
+function idOf({ upstream, number }: NumberedCrash): string {
+  return `${upstream} ${number}`;
+}
+
 export interface CrashRecordsOptions {
   readonly clock: Clock;
   readonly links: Links;
@@ -112,7 +125,7 @@
 
   /// Numbers the crashes of an upstream. VMs that observe the same crash, and
   /// know of the same earlier ones, give it the same number.
-  const numberCrash = (upstream: string) => {
+  const numberCrash = (upstream: string): NumberedCrash => {
     const last = lastCrashes.get(upstream) ?? { number: 0, at: -Infinity };
     const isSame = clock.now() - last.at < SAME_CRASH_MILLISECONDS;
     return { upstream, number: isSame ? last.number : last.number + 1 };
@@ -152,6 +165,13 @@
     table.clear(key, ids);
   };
 
+  const clearKey = (key: string, part?: string) => {
+    const ids = [...table.crashesOf(key)];
+    if (ids.length === 0) return;
+    remove(key, { ids, vm: links.self.vm });
+    links.broadcast(clearMessage, { fingerprint: key, ids, part });
+  };
+
   const report = (vm: string, records: CrashRecord[]) =>
     links.call(vm, reportCall, { marks: records }, {
       timeoutMilliseconds: REPORT_TIMEOUT_MILLISECONDS,
@@ -180,7 +200,8 @@
   links.onMessage(marksMessage, ({ marks: records }, { vm }) => {
     for (const record of records) add(record, vm);
   });
-  links.onMessage(clearMessage, ({ fingerprint, ids }, { vm }) => {
+  links.onMessage(clearMessage, ({ fingerprint, ids, part }, { vm }) => {
+    if (part !== undefined) table.recordCompleted(part);
     remove(fingerprint, { ids, vm });
   });
   links.onPeersChange(reportToNewPeers);
@@ -198,7 +219,7 @@
         ? undefined
         : numberCrash(upstream);
       const id = process ??
-        (numbered && `${numbered.upstream} ${numbered.number}`) ??
+        (numbered && idOf(numbered)) ??
         `${vm}:${incarnation}:${nextId++}`;
       const crash = {
         fingerprint,
@@ -216,14 +237,10 @@
       await Promise.allSettled(peers.map((peer) => report(peer.vm, [crash])));
     },
     clear(fingerprint, parts = []) {
-      for (const key of [fingerprint, ...parts.map(partKey)]) {
-        const ids = [...table.crashesOf(key)];
-        if (ids.length === 0) {
-          table.clear(key, []);
-          continue;
-        }
-        remove(key, { ids, vm: links.self.vm });
-        links.broadcast(clearMessage, { fingerprint: key, ids });
+      clearKey(fingerprint);
+      for (const part of parts) {
+        table.recordCompleted(part);
+        clearKey(partKey(part), part);
       }
     },
   };
--- a/src/requests/crash_table.ts
+++ b/src/requests/crash_table.ts
@@ -6,8 +6,8 @@
 
 /// Time for which a crash counts, and so for which its cause is refused.
 const RETENTION_MILLISECONDS: Milliseconds = 600_000;
-/// Maximum number of requests in all crashes, of cleared crashes and of keys that
-/// have completed, which one VM keeps. Above it, the oldest are removed.
+/// Maximum number of requests in all crashes, of cleared crashes and of completed
+/// parts that one VM keeps. Above it, the oldest are removed.
 const MAXIMUM_ENTRIES = 10_000;
 const PART_KEY_PREFIX = "part ";
 
@@ -32,11 +32,12 @@
   timeOf(crash: string): Milliseconds;
   /// Time until the last crash of a key expires.
   remaining(key: string): Milliseconds;
-  /// Records that a request with the key has completed, and that the key caused
-  /// none of these crashes.
+  /// Records that the key caused none of these crashes.
   clear(key: string, crashes: readonly string[]): void;
-  /// Whether a request with the key has completed.
-  hasCompleted(key: string): boolean;
+  /// Records that a request with a part in its prompt has completed.
+  recordCompleted(part: string): void;
+  /// Whether a request with the part in its prompt has completed.
+  hasCompleted(part: string): boolean;
   /// All requests, with the ages of their crashes.
   entries(): readonly (CrashedRequest & { readonly age: Milliseconds })[];
 }
@@ -57,14 +58,14 @@
   const crashesByKey = new Map<string, Set<string>>();
   /// Crashes that a key has not caused, as `clearedName`.
   const cleared = new Set<string>();
-  /// Keys of requests that have completed.
+  /// Parts with which requests have completed.
   const completed = new Set<string>();
   let requestCount = 0;
 
   const addBounded = (set: Set<string>, value: string) => {
     set.delete(value);
     set.add(value);
-    if (set.size > MAXIMUM_ENTRIES) set.delete([...set.keys()][0]!);
+    if (set.size > MAXIMUM_ENTRIES) set.delete(set.keys().next().value!);
   };
 
   const clearedName = (key: string, crash: string) => `${key} ${crash}`;
@@ -133,13 +134,13 @@
       );
     },
     clear(key, ids) {
-      addBounded(completed, key);
       for (const id of ids) {
         addBounded(cleared, clearedName(key, id));
         removeFrom(key, id);
       }
     },
-    hasCompleted: (key) => completed.has(key),
+    recordCompleted: (part) => addBounded(completed, part),
+    hasCompleted: (part) => completed.has(part),
     entries() {
       removeOldest();
       return [...crashes.values()].flatMap(({ at, requests }) =>
--- a/src/requests/quarantine.ts
+++ b/src/requests/quarantine.ts
@@ -176,10 +176,10 @@
   };
 
   const requireAllowed = ({ fingerprint, parts }: Suspects) => {
-    const key = crashes.count(fingerprint) >= MAXIMUM_CRASHES
-      ? fingerprint
-      : parts.map(partKey)[parts.findIndex(createPartDecision(crashes))];
-    if (key === undefined) return;
+    const part = parts.find(createPartDecision(crashes));
+    const isRefused = crashes.count(fingerprint) >= MAXIMUM_CRASHES;
+    if (!isRefused && part === undefined) return;
+    const key = isRefused ? fingerprint : partKey(part!);
     const retryAfterSeconds = Math.ceil(crashes.remaining(key) / 1_000);
     throw new RequestError("quarantined", { retryAfterSeconds });
   };
--- a/test/requests/crash_attribution_test.ts
+++ b/test/requests/crash_attribution_test.ts
@@ -189,6 +189,7 @@
         for (const key of [fingerprint, ...parts.map(partKey)]) {
           table.clear(key, table.crashesOf(key));
         }
+        parts.forEach(table.recordCompleted);
         continue;
       }
       if (!event.isSimultaneous) {
--- /dev/null
+++ b/test/requests/crash_records_test.ts
@@ -0,0 +1,50 @@
+import test from "ava";
+import { createCrashRecords } from "../../src/requests/crash_records.ts";
+import { createSilentLogger } from "../../src/support/log.ts";
+import { createFakeClock } from "../../stand_ins/fake_clock.ts";
+import { createLocalNetwork } from "../../stand_ins/local_links.ts";
+
+/// Records of crashes that several VMs share.
+
+const PAUSE_MILLISECONDS = 100;
+
+function startVms(count: number) {
+  const clock = createFakeClock();
+  const network = createLocalNetwork(clock);
+  const join = (index: number) =>
+    createCrashRecords({
+      clock,
+      log: createSilentLogger(),
+      links: network.join({
+        vm: `vm-${index}`,
+        incarnation: "1",
+        dataCentre: "north",
+      }),
+    });
+  const vms = Array.from({ length: count }, (_, index) => join(index));
+  return { clock, vms };
+}
+
+test("a crash that several VMs see counts once at each of them", async (t) => {
+  for (const identity of [{ process: "e1 17" }, { upstream: "e1" }]) {
+    const { clock, vms } = startVms(3);
+    await clock.advance(PAUSE_MILLISECONDS);
+    for (const vm of vms) void vm.record({ fingerprint: "x", ...identity });
+    await clock.advance(PAUSE_MILLISECONDS);
+    t.deepEqual(vms.map((vm) => vm.count("x")), [1, 1, 1]);
+  }
+});
+
+test("a completed request clears its crashes at all VMs, also those reported late", async (t) => {
+  const { clock, vms } = startVms(3);
+  await clock.advance(PAUSE_MILLISECONDS);
+  const crash = { fingerprint: "x", process: "e1 17", parts: ["a"] };
+  void vms[0]!.record(crash);
+  await clock.advance(PAUSE_MILLISECONDS);
+  vms[1]!.clear("x", ["a"]);
+  await clock.advance(PAUSE_MILLISECONDS);
+  void vms[2]!.record(crash);
+  await clock.advance(PAUSE_MILLISECONDS);
+  t.deepEqual(vms.map((vm) => vm.count("x")), [0, 0, 0]);
+  t.true(vms.every((vm) => vm.hasCompleted("a")));
+});
