Tell VMs that join the numbers of earlier crashes

Change: the records that a new peer gets contain the number of the last crash of each engine. Measured: a crash before and one after the join counted as one at the new VM and as two at the others (the new test fails); now as two at all.

--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -181,12 +181,19 @@
   /// With hubs, only the VMs that have a link to it do so.
   const reportToNewPeers = () => {
     const added = newPeers();
+    const numbers = new Map(
+      [...lastCrashes].map(([upstream, { number }]) => {
+        const numbered = { upstream, number };
+        return [idOf(numbered), numbered];
+      }),
+    );
     const records = table.entries().map(
       ({ crash: id, fingerprint, parts, age }) => ({
         fingerprint,
         id,
         age,
         parts: [...parts],
+        numbered: numbers.get(id),
       }),
     );
     if (records.length === 0) return;
--- a/test/requests/crash_records_test.ts
+++ b/test/requests/crash_records_test.ts
@@ -7,6 +7,8 @@
 /// Records of crashes that several VMs share.
 
 const PAUSE_MILLISECONDS = 100;
+/// Longer than the records of one crash may be apart.
+const RESTART_MILLISECONDS = 4_000;
 
 function startVms(count: number) {
   const clock = createFakeClock();
@@ -22,7 +24,7 @@
       }),
     });
   const vms = Array.from({ length: count }, (_, index) => join(index));
-  return { clock, vms };
+  return { clock, join, vms };
 }
 
 test("a crash that several VMs see counts once at each of them", async (t) => {
@@ -35,6 +37,18 @@
   }
 });
 
+test("a VM that joins numbers the crashes of an upstream after earlier ones", async (t) => {
+  const { clock, join, vms } = startVms(2);
+  await clock.advance(PAUSE_MILLISECONDS);
+  void vms[0]!.record({ fingerprint: "x", upstream: "e1" });
+  await clock.advance(RESTART_MILLISECONDS);
+  const joined = join(2);
+  await clock.advance(PAUSE_MILLISECONDS);
+  void joined.record({ fingerprint: "x", upstream: "e1" });
+  await clock.advance(PAUSE_MILLISECONDS);
+  t.deepEqual([...vms, joined].map((vm) => vm.count("x")), [2, 2, 2]);
+});
+
 test("a completed request clears its crashes at all VMs, also those reported late", async (t) => {
   const { clock, vms } = startVms(3);
   await clock.advance(PAUSE_MILLISECONDS);
