Ask for more evidence where upstreams crash for other reasons

Change: a part that took part in less than half of the crashes since its first one is refused after five of them instead of three, as one that has completed.

--- a/src/requests/crash_attribution.ts
+++ b/src/requests/crash_attribution.ts
@@ -10,9 +10,13 @@
 
 /// Crashes after which a request or a part is refused.
 const CRASHES_UNTIL_REFUSED = 3;
-/// The same for a part that requests have completed with, and for one that can't
-/// be told from another part.
+/// The same for a part that requests have completed with, one that took part in
+/// less than half of the crashes, and one that can't be told from another part.
 const CRASHES_UNTIL_DOUBTFUL_REFUSED = 5;
+/// Share of the crashes since its first one in which a part takes part that
+/// causes them. Where upstreams crash for other reasons, any part takes part in
+/// some.
+const CAUSE_SHARE = 0.5;
 /// Crashes of several upstreams within this time count as one for a part: the
 /// loss of a rack or of a data centre ends what runs there at the same moment.
 const SIMULTANEOUS_MILLISECONDS: Milliseconds = 50;
@@ -34,7 +38,12 @@
 /// What is known of crashes.
 export type KnownCrashes = Pick<
   CrashRecords,
-  "crashesOf" | "requestsIn" | "hasCompleted" | "timeOf" | "remaining"
+  | "crashes"
+  | "crashesOf"
+  | "requestsIn"
+  | "hasCompleted"
+  | "timeOf"
+  | "remaining"
 >;
 
 /// Returns why a request is refused; undefined if it may run.
@@ -88,12 +97,19 @@
     }).length;
   };
 
+  /// Whether most crashes since the first of these are others.
+  const isInFew = (crashes: readonly string[]): boolean => {
+    const first = Math.min(...crashes.map(known.timeOf));
+    const since = known.crashes().filter((id) => known.timeOf(id) >= first);
+    return countSeparate(crashes) < CAUSE_SHARE * countSeparate(since);
+  };
+
   const decide = (part: string): boolean => {
     const all = known.crashesOf(partKey(part));
-    const threshold = known.hasCompleted(part)
+    if (countSeparate(all) < CRASHES_UNTIL_REFUSED) return false;
+    const threshold = known.hasCompleted(part) || isInFew(all)
       ? CRASHES_UNTIL_DOUBTFUL_REFUSED
       : CRASHES_UNTIL_REFUSED;
-    if (countSeparate(all) < threshold) return false;
     const crashes = all.filter((crash) => !hasCauseAfter(crash, part));
     if (countSeparate(crashes) < threshold) return false;
     const isInAll = (key: string) => {
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -78,6 +78,8 @@
 export interface CrashRecords {
   /// Number of crashes during which a request with this fingerprint ran.
   count(fingerprint: string): number;
+  /// IDs of all crashes.
+  crashes(): readonly string[];
   /// IDs of the crashes in which a key took part: a fingerprint, or the key of
   /// a part.
   crashesOf(key: string): readonly string[];
@@ -215,6 +217,7 @@
 
   return {
     count: (fingerprint) => table.crashesOf(fingerprint).length,
+    crashes: table.crashes,
     crashesOf: table.crashesOf,
     requestsIn: table.requestsIn,
     hasCompleted: table.hasCompleted,
--- a/src/requests/crash_table.ts
+++ b/src/requests/crash_table.ts
@@ -24,6 +24,8 @@
   /// Adds a request to a crash of `age`. Returns false if that is known already
   /// or was cleared.
   add(request: CrashedRequest, age: Milliseconds): boolean;
+  /// IDs of all crashes, oldest first.
+  crashes(): readonly string[];
   /// IDs of the crashes in which the key took part, oldest first.
   crashesOf(key: string): readonly string[];
   /// The requests that took part in a crash.
@@ -119,6 +121,10 @@
       removeOldest();
       return true;
     },
+    crashes() {
+      removeOldest();
+      return [...crashes.keys()];
+    },
     crashesOf(key) {
       removeOldest();
       return [...crashesByKey.get(key) ?? []];
--- a/test/requests/crash_attribution_test.ts
+++ b/test/requests/crash_attribution_test.ts
@@ -150,6 +150,30 @@
     refused: [],
     allowed: ["new first a", "new first"],
   },
+  {
+    title: "a part in three of many crashes stays allowed until the fifth",
+    events: [
+      { crashed: ["s1 rare"] },
+      { crashed: ["s2 a"] },
+      { crashed: ["s3 b"] },
+      { crashed: ["s4 rare"] },
+      { crashed: ["s5 c"] },
+      { crashed: ["s6 d"] },
+      { crashed: ["s7 rare"] },
+    ],
+    refused: [],
+    allowed: ["new rare"],
+  },
+  {
+    title: "a part in five of many crashes is refused",
+    events: Array.from({ length: 5 }, (_, index) => [
+      { crashed: [`x${index} bad`] },
+      { crashed: [`s${index} a${index}`] },
+      { crashed: [`s${index} b${index}`] },
+    ]).flat(),
+    refused: ["new bad"],
+    allowed: ["new a1", "new b1"],
+  },
   {
     title: "a part that requests have completed with is refused after five",
     events: [
