Count crashes that followed one another, also for equal requests

Three upstreams that crash at the same moment made such a request refused, and since none was running any more nothing cleared it for ten minutes; at the daemon two instances were enough. The rule of 50 ms for parts also failed where the loss of upstreams is noticed in turn.

Change: records contain for how long a request had been on its upstream, and a crash counts if the request or a prompt with the part was sent after the crash before it. The same holds for requests; one that has completed before is refused after five. Calls of the daemon's services are decided like requests of the gateway, after three crashes instead of two: unlike completions, many calls are equal. A first part isn't refused before a later part that has the same crashes.

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -236,6 +236,7 @@
       void context.crashRecords.record({
         ...suspects,
         process: `${id} ${startedAt}`,
+        ran: took,
       });
     }
     if (result.kind !== "answered") {
--- a/src/requests/crash_attribution.ts
+++ b/src/requests/crash_attribution.ts
@@ -1,5 +1,5 @@
 import type { CrashRecords } from "./crash_records.ts";
-import { partKey } from "./crash_table.ts";
+import { type CrashedRequest, partKey } from "./crash_table.ts";
 import type { Milliseconds } from "../support/clock.ts";
 
 /// Decides from the records of crashes which requests are refused, for loads in
@@ -10,16 +10,15 @@
 
 /// Crashes after which a request or a part is refused.
 const CRASHES_UNTIL_REFUSED = 3;
-/// The same for a part that requests have completed with, one that took part in
-/// less than half of the crashes, and one that can't be told from another part.
+/// The same for a request or a part that has completed before, a part that took
+/// part in less than half of the crashes, and one that can't be told from another
+/// part.
 const CRASHES_UNTIL_DOUBTFUL_REFUSED = 5;
-/// Share of the crashes since its first one in which a part takes part that
-/// causes them. Where upstreams crash for other reasons, any part takes part in
-/// some.
+/// Share of crashes in which their cause takes part. Where upstreams crash for
+/// other reasons, any part takes part in some.
 const CAUSE_SHARE = 0.5;
-/// Crashes of several upstreams within this time count as one for a part: the
-/// loss of a rack or of a data centre ends what runs there at the same moment.
-const SIMULTANEOUS_MILLISECONDS: Milliseconds = 50;
+/// Latency of reports, by which the times of crashes that two VMs report differ.
+const REPORT_LATENCY_MILLISECONDS: Milliseconds = 10;
 
 /// Why a request is refused.
 export interface CrashRefusal {
@@ -60,58 +59,96 @@
     };
   }
   const crashes = known.crashesOf(fingerprint);
-  if (crashes.length < CRASHES_UNTIL_REFUSED) return undefined;
+  const threshold = known.hasCompleted(fingerprint)
+    ? CRASHES_UNTIL_DOUBTFUL_REFUSED
+    : CRASHES_UNTIL_REFUSED;
+  const isSame = (request: CrashedRequest) =>
+    request.fingerprint === fingerprint;
+  if (countSuccessive(known, crashes, isSame) < threshold) return undefined;
   const unexplained = crashes.filter((crash) =>
     !known.requestsIn(crash).some((request) => request.parts.some(isCause))
   );
-  if (unexplained.length < CRASHES_UNTIL_REFUSED) return undefined;
+  if (countSuccessive(known, unexplained, isSame) < threshold) return undefined;
   return {
     reason: "upstreams crashed with this request",
     retryAfter: known.remaining(fingerprint),
   };
 }
 
+/// Number of crashes that followed one another: in each, a request that
+/// `isMeant` was sent after the crash before it. The loss of a rack or of a data
+/// centre ends what runs there at the same moment, so it counts once.
+function countSuccessive(
+  known: KnownCrashes,
+  crashes: readonly string[],
+  isMeant: (request: CrashedRequest) => boolean,
+): number {
+  const runs = crashes.map((crash) => {
+    const end = known.timeOf(crash);
+    const times = known.requestsIn(crash).filter(isMeant)
+      .map(({ ran }) => ran);
+    return { start: end - Math.min(...times), end };
+  }).sort((left, right) => left.end - right.end);
+  let lastEnd = -Infinity;
+  return runs.filter(({ start, end }) => {
+    const isSuccessor = start >= lastEnd - REPORT_LATENCY_MILLISECONDS;
+    if (isSuccessor) lastEnd = end;
+    return isSuccessor;
+  }).length;
+}
+
 /// Returns a function that decides whether a part of prompts crashes upstreams.
 /// It remembers its decisions, so it is used for one request only.
-export function createPartDecision(
+function createPartDecision(
   known: KnownCrashes,
 ): (part: string) => boolean {
   const decisions = new Map<string, boolean>();
 
-  /// Whether a prompt of a crash goes on after `part` with a cause, which fewer
-  /// prompts have than `part`.
-  const hasCauseAfter = (crash: string, part: string): boolean =>
-    known.requestsIn(crash).some(({ parts }) => {
+  /// The parts that follow `part` in prompts of a crash. Fewer prompts have them
+  /// than `part`.
+  const partsAfter = (crash: string, part: string): string[] =>
+    known.requestsIn(crash).flatMap(({ parts }) => {
       const index = parts.indexOf(part);
-      return index >= 0 && parts.slice(index + 1).some(isCause);
-    });
+      return index < 0 ? [] : parts.slice(index + 1);
+    }).filter((later) => known.crashesOf(partKey(later)).includes(crash));
 
-  /// Number of crashes, counting simultaneous ones once.
-  const countSeparate = (crashes: readonly string[]): number => {
-    const times = crashes.map(known.timeOf).sort((left, right) => left - right);
-    let last = -Infinity;
-    return times.filter((time) => {
-      const isSeparate = time - last > SIMULTANEOUS_MILLISECONDS;
-      if (isSeparate) last = time;
-      return isSeparate;
-    }).length;
+  /// The crashes of a part that no part after it in a prompt explains: one that
+  /// is a cause, or that may become one, since it took part in most of them.
+  const withoutLaterCauses = (crashes: readonly string[], part: string) => {
+    const after = new Map(
+      crashes.map((crash) => [crash, new Set(partsAfter(crash, part))]),
+    );
+    const isInMost = (later: string) =>
+      crashes.filter((crash) => after.get(crash)!.has(later)).length >
+        CAUSE_SHARE * crashes.length;
+    const candidates = [
+      ...new Set([...after.values()].flatMap((ids) => [...ids])),
+    ]
+      .filter((later) => later !== part && (isInMost(later) || isCause(later)));
+    return crashes.filter((crash) =>
+      !candidates.some((later) => after.get(crash)!.has(later))
+    );
   };
 
+  const countWith = (crashes: readonly string[], part: string): number =>
+    countSuccessive(known, crashes, ({ parts }) => parts.includes(part));
+
   /// Whether most crashes since the first of these are others.
-  const isInFew = (crashes: readonly string[]): boolean => {
+  const isInFew = (crashes: readonly string[], part: string): boolean => {
     const first = Math.min(...crashes.map(known.timeOf));
     const since = known.crashes().filter((id) => known.timeOf(id) >= first);
-    return countSeparate(crashes) < CAUSE_SHARE * countSeparate(since);
+    return countWith(crashes, part) <
+      CAUSE_SHARE * countSuccessive(known, since, () => true);
   };
 
   const decide = (part: string): boolean => {
     const all = known.crashesOf(partKey(part));
-    if (countSeparate(all) < CRASHES_UNTIL_REFUSED) return false;
-    const threshold = known.hasCompleted(part) || isInFew(all)
+    if (countWith(all, part) < CRASHES_UNTIL_REFUSED) return false;
+    const threshold = known.hasCompleted(partKey(part)) || isInFew(all, part)
       ? CRASHES_UNTIL_DOUBTFUL_REFUSED
       : CRASHES_UNTIL_REFUSED;
-    const crashes = all.filter((crash) => !hasCauseAfter(crash, part));
-    if (countSeparate(crashes) < threshold) return false;
+    const crashes = withoutLaterCauses(all, part);
+    if (countWith(crashes, part) < threshold) return false;
     const isInAll = (key: string) => {
       const others = known.crashesOf(key);
       return crashes.every((crash) => others.includes(crash));
@@ -127,7 +164,7 @@
       const key = partKey(other);
       if (related.has(other) || !isInAll(key)) return false;
       return known.crashesOf(key).length > all.length ||
-        countSeparate(crashes) < CRASHES_UNTIL_DOUBTFUL_REFUSED;
+        countWith(crashes, part) < CRASHES_UNTIL_DOUBTFUL_REFUSED;
     });
   };
 
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -23,6 +23,8 @@
   /// Identifies the crash, so that a crash reported twice counts once.
   id: Type.String(),
   age: Type.Number({ minimum: 0 }),
+  /// Time for which the request had been on the upstream.
+  ran: Type.Optional(Type.Number({ minimum: 0 })),
   /// IDs of the parts of the prompt that other requests may share.
   parts: Type.Optional(Type.Array(Type.String())),
   /// The upstream, if VMs number its crashes, and the number of this one.
@@ -50,8 +52,6 @@
     /// The fingerprint or the key of a part.
     fingerprint: Type.String(),
     ids: Type.Array(Type.String()),
-    /// The part, if it is one.
-    part: Type.Optional(Type.String()),
   }),
 );
 
@@ -73,6 +73,8 @@
   readonly upstream?: string;
   /// IDs of the parts of its prompt that other requests may share.
   readonly parts?: readonly string[];
+  /// Time for which the request had been on the upstream.
+  readonly ran: Milliseconds;
 }
 
 export interface CrashRecords {
@@ -85,9 +87,9 @@
   crashesOf(key: string): readonly string[];
   /// The requests that took part in a crash.
   requestsIn(crash: string): readonly CrashedRequest[];
-  /// Whether a request with the part in its prompt has completed at this VM, or
-  /// at another one after a crash.
-  hasCompleted(part: string): boolean;
+  /// Whether a request with the key has completed at this VM, or at another one
+  /// after a crash.
+  hasCompleted(key: string): boolean;
   /// Time of a crash.
   timeOf(crash: string): Milliseconds;
   /// Time until the last crash of a key expires.
@@ -141,9 +143,9 @@
   };
 
   const add = (record: CrashRecord, vm: string) => {
-    const { fingerprint, id, age, parts = [] } = record;
+    const { fingerprint, id, age, parts = [], ran = 0 } = record;
     recordNumber(record);
-    if (!table.add({ crash: id, fingerprint, parts }, age)) return;
+    if (!table.add({ crash: id, fingerprint, parts, ran }, age)) return;
     options.onRecorded?.(vm);
     log.warn("crash recorded", {
       fingerprint: abbreviateFingerprint(fingerprint),
@@ -167,11 +169,12 @@
     table.clear(key, ids);
   };
 
-  const clearKey = (key: string, part?: string) => {
+  const clearKey = (key: string) => {
+    table.recordCompleted(key);
     const ids = [...table.crashesOf(key)];
     if (ids.length === 0) return;
     remove(key, { ids, vm: links.self.vm });
-    links.broadcast(clearMessage, { fingerprint: key, ids, part });
+    links.broadcast(clearMessage, { fingerprint: key, ids });
   };
 
   const report = (vm: string, records: CrashRecord[]) =>
@@ -190,10 +193,11 @@
       }),
     );
     const records = table.entries().map(
-      ({ crash: id, fingerprint, parts, age }) => ({
+      ({ crash: id, fingerprint, parts, age, ran }) => ({
         fingerprint,
         id,
         age,
+        ran,
         parts: [...parts],
         numbered: numbers.get(id),
       }),
@@ -209,8 +213,8 @@
   links.onMessage(marksMessage, ({ marks: records }, { vm }) => {
     for (const record of records) add(record, vm);
   });
-  links.onMessage(clearMessage, ({ fingerprint, ids, part }, { vm }) => {
-    if (part !== undefined) table.recordCompleted(part);
+  links.onMessage(clearMessage, ({ fingerprint, ids }, { vm }) => {
+    table.recordCompleted(fingerprint);
     remove(fingerprint, { ids, vm });
   });
   links.onPeersChange(reportToNewPeers);
@@ -223,7 +227,7 @@
     hasCompleted: table.hasCompleted,
     timeOf: table.timeOf,
     remaining: table.remaining,
-    async record({ fingerprint, process, upstream, parts }) {
+    async record({ fingerprint, process, upstream, parts, ran }) {
       const { vm, incarnation } = links.self;
       const numbered = upstream === undefined
         ? undefined
@@ -235,6 +239,7 @@
         fingerprint,
         id,
         age: 0,
+        ran,
         parts: [...parts ?? []],
         numbered,
       };
@@ -248,10 +253,7 @@
     },
     clear(fingerprint, parts = []) {
       clearKey(fingerprint);
-      for (const part of parts) {
-        table.recordCompleted(part);
-        clearKey(partKey(part), part);
-      }
+      for (const part of parts) clearKey(partKey(part));
     },
   };
 }
--- a/src/requests/crash_table.ts
+++ b/src/requests/crash_table.ts
@@ -6,8 +6,8 @@
 
 /// Time for which a crash counts, and so for which its cause is refused.
 const RETENTION_MILLISECONDS: Milliseconds = 600_000;
-/// Maximum number of requests in all crashes, of cleared crashes and of completed
-/// parts that one VM keeps. Above it, the oldest are removed.
+/// Maximum number of requests in all crashes, of cleared crashes, and of completed
+/// requests and parts each, that one VM keeps. Above it, the oldest are removed.
 const MAXIMUM_ENTRIES = 10_000;
 const PART_KEY_PREFIX = "part ";
 
@@ -18,6 +18,8 @@
   readonly fingerprint: string;
   /// IDs of the parts of its prompt that other requests may share.
   readonly parts: readonly string[];
+  /// Time for which it had been there.
+  readonly ran: Milliseconds;
 }
 
 export interface CrashTable {
@@ -36,10 +38,10 @@
   remaining(key: string): Milliseconds;
   /// Records that the key caused none of these crashes.
   clear(key: string, crashes: readonly string[]): void;
-  /// Records that a request with a part in its prompt has completed.
-  recordCompleted(part: string): void;
-  /// Whether a request with the part in its prompt has completed.
-  hasCompleted(part: string): boolean;
+  /// Records that a request with the key has completed.
+  recordCompleted(key: string): void;
+  /// Whether a request with the key has completed.
+  hasCompleted(key: string): boolean;
   /// All requests, with the ages of their crashes.
   entries(): readonly (CrashedRequest & { readonly age: Milliseconds })[];
 }
@@ -60,8 +62,10 @@
   const crashesByKey = new Map<string, Set<string>>();
   /// Crashes that a key has not caused, as `clearedName`.
   const cleared = new Set<string>();
-  /// Parts with which requests have completed.
-  const completed = new Set<string>();
+  /// Keys with which requests have completed. Fingerprints seldom come again and
+  /// must not take the place of parts.
+  const completedRequests = new Set<string>();
+  const completedParts = new Set<string>();
   let requestCount = 0;
 
   const addBounded = (set: Set<string>, value: string) => {
@@ -70,6 +74,9 @@
     if (set.size > MAXIMUM_ENTRIES) set.delete(set.keys().next().value!);
   };
 
+  const completedLike = (key: string) =>
+    key.startsWith(PART_KEY_PREFIX) ? completedParts : completedRequests;
+
   const clearedName = (key: string, crash: string) => `${key} ${crash}`;
 
   const keysOfRequest = ({ fingerprint, parts }: CrashedRequest) => [
@@ -145,8 +152,8 @@
         removeFrom(key, id);
       }
     },
-    recordCompleted: (part) => addBounded(completed, part),
-    hasCompleted: (part) => completed.has(part),
+    recordCompleted: (key) => addBounded(completedLike(key), key),
+    hasCompleted: (key) => completedLike(key).has(key),
     entries() {
       removeOldest();
       return [...crashes.values()].flatMap(({ at, requests }) =>
--- a/src/requests/quarantine.ts
+++ b/src/requests/quarantine.ts
@@ -4,16 +4,15 @@
 import { defineMessage } from "../links/message.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
-import { createPartDecision, type Suspects } from "./crash_attribution.ts";
+import { findCrashRefusal, type Suspects } from "./crash_attribution.ts";
 import { createCrashRecords } from "./crash_records.ts";
-import { partKey } from "./crash_table.ts";
 import { createFleetPermits, type Permit } from "./fleet_permits.ts";
 import { RequestError } from "./request_error.ts";
 
-/// Limits a request that crashes upstreams to two crashes in the whole fleet,
+/// Limits a request that crashes engines to two crashes in the whole fleet,
 /// however often it is resent and whichever VMs receive it. Attempts at engines
-/// need a permit, so that the limit also holds for concurrent ones; calls of
-/// services are refused once two crashes are recorded.
+/// need a permit, so that the limit also holds for concurrent ones. Calls of
+/// services need none: many are equal, and the recorded crashes decide.
 
 /// Crashes after which a fingerprint is refused.
 const MAXIMUM_CRASHES = 2;
@@ -73,7 +72,10 @@
   requireAllowed(suspects: Suspects): void;
   /// Records the crash of an upstream outside of a watched attempt. Resolves when
   /// the connected VMs have confirmed it, or after a bounded time.
-  recordCrash(fingerprint: string, upstream: string): Promise<void>;
+  recordCrash(
+    fingerprint: string,
+    crash: { readonly upstream: string; readonly ran: Milliseconds },
+  ): Promise<void>;
   /// Records that a request has completed outside of a watched attempt.
   recordCompleted(fingerprint: string): void;
   /// Whether the engine is reserved for a suspect request, so that other
@@ -136,6 +138,7 @@
     { fingerprint, parts }: Suspects,
     permit: Permit,
   ): WatchedAttempt => {
+    const startedAt = clock.now();
     const enginePermits = new Map<string, Permit>();
     let ended = false;
     const end = () => {
@@ -168,22 +171,24 @@
         end();
       },
       async crashed(engine) {
-        await crashes.record({ fingerprint, parts, upstream: engine });
+        const ran = clock.now() - startedAt;
+        await crashes.record({ fingerprint, parts, upstream: engine, ran });
         end();
       },
       stop: end,
     };
   };
 
-  const requireAllowed = ({ fingerprint, parts }: Suspects) => {
-    const part = parts.find(createPartDecision(crashes));
-    const isRefused = crashes.count(fingerprint) >= MAXIMUM_CRASHES;
-    if (!isRefused && part === undefined) return;
-    const key = isRefused ? fingerprint : partKey(part!);
-    const retryAfterSeconds = Math.ceil(crashes.remaining(key) / 1_000);
+  const refuse = (retryAfter: Milliseconds): never => {
+    const retryAfterSeconds = Math.ceil(retryAfter / 1_000);
     throw new RequestError("quarantined", { retryAfterSeconds });
   };
 
+  const requireAllowed = (suspects: Suspects) => {
+    const refusal = findCrashRefusal(crashes, suspects);
+    if (refusal) refuse(refusal.retryAfter);
+  };
+
   links.onMessage(exclusiveMessage, (value) => {
     recordExclusive(value.engine, value.exclusive);
   });
@@ -196,6 +201,9 @@
       const { fingerprint } = suspects;
       while (true) {
         signal.throwIfAborted();
+        if (crashes.count(fingerprint) >= MAXIMUM_CRASHES) {
+          refuse(crashes.remaining(fingerprint));
+        }
         requireAllowed(suspects);
         if (isHarmless(fingerprint)) return watch(suspects, UNCOUNTED);
         const permit = await permits.acquire(fingerprint);
@@ -204,8 +212,8 @@
       }
     },
     requireAllowed,
-    recordCrash: (fingerprint, upstream) =>
-      crashes.record({ fingerprint, upstream }),
+    recordCrash: (fingerprint, crash) =>
+      crashes.record({ fingerprint, ...crash }),
     recordCompleted: (fingerprint) => crashes.clear(fingerprint),
     isExclusive: (engine) => (exclusiveUntil.get(engine) ?? 0) > clock.now(),
     close: () => permits.close(),
--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -1,7 +1,7 @@
 import { createHash } from "node:crypto";
 import type { Contracts } from "../contracts/contract_book.ts";
 import { raceAbort } from "../support/abort.ts";
-import type { Clock } from "../support/clock.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
 import {
   type ServiceAnswer,
@@ -120,10 +120,14 @@
   /// still accepts connections.
   const recordIfCrashed = async (
     { client, upstream }: ServiceView,
-    fingerprint: string,
+    { fingerprint, startedAt }: {
+      fingerprint: string;
+      startedAt: Milliseconds;
+    },
   ) => {
     if (await client.acceptsConnections()) return;
-    await quarantine.recordCrash(fingerprint, upstream.name);
+    const ran = clock.now() - startedAt;
+    await quarantine.recordCrash(fingerprint, { upstream: upstream.name, ran });
   };
 
   const sendOnce = async (
@@ -139,6 +143,7 @@
       throw new RequestError("no_upstream", { retryAfterSeconds });
     }
     const { name } = instance.upstream;
+    const startedAt = clock.now();
     excluded.add(name);
     const attempt = excluded.size;
     options.open.update({ state: "sent", attempt, upstream: name });
@@ -150,7 +155,10 @@
       return answer;
     } catch (error) {
       if (error instanceof ServiceLostError) {
-        const recorded = recordIfCrashed(instance, fingerprint);
+        const recorded = recordIfCrashed(instance, {
+          fingerprint,
+          startedAt,
+        });
         await raceAbort(recorded, options.signal);
       }
       throw error;
