Try the cause of crashes again after a time

Found by the played load: where all engines crash before anything completes, a popular first part takes part in every crash and is refused with the cause.

Change: a cause is tried again 30 s after its last crash, by one VM, then by the others in turn; each further crash doubles the time, up to five minutes. The refusal states that time instead of the ten minutes for which crashes are kept, so the test of the refusal now asks for a Retry-After of over 20 s, not of 60.

Measured: under the fake clock the times are 30, 60, 120, 240 and 300 s, and the request may run after each. A cause that stays one crashes two more engines in the first two minutes. 60 tests of crashes and quarantine pass.

--- a/src/requests/crash_attribution.ts
+++ b/src/requests/crash_attribution.ts
@@ -20,10 +20,16 @@
 /// Latency of reports, by which the times of crashes that two VMs report differ.
 const REPORT_LATENCY_MILLISECONDS: Milliseconds = 10;
 
+/// Time after the last crash for which its cause is refused. Then it is tried
+/// again, by one VM after the other: a part that was refused by mistake can't
+/// complete and be cleared otherwise. Each further crash doubles the time.
+const FIRST_REFUSAL_MILLISECONDS: Milliseconds = 30_000;
+const MAXIMUM_REFUSAL_MILLISECONDS: Milliseconds = 300_000;
+
 /// Why a request is refused.
 export interface CrashRefusal {
   readonly reason: string;
-  /// Time until the crashes expire.
+  /// Time until it is tried again.
   readonly retryAfter: Milliseconds;
 }
 
@@ -42,7 +48,8 @@
   | "requestsIn"
   | "hasCompleted"
   | "timeOf"
-  | "remaining"
+  | "ageOf"
+  | "turnOf"
 >;
 
 /// Returns why a request is refused; undefined if it may run.
@@ -51,28 +58,50 @@
   { fingerprint, parts }: Suspects,
 ): CrashRefusal | undefined {
   const isCause = createPartDecision(known);
-  const part = parts.find(isCause);
-  if (part !== undefined) {
-    return {
-      reason: `upstreams crashed with the part ${part} of the prompt`,
-      retryAfter: known.remaining(partKey(part)),
-    };
+  for (const part of parts.filter(isCause)) {
+    const key = partKey(part);
+    const reason = `upstreams crashed with the part ${part} of the prompt`;
+    const count = countSuccessive(
+      known,
+      known.crashesOf(key),
+      (request) => request.parts.includes(part),
+    );
+    const retryAfter = timeUntilTrial(known, { key, count });
+    if (retryAfter > 0) return { reason, retryAfter };
   }
   const crashes = known.crashesOf(fingerprint);
   const threshold = known.hasCompleted(fingerprint)
     ? CRASHES_UNTIL_DOUBTFUL_REFUSED
     : CRASHES_UNTIL_REFUSED;
-  const isSame = (request: CrashedRequest) =>
-    request.fingerprint === fingerprint;
-  if (countSuccessive(known, crashes, isSame) < threshold) return undefined;
-  const unexplained = crashes.filter((crash) =>
-    !known.requestsIn(crash).some((request) => request.parts.some(isCause))
+  const countOf = (some: readonly string[]) =>
+    countSuccessive(
+      known,
+      some,
+      (request) => request.fingerprint === fingerprint,
+    );
+  if (countOf(crashes) < threshold) return undefined;
+  const count = countOf(
+    crashes.filter((crash) =>
+      !known.requestsIn(crash).some((request) => request.parts.some(isCause))
+    ),
   );
-  if (countSuccessive(known, unexplained, isSame) < threshold) return undefined;
-  return {
-    reason: "upstreams crashed with this request",
-    retryAfter: known.remaining(fingerprint),
-  };
+  if (count < threshold) return undefined;
+  const retryAfter = timeUntilTrial(known, { key: fingerprint, count });
+  const reason = "upstreams crashed with this request";
+  return retryAfter > 0 ? { reason, retryAfter } : undefined;
+}
+
+/// Time until this VM tries a cause of `count` crashes again.
+function timeUntilTrial(
+  known: KnownCrashes,
+  { key, count }: { key: string; count: number },
+): Milliseconds {
+  const age = Math.min(...known.crashesOf(key).map(known.ageOf));
+  const refusal = Math.min(
+    MAXIMUM_REFUSAL_MILLISECONDS,
+    FIRST_REFUSAL_MILLISECONDS * 2 ** (count - CRASHES_UNTIL_REFUSED),
+  );
+  return refusal * (1 + known.turnOf(key)) - age;
 }
 
 /// Number of crashes that followed one another: in each, a request that
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -4,6 +4,7 @@
 import { createNewPeers } from "../links/new_peers.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
+import { rankByRendezvous } from "../vms/rendezvous.ts";
 import {
   type CrashedRequest,
   createCrashTable,
@@ -92,6 +93,11 @@
   hasCompleted(key: string): boolean;
   /// Time of a crash.
   timeOf(crash: string): Milliseconds;
+  /// Time since a crash.
+  ageOf(crash: string): Milliseconds;
+  /// Position of this VM, from 0 to less than 1, in the order in which the VMs
+  /// try a refused key again.
+  turnOf(key: string): number;
   /// Time until the last crash of a key expires.
   remaining(key: string): Milliseconds;
   /// Records a crash and reports it to all connected VMs. Resolves when they
@@ -226,6 +232,12 @@
     requestsIn: table.requestsIn,
     hasCompleted: table.hasCompleted,
     timeOf: table.timeOf,
+    ageOf: (crash) => clock.now() - table.timeOf(crash),
+    turnOf(key) {
+      const { vm } = links.self;
+      const vms = [vm, ...links.peers().map((peer) => peer.vm)];
+      return rankByRendezvous(key, vms).indexOf(vm) / vms.length;
+    },
     remaining: table.remaining,
     async record({ fingerprint, process, upstream, parts, ran }) {
       const { vm, incarnation } = links.self;
