--- a/test/requests/crash_records_test.ts
+++ b/test/requests/crash_records_test.ts
@@ -70,3 +70,10 @@
   t.deepEqual(vms.map((vm) => vm.count("x")), [0, 0, 0]);
   t.true(vms.every((vm) => vm.hasCompleted(partKey("a"))));
 });
+
+test("VMs try a cause again in different turns", async (t) => {
+  const { clock, vms } = startVms(4);
+  await clock.advance(PAUSE_MILLISECONDS);
+  const turns = vms.map((vm) => vm.turnOf("x")).sort();
+  t.deepEqual(turns, [0, 0.25, 0.5, 0.75]);
+});
