Count crashes of copies that run at the same time

Found by reading the rule on requests that crash servers: copies of one request that run at several VMs at the same time crash their upstreams at different moments, and none of them was sent after the crash before. They counted once.

Change: crashes that are more than 100 ms apart also count each; the loss of many upstreams at once is noticed within less.

Measured: the new case (three overlapping runs, 250 ms apart) passes, and so does the loss that is noticed every 60 ms.

--- a/src/requests/crash_attribution.ts
+++ b/src/requests/crash_attribution.ts
@@ -19,6 +19,9 @@
 const CAUSE_SHARE = 0.5;
 /// Latency of reports, by which the times of crashes that two VMs report differ.
 const REPORT_LATENCY_MILLISECONDS: Milliseconds = 10;
+/// Time between two crashes that aren't the loss of several upstreams at once.
+/// VMs notice a closed connection within some milliseconds, or later under load.
+const SEPARATE_CRASHES_MILLISECONDS: Milliseconds = 100;
 
 /// Time after the last crash for which its cause is refused. Then it is tried
 /// again, by one VM after the other: a part that was refused by mistake can't
@@ -61,7 +64,7 @@
   for (const part of parts.filter(isCause)) {
     const key = partKey(part);
     const reason = `upstreams crashed with the part ${part} of the prompt`;
-    const count = countSuccessive(
+    const count = countSeparate(
       known,
       known.crashesOf(key),
       (request) => request.parts.includes(part),
@@ -74,7 +77,7 @@
     ? CRASHES_UNTIL_DOUBTFUL_REFUSED
     : CRASHES_UNTIL_REFUSED;
   const countOf = (some: readonly string[]) =>
-    countSuccessive(
+    countSeparate(
       known,
       some,
       (request) => request.fingerprint === fingerprint,
@@ -104,10 +107,10 @@
   return refusal * (1 + known.turnOf(key)) - age;
 }
 
-/// Number of crashes that followed one another: in each, a request that
-/// `isMeant` was sent after the crash before it. The loss of a rack or of a data
-/// centre ends what runs there at the same moment, so it counts once.
-function countSuccessive(
+/// Number of crashes, counting the loss of several upstreams at once as one: it
+/// ends what runs there at the same moment. A crash is separate if a request that
+/// `isMeant` was sent after the crash before it, or if they are apart in time.
+function countSeparate(
   known: KnownCrashes,
   crashes: readonly string[],
   isMeant: (request: CrashedRequest) => boolean,
@@ -118,11 +121,13 @@
       .map(({ ran }) => ran);
     return { start: end - Math.min(...times), end };
   }).sort((left, right) => left.end - right.end);
-  let lastEnd = -Infinity;
-  return runs.filter(({ start, end }) => {
-    const isSuccessor = start >= lastEnd - REPORT_LATENCY_MILLISECONDS;
-    if (isSuccessor) lastEnd = end;
-    return isSuccessor;
+  let lastSeparate = -Infinity;
+  return runs.filter(({ start, end }, index) => {
+    const previous = runs[index - 1]?.end ?? -Infinity;
+    const isSeparate = end - previous > SEPARATE_CRASHES_MILLISECONDS ||
+      start >= lastSeparate - REPORT_LATENCY_MILLISECONDS;
+    if (isSeparate) lastSeparate = end;
+    return isSeparate;
   }).length;
 }
 
@@ -147,27 +152,26 @@
     const after = new Map(
       crashes.map((crash) => [crash, new Set(partsAfter(crash, part))]),
     );
-    const isInMost = (later: string) =>
-      crashes.filter((crash) => after.get(crash)!.has(later)).length >
+    const isInMost = (id: string) =>
+      crashes.filter((crash) => after.get(crash)!.has(id)).length >
         CAUSE_SHARE * crashes.length;
-    const candidates = [
-      ...new Set([...after.values()].flatMap((ids) => [...ids])),
-    ]
-      .filter((later) => later !== part && (isInMost(later) || isCause(later)));
+    const later = new Set([...after.values()].flatMap((ids) => [...ids]));
+    later.delete(part);
+    const candidates = [...later].filter((id) => isInMost(id) || isCause(id));
     return crashes.filter((crash) =>
-      !candidates.some((later) => after.get(crash)!.has(later))
+      !candidates.some((id) => after.get(crash)!.has(id))
     );
   };
 
   const countWith = (crashes: readonly string[], part: string): number =>
-    countSuccessive(known, crashes, ({ parts }) => parts.includes(part));
+    countSeparate(known, crashes, ({ parts }) => parts.includes(part));
 
   /// Whether most crashes since the first of these are others.
   const isInFew = (crashes: readonly string[], part: string): boolean => {
     const first = Math.min(...crashes.map(known.timeOf));
     const since = known.crashes().filter((id) => known.timeOf(id) >= first);
     return countWith(crashes, part) <
-      CAUSE_SHARE * countSuccessive(known, since, () => true);
+      CAUSE_SHARE * countSeparate(known, since, () => true);
   };
 
   const decide = (part: string): boolean => {
--- a/test/requests/crash_attribution_test.ts
+++ b/test/requests/crash_attribution_test.ts
@@ -24,8 +24,8 @@
   readonly events: readonly (
     | {
       readonly crashed: readonly string[];
-      /// Whether it is at the same time as the crash before it.
-      readonly isSimultaneous?: boolean;
+      /// Time since the crash before it, if not the usual one.
+      readonly after?: number;
       /// Time for which the requests had run, if not the usual one.
       readonly ran?: number;
     }
@@ -102,8 +102,8 @@
       "a first part isn't refused before a part after it that may be the cause",
     events: [
       { crashed: ["x1 first bad"] },
-      { crashed: ["x2 first bad ran=400", "s1 first"] },
-      { crashed: ["x3 first bad ran=700", "s2 first"] },
+      { crashed: ["x2 first bad ran=400", "s1 first ran=10"], after: 50 },
+      { crashed: ["x3 first bad ran=700", "s2 first ran=10"], after: 50 },
       { crashed: ["s3 first"] },
     ],
     refused: [],
@@ -179,7 +179,7 @@
     title: "upstreams that crash at the same moment make no part suspect",
     events: Array.from({ length: 9 }, (_, index) => ({
       crashed: [`s${index} first a`],
-      isSimultaneous: index > 0,
+      after: index > 0 ? 0 : undefined,
     })),
     refused: [],
     allowed: ["new first a", "new first"],
@@ -212,16 +212,24 @@
     title: "upstreams whose loss is noticed in turn make nothing suspect",
     events: Array.from({ length: 9 }, (_, index) => ({
       crashed: [`s${index} first a`, "s"],
+      after: index > 0 ? 60 : undefined,
       ran: 5_000,
     })),
     refused: [],
     allowed: ["new first a", "new first", "s"],
   },
+  {
+    title:
+      "a request that runs on several upstreams and crashes each is refused",
+    events: Array.from({ length: 3 }, () => ({ crashed: ["x"], ran: 2_000 })),
+    refused: ["x"],
+    allowed: [],
+  },
   {
     title: "a request on upstreams that crash at the same moment stays allowed",
     events: Array.from({ length: 9 }, (_, index) => ({
       crashed: ["s"],
-      isSimultaneous: index > 0,
+      after: index > 0 ? 0 : undefined,
     })),
     refused: [],
     allowed: ["s"],
@@ -295,9 +303,7 @@
         }
         continue;
       }
-      if (!event.isSimultaneous) {
-        await clock.advance(CRASH_INTERVAL_MILLISECONDS);
-      }
+      await clock.advance(event.after ?? CRASH_INTERVAL_MILLISECONDS);
       for (const request of event.crashed) {
         const parsed = parse(request);
         const ran = parsed.ran || event.ran || RUN_MILLISECONDS;
