Check an upstream only after it has closed the connection

Change: the exchange tells whether the upstream closed or reset the connection; only then it is checked.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -278,7 +278,7 @@
         fail(reason, reachability);
       });
     },
-    onFailure({ wasSent, wasReused, reason }) {
+    onFailure({ wasSent, wasReused, wasClosed, reason }) {
       if (!wasSent) {
         const detail = `not connected: ${reason}`;
         return settle({
@@ -288,14 +288,15 @@
         });
       }
       const mayBeStale = wasReused && !head;
-      checkReachable((reachability) =>
+      const settleFailed = (reachability: Reachability) =>
         settle({
           kind: "failed",
           reason,
           ...failureOf(reachability),
           mayBeStale,
-        })
-      );
+        });
+      if (wasClosed) checkReachable(settleFailed);
+      else settleFailed("accepts");
     },
   });
   watchInactivity(plan.firstEventTimeout);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -30,6 +30,9 @@
   readonly wasSent: boolean;
   /// Whether it was sent on a reused connection.
   readonly wasReused: boolean;
+  /// Whether the upstream closed or reset the connection. Otherwise it sent
+  /// something that isn't a response, and so is running.
+  readonly wasClosed: boolean;
   readonly reason: string;
 }
 
@@ -60,6 +63,13 @@
 /// precede a response; an upstream in trouble may send them without end.
 const MAXIMUM_INFORMATIONAL_RESPONSES = 16;
 
+/// Codes of errors after which the upstream has closed or reset the connection.
+const CLOSED_CONNECTION_CODES = new Set([
+  "UND_ERR_SOCKET",
+  "ECONNRESET",
+  "EPIPE",
+]);
+
 function hasFraming(headers: HeaderFields): boolean {
   return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
@@ -82,11 +92,12 @@
   let informationalResponses = 0;
   let control: { pause(): void; resume(): void } | undefined;
 
-  const fail = (reason: string) => {
+  const fail = (reason: string, wasClosed = false) => {
     if (hasEnded) return;
     hasEnded = true;
     connection.discard();
-    handler.onFailure({ wasSent, wasReused: connection.isReused(), reason });
+    const wasReused = connection.isReused();
+    handler.onFailure({ wasSent, wasReused, wasClosed, reason });
   };
 
   try {
@@ -124,14 +135,15 @@
         if (hasEnded) return;
         // undici treats a reset as the end of a response without a length.
         const error = connection.socketError();
-        if (!isFramed && error) return fail(error.message);
+        if (!isFramed && error) return fail(error.message, true);
         hasEnded = true;
         if (isFramed) connection.release();
         else connection.discard();
         handler.onEnd();
       },
       onResponseError(_controller, error) {
-        fail(error.message);
+        const { code } = error as NodeJS.ErrnoException;
+        fail(error.message, CLOSED_CONNECTION_CODES.has(code ?? ""));
       },
     });
   } catch (error) {
