Tell retries after a crash from runs that overlap

Whether a request was sent after the crash before is computed from times of reports, which arrive late on a busy VM, so two crashes a few milliseconds apart counted as one.

Change: the VM that retries a request knows that its upstream had crashed, and says so in the record.

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -109,6 +109,7 @@
   let deliveredAttempts = 0;
   let refusals = 0;
   let mayHaveExecuted = false;
+  let hasCrashedUpstream = false;
   let lastId: string | undefined;
   let lastReason = "no upstream is listed";
   let firstByte: Milliseconds | undefined;
@@ -237,7 +238,9 @@
         ...suspects,
         process: `${id} ${startedAt}`,
         ran: took,
+        isRetry: hasCrashedUpstream,
       });
+      hasCrashedUpstream = true;
     }
     if (result.kind !== "answered") {
       if (result.isUnreachable) health.recordUnreachable(upstream.id);
--- a/src/requests/crash_attribution.ts
+++ b/src/requests/crash_attribution.ts
@@ -109,7 +109,8 @@
 
 /// Number of crashes, counting the loss of several upstreams at once as one: it
 /// ends what runs there at the same moment. A crash is separate if a request that
-/// `isMeant` was sent after the crash before it, or if they are apart in time.
+/// `isMeant` is a retry or was sent after the crash before it, or if they are
+/// apart in time.
 function countSeparate(
   known: KnownCrashes,
   crashes: readonly string[],
@@ -117,14 +118,15 @@
 ): number {
   const runs = crashes.map((crash) => {
     const end = known.timeOf(crash);
-    const times = known.requestsIn(crash).filter(isMeant)
-      .map(({ ran }) => ran);
-    return { start: end - Math.min(...times), end };
+    const requests = known.requestsIn(crash).filter(isMeant);
+    const start = end - Math.min(...requests.map(({ ran }) => ran));
+    return { start, end, isRetry: requests.some(({ isRetry }) => isRetry) };
   }).sort((left, right) => left.end - right.end);
   let lastSeparate = -Infinity;
-  return runs.filter(({ start, end }, index) => {
+  return runs.filter(({ start, end, isRetry }, index) => {
     const previous = runs[index - 1]?.end ?? -Infinity;
-    const isSeparate = end - previous > SEPARATE_CRASHES_MILLISECONDS ||
+    const isSeparate = isRetry ||
+      end - previous > SEPARATE_CRASHES_MILLISECONDS ||
       start >= lastSeparate - REPORT_LATENCY_MILLISECONDS;
     if (isSeparate) lastSeparate = end;
     return isSeparate;
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -26,6 +26,8 @@
   age: Type.Number({ minimum: 0 }),
   /// Time for which the request had been on the upstream.
   ran: Type.Optional(Type.Number({ minimum: 0 })),
+  /// Whether it was sent there after an earlier upstream had crashed with it.
+  isRetry: Type.Optional(Type.Boolean()),
   /// IDs of the parts of the prompt that other requests may share.
   parts: Type.Optional(Type.Array(Type.String())),
   /// The upstream, if VMs number its crashes, and the number of this one.
@@ -76,6 +78,8 @@
   readonly parts?: readonly string[];
   /// Time for which the request had been on the upstream.
   readonly ran: Milliseconds;
+  /// Whether it was sent there after an earlier upstream had crashed with it.
+  readonly isRetry?: boolean;
 }
 
 export interface CrashRecords {
@@ -151,7 +155,9 @@
   const add = (record: CrashRecord, vm: string) => {
     const { fingerprint, id, age, parts = [], ran = 0 } = record;
     recordNumber(record);
-    if (!table.add({ crash: id, fingerprint, parts, ran }, age)) return;
+    const isRetry = record.isRetry === true;
+    const request = { crash: id, fingerprint, parts, ran, isRetry };
+    if (!table.add(request, age)) return;
     options.onRecorded?.(vm);
     log.warn("crash recorded", {
       fingerprint: abbreviateFingerprint(fingerprint),
@@ -199,11 +205,12 @@
       }),
     );
     const records = table.entries().map(
-      ({ crash: id, fingerprint, parts, age, ran }) => ({
+      ({ crash: id, fingerprint, parts, age, ran, isRetry }) => ({
         fingerprint,
         id,
         age,
         ran,
+        isRetry,
         parts: [...parts],
         numbered: numbers.get(id),
       }),
@@ -239,7 +246,7 @@
       return rankByRendezvous(key, vms).indexOf(vm) / vms.length;
     },
     remaining: table.remaining,
-    async record({ fingerprint, process, upstream, parts, ran }) {
+    async record({ process, upstream, parts, ...observed }) {
       const { vm, incarnation } = links.self;
       const numbered = upstream === undefined
         ? undefined
@@ -248,10 +255,9 @@
         (numbered && idOf(numbered)) ??
         `${vm}:${incarnation}:${nextId++}`;
       const crash = {
-        fingerprint,
+        ...observed,
         id,
         age: 0,
-        ran,
         parts: [...parts ?? []],
         numbered,
       };
--- a/src/requests/crash_table.ts
+++ b/src/requests/crash_table.ts
@@ -20,6 +20,8 @@
   readonly parts: readonly string[];
   /// Time for which it had been there.
   readonly ran: Milliseconds;
+  /// Whether it was sent there after an earlier upstream had crashed with it.
+  readonly isRetry: boolean;
 }
 
 export interface CrashTable {
--- a/test/requests/crash_attribution_load_test.ts
+++ b/test/requests/crash_attribution_load_test.ts
@@ -38,6 +38,7 @@
 
 interface SimulatedRun {
   readonly startedAt: number;
+  readonly isRetry: boolean;
   readonly onCrash: () => void;
 }
 
@@ -98,9 +99,9 @@
       const requests = [...engine.running];
       engine.running.clear();
       engine.isDown = true;
-      for (const [request, { startedAt }] of requests) {
+      for (const [request, { startedAt, isRetry }] of requests) {
         const ran = clock.now() - startedAt;
-        table.add({ crash: id, ...request, ran }, 0);
+        table.add({ crash: id, ...request, ran, isRetry }, 0);
       }
       clock.schedule(RESTART_MILLISECONDS, () => {
         engine.starts += 1;
@@ -139,6 +140,7 @@
     });
     engine.running.set(request, {
       startedAt: clock.now(),
+      isRetry: attempt > 1,
       onCrash: () => {
         timer.cancel();
         send(request, attempt + 1);
--- a/test/requests/crash_attribution_test.ts
+++ b/test/requests/crash_attribution_test.ts
@@ -307,7 +307,8 @@
       for (const request of event.crashed) {
         const parsed = parse(request);
         const ran = parsed.ran || event.ran || RUN_MILLISECONDS;
-        table.add({ ...parsed, crash: `crash-${index}`, ran }, 0);
+        const crash = `crash-${index}`;
+        table.add({ ...parsed, crash, ran, isRetry: false }, 0);
       }
     }
     const isRefused = (request: string) =>
@@ -323,7 +324,8 @@
   const refusal = () => findCrashRefusal(knownTo(table, clock), parse("x"));
   const crash = async (id: string) => {
     await clock.advance(CRASH_INTERVAL_MILLISECONDS);
-    table.add({ ...parse("x"), crash: id, ran: RUN_MILLISECONDS }, 0);
+    const ran = RUN_MILLISECONDS;
+    table.add({ ...parse("x"), crash: id, ran, isRetry: false }, 0);
   };
   for (const id of ["a", "b", "c"]) await crash(id);
   for (const expected of [30_000, 60_000, 120_000, 240_000, 300_000]) {
