Give upstreams of tests a loopback address of their own

Found beside load: "a request is refused soon when all listed upstreams have crashed" got 200. The ports of crashed stand-ins were soon given to servers of tests that ran at the same time, which answered. Tests of crashes waited for 150 ms instead of for the reports.

Change: each scripted upstream listens on an address of its own in 127.0.0.0/8, and the tests wait until every gateway has recorded the crashes. Checks and bounds are the same.

--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -265,6 +265,19 @@
   );
 }
 
+/// Returns how many records of crashes each gateway has.
+export async function countRecordedCrashes(
+  { gateways, readMetrics }: PlatformDeployment,
+): Promise<number[]> {
+  const metrics = await Promise.all(
+    gateways.map((_, gateway) => readMetrics(gateway)),
+  );
+  return metrics.map((text) =>
+    [...text.matchAll(/crashes_recorded_total\{[^}]*\} (\d+)/g)]
+      .reduce((sum, [, count]) => sum + Number(count), 0)
+  );
+}
+
 /// Waits until `condition` holds. Throws if it doesn't hold within 15 seconds.
 export async function until(
   condition: () => boolean | Promise<boolean>,
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -4,6 +4,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { threadId } from "node:worker_threads";
 
 /// Stand-in for an upstream of the platform. It responds to each request as a
 /// script decides, and records the requests.
@@ -78,6 +79,15 @@
   close(): void;
 }
 
+let nextHost = 0;
+
+/// Returns a loopback address of its own for each upstream: the port of one that
+/// has crashed could soon belong to a server of another test.
+function chooseHost(): string {
+  const number = nextHost++;
+  return `127.${1 + process.pid % 250}.${threadId % 250}.${1 + number % 250}`;
+}
+
 const defaultEvent = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
 
 export async function startScriptedUpstream(
@@ -194,6 +204,7 @@
     await respond(request, response);
   };
 
+  const host = chooseHost();
   const server = createServer((message, response) => {
     handle(message, response).catch(() => response.destroy());
   });
@@ -204,11 +215,9 @@
       // Tests make the peer reset the connection.
     });
   });
-  await new Promise<void>((resolve) =>
-    server.listen(0, "127.0.0.1", () => resolve())
-  );
+  await new Promise<void>((resolve) => server.listen(0, host, () => resolve()));
   const { port } = server.address() as AddressInfo;
-  const address = `127.0.0.1:${port}`;
+  const address = `${host}:${port}`;
   return {
     id,
     address,
--- a/test/gateway/crashing_part_test.ts
+++ b/test/gateway/crashing_part_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import {
+  countRecordedCrashes,
   isConnected,
   startPlatformDeployment,
   until,
@@ -16,8 +17,6 @@
 const CRASHES_ALLOWED = 5;
 const FIRST_PART = "f1";
 const CRASHING_PART = "bad";
-/// Longer than a report takes from one gateway to another.
-const PAUSE_MILLISECONDS = 150;
 
 interface PartCase {
   readonly title: string;
@@ -76,18 +75,24 @@
     const sendSound = () => send([FIRST_PART]);
     const sendCrashing = () => send([FIRST_PART, CRASHING_PART]);
 
+    const findCrashed = () =>
+      engines.filter(({ requests }) =>
+        requests.some(({ headers, wasExecuted }) =>
+          wasExecuted && hasCrashingPart(headers["x-prefix-hash"])
+        )
+      );
+
     let last;
     for (let round = 0; round < ROUNDS; round++) {
       const beside = sendSound();
       last = await sendCrashing();
       await beside;
-      await new Promise((resolve) => setTimeout(resolve, PAUSE_MILLISECONDS));
+      await until(async () => {
+        const counts = await countRecordedCrashes(deployment);
+        return new Set(counts).size === 1 && counts[0]! >= findCrashed().length;
+      });
     }
-    const crashed = engines.filter(({ requests }) =>
-      requests.some(({ headers, wasExecuted }) =>
-        wasExecuted && hasCrashingPart(headers["x-prefix-hash"])
-      )
-    );
+    const crashed = findCrashed();
     t.true(
       crashed.length <= CRASHES_ALLOWED,
       `${crashed.length} engines crashed`,
--- a/test/gateway/crashing_request_test.ts
+++ b/test/gateway/crashing_request_test.ts
@@ -1,6 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import {
   type CallerRequest,
+  countRecordedCrashes,
   isConnected,
   type PlatformDeployment,
   startPlatformDeployment,
@@ -12,9 +13,6 @@
 
 const GATEWAYS = 3;
 const UPSTREAMS = 8;
-/// Longer than a report takes from one gateway to another.
-const PAUSE_MILLISECONDS = 150;
-
 const SAFE = { path: "/look/crash", method: "GET" };
 const ONCE = { path: "/once/crash", body: "an order" };
 const STREAM = {
@@ -23,9 +21,6 @@
   body: "a prompt",
 };
 
-const pause = () =>
-  new Promise((resolve) => setTimeout(resolve, PAUSE_MILLISECONDS));
-
 /// Starts linked gateways with upstreams that run `action` for requests to
 /// paths that end with `/crash`, and serve all others.
 async function deploy(
@@ -67,16 +62,21 @@
   return { deployment, upstreams, executions, removeCrashed };
 }
 
-/// Sends a request to the gateways in turn.
+/// Sends a request to the gateways in turn, and waits after each until
+/// `isSettled` holds.
 async function sendInTurn(
   deployment: PlatformDeployment,
-  { request, times }: { request: CallerRequest; times: number },
+  { request, times, isSettled }: {
+    request: CallerRequest;
+    times: number;
+    isSettled: () => Promise<boolean>;
+  },
 ) {
   const results = [];
   for (let count = 0; count < times; count++) {
     const gateway = count % GATEWAYS;
     results.push(await deployment.send({ ...request, gateway }));
-    await pause();
+    await until(isSettled);
   }
   return results;
 }
@@ -122,7 +122,13 @@
       service,
       action,
     );
-    const results = await sendInTurn(deployment, { request, times: 8 });
+    const results = await sendInTurn(deployment, {
+      request,
+      times: 8,
+      isSettled: async () =>
+        (await countRecordedCrashes(deployment))
+          .every((count) => count === executions()),
+    });
     t.is(executions(), 3);
     t.is(results.at(-1)!.status, 503);
     t.true(Number(results.at(-1)!.headers["retry-after"]) > 20);
@@ -136,7 +142,11 @@
 
 test("a request whose responses are lost by running upstreams stays allowed", async (t) => {
   const { deployment, executions } = await deploy(t, "desk", { kind: "reset" });
-  await sendInTurn(deployment, { request: ONCE, times: 5 });
+  await sendInTurn(deployment, {
+    request: ONCE,
+    times: 5,
+    isSettled: () => Promise.resolve(true),
+  });
   t.is(executions(), 5);
 });
 
