Log the limits on requests that upstreams state, and count the upstreams

Change: the header is read; a line when an upstream is limited and when it no longer is, and the gauge limited_upstreams. It isn't forwarded to callers. No decision uses it.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds, Timer } from "../support/clock.ts";
-import type { HelperEngine } from "./dialect.ts";
+import type { HelperEngine, UpstreamResponseMetadata } from "./dialect.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import { type Exchange, type HeaderFields, startExchange } from "./exchange.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
@@ -87,6 +87,8 @@
   readonly extendsTimeout: boolean;
   /// Further inactivity that the upstream's other work accounts for.
   readonly remainingPrefill: () => Promise<Milliseconds>;
+  /// Receives what the head of the upstream's response to this request states.
+  readonly onResponse: (metadata: UpstreamResponseMetadata) => void;
   /// Receives complete events. Returns false to pause the response.
   readonly onEvents: (
     bytes: Buffer,
@@ -244,6 +246,7 @@
       if (!parsed.wasNotExecuted && !parsed.isAuthentic) {
         return fail(`an answer ${status} that the upstream didn't sign`);
       }
+      if (!parsed.isWrongUpstream) plan.onResponse(parsed);
       head = { status, headers, isFramed };
       isStream = !parsed.wasNotExecuted && status < 300 &&
         isEventStream(headers);
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -56,6 +56,9 @@
   readonly isForOtherRequest: boolean;
   /// Address of the engine at fault, if the responding engine is not at fault.
   readonly faultAddress: string | undefined;
+  /// Requests per second that the upstream accepts from all VMs together, for as
+  /// long as its responses state it; undefined if it states no limit.
+  readonly requestLimit: number | undefined;
 }
 
 /// Translates between header fields of the platform and their meaning.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,6 +29,7 @@
 import { startStoreWatcher } from "./store_watcher.ts";
 import { createUpstreamConnections } from "./upstream_connections.ts";
 import { createUpstreamHealth } from "./upstream_health.ts";
+import { createUpstreamLimits } from "./upstream_limits.ts";
 import { startViewBuilder } from "./view_builder.ts";
 import { startViewSharing } from "./view_sharing.ts";
 import { createVmDirectory, startRegistration } from "./vm_directory.ts";
@@ -146,6 +147,7 @@
     metrics.peers.set(links.peers().length);
   });
   const health = createUpstreamHealth({ clock, random, log, links });
+  const upstreamLimits = createUpstreamLimits({ clock, log });
   const connections = createUpstreamConnections(clock);
   const placementParts = createPlacementParts({
     clock,
@@ -178,6 +180,7 @@
       },
       vmCount: estimateVmCount,
     }),
+    upstreamLimits,
     connections,
     crashRecords: createCrashRecords({
       clock,
@@ -198,7 +201,11 @@
   let listedIds = new Set<string>();
   const discardRemoved = () => {
     const listed = new Set(view.upstreams().map(({ id }) => id));
-    for (const id of listedIds) if (!listed.has(id)) health.remove(id);
+    for (const id of listedIds) {
+      if (listed.has(id)) continue;
+      health.remove(id);
+      upstreamLimits.remove(id);
+    }
     listedIds = listed;
   };
 
@@ -264,6 +271,7 @@
     response: ServerResponse,
   ) => {
     metrics.running.set(callerServer.running());
+    metrics.limitedUpstreams.set(upstreamLimits.count());
     metrics.connectionsOpened.set(connections.opened());
     metrics.logLinesDropped.set(options.sink?.dropped() ?? 0);
     const { registry } = metrics;
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -11,6 +11,7 @@
   readonly running: Gauge;
   readonly configurationVersion: Gauge;
   readonly upstreams: Gauge;
+  readonly limitedUpstreams: Gauge;
   readonly peers: Gauge;
   readonly storeConnected: Gauge;
   readonly storeFollower: Gauge;
@@ -78,6 +79,10 @@
       "Version of the configuration in force",
     ),
     upstreams: gauge("upstreams", "Upstreams that are listed"),
+    limitedUpstreams: gauge(
+      "limited_upstreams",
+      "Upstreams that state a limit on requests",
+    ),
     peers: gauge("peers", "Other VMs with a working link"),
     storeConnected: gauge("store_connected", "1 while the store answers"),
     storeFollower: gauge(
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -16,6 +16,7 @@
 import type { RetryBudget } from "./retry_budget.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
+import type { UpstreamLimits } from "./upstream_limits.ts";
 
 /// Dependencies that all requests of a gateway share.
 export interface RequestContext {
@@ -30,6 +31,7 @@
   readonly inFlightWork: InFlightWork;
   readonly placements: PlacementService;
   readonly retryBudget: RetryBudget;
+  readonly upstreamLimits: UpstreamLimits;
   readonly connections: UpstreamConnections;
   readonly crashRecords: CrashRecords;
   /// Bytes of responses that are buffered before they are forwarded.
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -199,6 +199,8 @@
       mayRetry: () =>
         isRetryable && mayHaveExecutedAt.length + 1 < route.maxUpstreams,
       remainingPrefill: () => placements.remainingPrefill(upstream.id),
+      onResponse: ({ requestLimit: limit }) =>
+        context.upstreamLimits.record(upstream.id, { limit, sentAt }),
       onEvents: onEvents(work, upstream),
     });
     const result = await attempt.result;
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -5,6 +5,7 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { threadId } from "node:worker_threads";
+import type { Milliseconds } from "../../src/support/clock.ts";
 
 /// Stand-in for an upstream of the platform. It responds to each request as a
 /// script decides, and records the requests.
@@ -18,6 +19,7 @@
   wasAborted: boolean;
   /// Whether it was executed rather than refused.
   wasExecuted: boolean;
+  readonly receivedAt: Milliseconds;
 }
 
 /// How an upstream responds to a request.
@@ -64,6 +66,8 @@
   readonly id: string;
   /// Delay of the response to its first order.
   readonly firstOrderDelayMilliseconds?: number;
+  /// Requests per second that its responses state as its limit.
+  readonly requestLimit?: () => number | undefined;
   readonly act: (request: ReceivedRequest) => UpstreamAction;
 }
 
@@ -91,7 +95,8 @@
 const defaultEvent = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
 
 export async function startScriptedUpstream(
-  { id, act, firstOrderDelayMilliseconds = 0 }: ScriptedUpstreamOptions,
+  { id, act, requestLimit, firstOrderDelayMilliseconds = 0 }:
+    ScriptedUpstreamOptions,
 ): Promise<ScriptedUpstream> {
   const requests: ReceivedRequest[] = [];
   const orders: Record<string, unknown>[] = [];
@@ -130,6 +135,8 @@
     const hasOtherAttemptId = action.kind === "foreign";
     response.setHeader("X-Attempt-Id", hasOtherAttemptId ? "another" : attempt);
     response.setHeader("X-Instance-Load", "1,0,6");
+    const limit = requestLimit?.();
+    if (limit !== undefined) response.setHeader("Server-Limit", String(limit));
     if (action.kind === "refuse") {
       response.setHeader("X-Not-Executed", "1");
       return response.writeHead(action.status ?? 503).end();
@@ -196,6 +203,7 @@
       body,
       wasAborted: false,
       wasExecuted: false,
+      receivedAt: performance.now(),
     };
     response.on("close", () => {
       if (!response.writableFinished) request.wasAborted = true;
