Keep to the limits on requests that upstreams state

Cause: no part of the gateway read the limit that an upstream states in its responses. The class: a statement of an upstream about itself that no decision uses. Change: VMs tell each other of limits. Each attempt at a limited upstream, first or not, needs a permit from the upstream's owner, a VM chosen by rendezvous hashing among the linked VMs, which grants them at the stated rate; in a network partition each part grants its share. Without a permit the request is placed at another upstream; if none accepts it, it waits as long as its objective allows and is refused otherwise, with the time of the next permit. Limited engines prefill no spans of others' prompts. A limit ends with a response, to a request that was sent after the limit was learned, that states none.

--- a/src/gateway/free_slots.ts
+++ b/src/gateway/free_slots.ts
@@ -4,6 +4,7 @@
 import type { InFlightWork } from "./in_flight_work.ts";
 import { usableSlots } from "./placement.ts";
 import type { PlacementOwners } from "./placement_owners.ts";
+import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
 
 /// The free slots of a service's upstreams, as this VM knows them.
@@ -12,6 +13,7 @@
   readonly random: RandomSource;
   readonly view: FleetView;
   readonly health: UpstreamHealth;
+  readonly upstreamLimits: Pick<UpstreamLimits, "delayOf">;
   readonly inFlightWork: InFlightWork;
   readonly owners: PlacementOwners;
   readonly dataCentre: string;
@@ -40,6 +42,7 @@
       if (isLocal && upstream.dataCentre !== dataCentre) continue;
       slots += usableSlots(upstream);
       if (health.isSuspended(id)) continue;
+      if (options.upstreamLimits.delayOf(id) > 0) continue;
       const { requests } = inFlightWork.workAt(id);
       freeSlots += Math.max(0, usableSlots(upstream) - requests);
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { LineSink, Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
+import { createUpstreamLimits } from "../upstreams/upstream_limits.ts";
 import { createByteBudget } from "./byte_budget.ts";
 import { createCallerServer } from "./caller_server.ts";
 import type {
@@ -29,7 +30,6 @@
 import { startStoreWatcher } from "./store_watcher.ts";
 import { createUpstreamConnections } from "./upstream_connections.ts";
 import { createUpstreamHealth } from "./upstream_health.ts";
-import { createUpstreamLimits } from "./upstream_limits.ts";
 import { startViewBuilder } from "./view_builder.ts";
 import { startViewSharing } from "./view_sharing.ts";
 import { createVmDirectory, startRegistration } from "./vm_directory.ts";
@@ -147,7 +147,14 @@
     metrics.peers.set(links.peers().length);
   });
   const health = createUpstreamHealth({ clock, random, log, links });
-  const upstreamLimits = createUpstreamLimits({ clock, log });
+  const upstreamLimits = createUpstreamLimits({
+    clock,
+    log,
+    links,
+    vmCount: estimateVmCount,
+    onPermit: (isGranted) =>
+      metrics.limitedAttempts.inc({ result: isGranted ? "sent" : "held back" }),
+  });
   const connections = createUpstreamConnections(clock);
   const placementParts = createPlacementParts({
     clock,
@@ -156,6 +163,7 @@
     links,
     view,
     health,
+    upstreamLimits,
     vmCount: estimateVmCount,
   });
   const callerServer = createCallerServer({
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -12,6 +12,7 @@
   readonly configurationVersion: Gauge;
   readonly upstreams: Gauge;
   readonly limitedUpstreams: Gauge;
+  readonly limitedAttempts: Counter<"result">;
   readonly peers: Gauge;
   readonly storeConnected: Gauge;
   readonly storeFollower: Gauge;
@@ -83,6 +84,12 @@
       "limited_upstreams",
       "Upstreams that state a limit on requests",
     ),
+    limitedAttempts: new Counter({
+      name: "sequoiaturn_gateway_limited_attempts_total",
+      help: "Attempts at upstreams that state a limit on requests, by result",
+      labelNames: ["result"],
+      registers,
+    }),
     peers: gauge("peers", "Other VMs with a working link"),
     storeConnected: gauge("store_connected", "1 while the store answers"),
     storeFollower: gauge(
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -20,6 +20,8 @@
   readonly failureShare: number;
   /// Whether it gets no requests for a time after recent failures.
   readonly isSuspended: boolean;
+  /// Whether it states a limit on requests.
+  readonly isLimited: boolean;
   /// Whether it is in this VM's data centre.
   readonly isLocal: boolean;
 }
@@ -274,7 +276,9 @@
   const requestWeight = request.promptTokens +
     OUTPUT_TOKEN_WEIGHT * request.outputTokens;
   const maximumHelperSpans = profile.slots * USABLE_SLOTS_RATIO;
-  const open = candidates.filter(({ work }) => work.spans < maximumHelperSpans);
+  const open = candidates.filter(({ work, isLimited }) =>
+    work.spans < maximumHelperSpans && !isLimited
+  );
   const estimates = (open.length > 0 ? open : candidates).map((
     candidate,
   ) => ({
--- a/src/gateway/placement_decider.ts
+++ b/src/gateway/placement_decider.ts
@@ -19,7 +19,9 @@
   PlacementQuery,
   RefusedDecision,
 } from "./placement_decision.ts";
+import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
+import type { Upstream } from "./upstream.ts";
 import type { WaitQueue } from "./wait_queue.ts";
 
 /// Decides where requests are sent, from this VM's knowledge of the work at the
@@ -73,6 +75,7 @@
   readonly random: RandomSource;
   readonly view: FleetView;
   readonly health: UpstreamHealth;
+  readonly upstreamLimits: Pick<UpstreamLimits, "delayOf" | "isLimited">;
   readonly inFlightWork: InFlightWork;
   readonly waitQueue: WaitQueue;
   /// This VM's data centre.
@@ -107,16 +110,26 @@
   options: PlacementDeciderOptions,
 ): PlacementDecider {
   const { clock, random, view, health, inFlightWork, waitQueue } = options;
+  const { upstreamLimits } = options;
 
-  const candidatesFor = (
+  const listedFor = (
     service: Service,
-    { avoided }: PlacementQuery,
     { dataCentre }: DecisionScope,
-  ): Candidate[] => {
+  ): readonly Upstream[] => {
     const all = view.available(service.name);
-    const listed = service.engine && dataCentre !== undefined
+    return service.engine && dataCentre !== undefined
       ? all.filter((upstream) => upstream.dataCentre === dataCentre)
       : all;
+  };
+
+  const candidatesFor = (
+    service: Service,
+    { avoided }: PlacementQuery,
+    scope: DecisionScope,
+  ): Candidate[] => {
+    const listed = listedFor(service, scope).filter(({ id }) =>
+      upstreamLimits.delayOf(id) === 0
+    );
     const preferred = listed.filter(({ id }) => !avoided.includes(id));
     const maximumRequests = service.maxConnections * USABLE_CONNECTIONS_RATIO;
     return (preferred.length > 0 ? preferred : listed).flatMap((upstream) => {
@@ -127,6 +140,7 @@
         work,
         failureShare: health.failureShare(upstream.id),
         isSuspended: health.isSuspended(upstream.id),
+        isLimited: upstreamLimits.isLimited(upstream.id),
         isLocal: upstream.dataCentre === options.dataCentre,
       }];
     });
@@ -159,12 +173,21 @@
     helpers: [...plan.helpers],
   });
 
-  const noUpstream = ({ service }: PlacementQuery) =>
-    refused(
-      view.available(service).length > 0
+  const noUpstream = (service: Service, scope: DecisionScope) => {
+    const listed = listedFor(service, scope);
+    const delay = Math.min(
+      ...listed.map(({ id }) => upstreamLimits.delayOf(id)),
+    );
+    if (listed.length > 0 && delay > 0) {
+      const reason = "the upstreams accept no more requests for now";
+      return { ...refused(reason, delay), isAtLimit: true };
+    }
+    return refused(
+      view.available(service.name).length > 0
         ? "the upstreams have no room for the request"
         : "no upstream is listed",
     );
+  };
 
   const decidePrompt = (
     service: Service & { readonly engine: EngineProfile },
@@ -175,7 +198,7 @@
     const engineRequest = engineRequestOf(query);
     const candidates = candidatesFor(service, query, scope);
     const plan = placePrompt(profile, engineRequest, candidates);
-    if (!plan) return noUpstream(query);
+    if (!plan) return noUpstream(service, scope);
     const { primary, firstEventTime, spanTime } = plan;
     const isFull = primary.work.requests >= primary.upstream.slots ||
       waitQueue.size(service.name) > 0;
@@ -220,7 +243,7 @@
       candidatesFor(service, query, scope),
       CALL_DURATION_MILLISECONDS,
     );
-    if (!chosen) return noUpstream(query);
+    if (!chosen) return noUpstream(service, scope);
     return placed(chosen, {
       helpers: [],
       reserved: [],
--- a/src/gateway/placement_decision.ts
+++ b/src/gateway/placement_decision.ts
@@ -53,6 +53,9 @@
   /// Time after which the request is expected to be served; absent without an
   /// estimate.
   retryAfter: Type.Optional(Type.Number()),
+  /// Whether it could be placed then, because all upstreams have reached the
+  /// limits that they state.
+  isAtLimit: Type.Optional(Type.Boolean()),
 });
 /// The request can't be served in time.
 export type RefusedDecision = Static<typeof RefusedDecision>;
--- a/src/gateway/placement_parts.ts
+++ b/src/gateway/placement_parts.ts
@@ -12,6 +12,7 @@
   createPlacementService,
   type PlacementService,
 } from "./placement_service.ts";
+import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
 import { createWaitQueue } from "./wait_queue.ts";
 
@@ -24,6 +25,7 @@
   readonly links: Links;
   readonly view: FleetView;
   readonly health: UpstreamHealth;
+  readonly upstreamLimits: UpstreamLimits;
   /// Number of VMs that send to the same upstreams.
   readonly vmCount: () => number;
 }
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
+import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { ByteBudget } from "./byte_budget.ts";
 import type { Route, Service } from "./configuration.ts";
 import type {
@@ -16,7 +17,6 @@
 import type { RetryBudget } from "./retry_budget.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
-import type { UpstreamLimits } from "./upstream_limits.ts";
 
 /// Dependencies that all requests of a gateway share.
 export interface RequestContext {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -8,6 +8,7 @@
   type MemoryReservations,
   reserveMemory,
 } from "./memory_reservations.ts";
+import type { RefusedDecision } from "./placement_decision.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { createRequestPlacer, type Placement } from "./request_placer.ts";
 import { retryAfterSeconds } from "./retry_after.ts";
@@ -199,8 +200,10 @@
       mayRetry: () =>
         isRetryable && mayHaveExecutedAt.length + 1 < route.maxUpstreams,
       remainingPrefill: () => placements.remainingPrefill(upstream.id),
-      onResponse: ({ requestLimit: limit }) =>
-        context.upstreamLimits.record(upstream.id, { limit, sentAt }),
+      onResponse: ({ requestLimit: limit, isAuthentic }) => {
+        if (limit === undefined && !isAuthentic) return;
+        context.upstreamLimits.record(upstream.id, { limit, sentAt });
+      },
       onEvents: onEvents(work, upstream),
     });
     const result = await attempt.result;
@@ -319,6 +322,16 @@
     return end(isTimedOut ? "timed_out" : "failed", status, lastReason);
   };
 
+  /// Whether the request can still meet its objective, or its stream continue
+  /// before the caller disconnects, when a limit allows another request.
+  const mayWaitForLimit = ({ isAtLimit, retryAfter }: RefusedDecision) => {
+    if (!isAtLimit || retryAfter === undefined) return false;
+    const [since, patience] = response.isStarted()
+      ? [lastWriteAt ?? request.arrivedAt, route.silenceMilliseconds]
+      : [request.arrivedAt, route.objectiveMilliseconds];
+    return clock.now() + retryAfter <= since + patience;
+  };
+
   const recordCompleted = () =>
     context.crashRecords.clear(suspects.fingerprint, suspects.parts);
 
@@ -342,7 +355,11 @@
     if (decision.kind === "refused") {
       lastReason = decision.reason;
       retryEstimate = decision.retryAfter;
-      return giveUp();
+      if (!mayWaitForLimit(decision)) return giveUp();
+      await clock.sleep(decision.retryAfter!, stopped.signal).catch(() => {
+        // Aborted; the request is over.
+      });
+      continue;
     }
     const decidedAt = clock.now();
     const placement = placer.resolve(decision);
@@ -351,6 +368,11 @@
       if (!placement) avoided.add(decision.upstream);
       continue;
     }
+    if (!await context.upstreamLimits.take(placement.upstream.id)) {
+      placements.abandon(decision);
+      lastReason = "the upstream accepts no more requests for now";
+      continue;
+    }
     if (deliveredAttempts > 0 && !retryBudget.take(service.name)) {
       placements.abandon(decision);
       lastReason = `${lastReason}; no repeats are left`;
--- a/stand_ins/platform/load_simulation.ts
+++ b/stand_ins/platform/load_simulation.ts
@@ -8,6 +8,7 @@
 import { createRequestPlacer } from "../../src/gateway/request_placer.ts";
 import type { RequestContext } from "../../src/gateway/request_context.ts";
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
+import { createUpstreamLimits } from "../../src/upstreams/upstream_limits.ts";
 import { createPlacementParts } from "../../src/gateway/placement_parts.ts";
 import { createSilentLogger } from "../../src/support/log.ts";
 import {
@@ -113,6 +114,8 @@
     });
     const log = createSilentLogger();
     const health = createUpstreamHealth({ clock, random, log, links });
+    const vmCount = () => load.vms;
+    const upstreamLimits = createUpstreamLimits({ clock, log, links, vmCount });
     const parts = createPlacementParts({
       clock,
       random,
@@ -120,7 +123,8 @@
       links,
       view,
       health,
-      vmCount: () => load.vms,
+      upstreamLimits,
+      vmCount,
     });
     return { clock, random, view, health, ...parts };
   });
--- a/test/gateway/placement_owner_test.ts
+++ b/test/gateway/placement_owner_test.ts
@@ -3,6 +3,7 @@
 import type { PlacementQuery } from "../../src/gateway/placement_decision.ts";
 import { createPlacementParts } from "../../src/gateway/placement_parts.ts";
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
+import { createUpstreamLimits } from "../../src/upstreams/upstream_limits.ts";
 import { createSilentLogger } from "../../src/support/log.ts";
 import { createSeededRandom } from "../../src/support/random.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
@@ -83,6 +84,7 @@
     const log = createSilentLogger();
     const health = createUpstreamHealth({ clock, random, log, links });
     const vmCount = () => options.vmsPerDataCentre * dataCentres.length;
+    const upstreamLimits = createUpstreamLimits({ clock, log, links, vmCount });
     const parts = createPlacementParts({
       clock,
       random,
@@ -90,6 +92,7 @@
       links,
       view,
       health,
+      upstreamLimits,
       vmCount,
     });
     const start = (decision: { upstream: string }) =>
--- a/test/gateway/placement_test.ts
+++ b/test/gateway/placement_test.ts
@@ -54,6 +54,7 @@
     work: IDLE,
     failureShare: 0,
     isSuspended: false,
+    isLimited: false,
     isLocal: true,
     ...overrides,
   };
@@ -163,6 +164,15 @@
   t.false(idsOf([plan.primary, ...plan.helpers]).includes("u1"));
 });
 
+test("no span of a long prompt goes to an engine that states a limit", (t) => {
+  const plan = placeLong(PROFILE, LONG, [
+    candidate("e1", { isLimited: true }),
+    candidate("e2"),
+    candidate("e3"),
+  ])!;
+  t.false([plan.primary, ...plan.helpers].some(({ isLimited }) => isLimited));
+});
+
 test("a long prompt avoids suspended engines", (t) => {
   const plan = placeLong(PROFILE, LONG, [
     candidate("e1", { isSuspended: true }),
--- a/test/gateway/upstream_limits_test.ts
+++ b/test/gateway/upstream_limits_test.ts
@@ -134,7 +134,7 @@
 ];
 
 for (const { title, service, request, limit, ...actions } of LIMIT_CASES) {
-  test.failing(`an upstream that states a limit gets no more ${title} from all VMs together`, async (t) => {
+  test(`an upstream that states a limit gets no more ${title} from all VMs together`, async (t) => {
     const { upstreams, sendFor } = await deploy(t, service, [
       { requestLimit: () => limit, action: actions.limited },
       { action: actions.other },
@@ -149,7 +149,7 @@
   });
 }
 
-test.failing("requests beyond the limits of all upstreams are refused at once", async (t) => {
+test("requests beyond the limits of all upstreams are refused at once", async (t) => {
   const { upstreams, sendFor } = await deploy(t, "desk", [
     { requestLimit: () => 2, action: ANSWER },
     { requestLimit: () => 2, action: ANSWER },
