Play a load on engines that state limits

Cause: the tests of limits count requests; none showed what callers get. Change: the load simulation has engines that state a limit, and a test with placement by each VM and by an owner.

--- a/stand_ins/platform/load_simulation.ts
+++ b/stand_ins/platform/load_simulation.ts
@@ -50,6 +50,8 @@
   /// Number of hubs, the first of which places the requests of all VMs; by
   /// default each VM places its own.
   readonly hubs?: number;
+  /// Engines, the first by name, that state a limit on requests per second.
+  readonly limited?: { readonly engines: number; readonly limit: number };
 }
 
 export interface ClassResult {
@@ -63,8 +65,14 @@
 export interface LoadResults extends ReadonlyMap<string, ClassResult> {
   /// Median number of messages that a VM received.
   readonly messagesPerVm: number;
+  /// Largest number of requests that a limited engine got in four seconds.
+  readonly mostAtLimited: number;
 }
 
+const LIMIT_WINDOW_MILLISECONDS = 4_000;
+/// Time in which all VMs learn of a limit.
+const LIMIT_LEARNING_MILLISECONDS = 10;
+
 function exponential(random: RandomSource, mean: number): number {
   return -Math.log(1 - random.next()) * mean;
 }
@@ -126,8 +134,17 @@
       upstreamLimits,
       vmCount,
     });
-    return { clock, random, view, health, ...parts };
+    return { clock, random, view, health, upstreamLimits, ...parts };
   });
+  const limitedIds = [...engines.keys()].slice(0, load.limited?.engines ?? 0);
+  for (const id of limitedIds) {
+    const { limit } = load.limited!;
+    vms[0]!.upstreamLimits.record(id, { limit, sentAt: clock.now() });
+  }
+  await clock.advance(LIMIT_LEARNING_MILLISECONDS);
+  const startedAt = clock.now();
+  /// When each limited engine got requests.
+  const arrivals = new Map<string, number[]>(limitedIds.map((id) => [id, []]));
 
   const results = new Map(
     load.classes.map(({ name }) => [
@@ -154,16 +171,26 @@
       vm as unknown as RequestContext,
       request,
     );
-    const decision = await placer.decide({
-      avoided: new Set(),
-      remaining: request.route.timeoutMilliseconds,
-      isResumed: load.isBaseline === true,
-      signal: new AbortController().signal,
-    });
+    const decide = () =>
+      placer.decide({
+        avoided: new Set(),
+        remaining: request.route.timeoutMilliseconds,
+        isResumed: load.isBaseline === true,
+        signal: new AbortController().signal,
+      });
+    let decision = await decide();
+    while (
+      decision.kind === "placed" &&
+      !await vm.upstreamLimits.take(decision.upstream)
+    ) {
+      vm.placements.abandon(decision);
+      decision = await decide();
+    }
     if (decision.kind === "refused") {
       result.refused += 1;
       return;
     }
+    arrivals.get(decision.upstream)?.push(clock.now());
     const all = view.available(service.name);
     const primary = load.isBaseline
       ? all[randomInteger(random, all.length)]!.id
@@ -206,7 +233,7 @@
   const running: Promise<void>[] = [];
   for (const loadClass of load.classes) {
     const arrive = () => {
-      if (clock.now() >= load.seconds * 1_000) return;
+      if (clock.now() >= startedAt + load.seconds * 1_000) return;
       running.push(send(loadClass, vms[randomInteger(random, vms.length)]!));
       clock.schedule(
         exponential(random, 1_000 / loadClass.requestsPerSecond),
@@ -224,7 +251,17 @@
   const received = vms.map((_, index) => network.received(`vm-${index}`))
     .sort((left, right) => left - right);
   const messagesPerVm = received[Math.floor(received.length / 2)]!;
-  return Object.assign(results, { messagesPerVm });
+  const mostAtLimited = Math.max(
+    0,
+    ...[...arrivals.values()].flatMap((times) =>
+      times.map((start) =>
+        times.filter((at) =>
+          at >= start && at < start + LIMIT_WINDOW_MILLISECONDS
+        ).length
+      )
+    ),
+  );
+  return Object.assign(results, { messagesPerVm, mostAtLimited });
 }
 
 function routeOf(loadClass: LoadClass, service: string): Route {
--- a/test/gateway/load_test.ts
+++ b/test/gateway/load_test.ts
@@ -136,3 +136,24 @@
     t.true(shorts.refused < shorts.sent / 3, `refused ${shorts.refused}`);
   }
 });
+
+test("requests are in time beside engines that state limits, which get no more", async (t) => {
+  for (const hubs of [undefined, 2]) {
+    const limit = 1;
+    const results = await simulateLoad({
+      ...base,
+      vms: 7,
+      hubs,
+      classes: [short(30), long(1)],
+      limited: { engines: 4, limit },
+    });
+    const shortRatio = inTimeRatio(results.get("short")!);
+    const longRatio = inTimeRatio(results.get("long")!);
+    t.true(shortRatio >= QUIET_SHORT_IN_TIME_RATIO, `short ${shortRatio}`);
+    t.true(longRatio >= QUIET_LONG_IN_TIME_RATIO, `long ${longRatio}`);
+    const allowed = 1.5 * limit * 4 + 5;
+    const most = results.mostAtLimited;
+    t.true(most <= allowed, `${most} requests in 4 s`);
+    t.true(most >= 2, "their capacity is used");
+  }
+});
