Log when the store has been restored from a copy

Cause: no line said so, and whether changes after it were dropped or missed could not be seen. Change: the era of the store's answers is read; a line when it rises, and the era in the line on each full read. No decision uses it.

--- a/src/gateway/store_watcher.ts
+++ b/src/gateway/store_watcher.ts
@@ -58,6 +58,7 @@
   /// Store revision up to which changes have been received; undefined if the
   /// full contents have to be read.
   let followed: number | undefined;
+  let knownEra: number | undefined;
   let isConnected = false;
   let disconnectedAt: Milliseconds | undefined = clock.now();
   let retryDelay = INITIAL_RETRY_DELAY_MILLISECONDS;
@@ -91,10 +92,16 @@
   const readContents = async (signal: AbortSignal) => {
     const range = await store.range(ALL_KEYS_PREFIX, { signal });
     recordSuccess();
+    const { revision, era } = range;
+    if (knownEra !== undefined && era !== knownEra) {
+      log.warn("store restored", { era, revision, known: replica.revision() });
+    }
+    knownEra = era;
     replica.replaceContents(range, "store");
-    followed = range.revision;
+    followed = revision;
     log.info("store read", {
-      revision: range.revision,
+      revision,
+      era,
       values: range.values.length,
     });
   };
