--- a/stand_ins/platform/platform_store.ts
+++ b/stand_ins/platform/platform_store.ts
@@ -39,11 +39,23 @@
   /// Drops the history up to the current revision. Watches that start before
   /// it get 410.
   compact(): void;
+  /// Returns a copy of the contents.
+  copy(): StoreCopy;
+  /// Replaces the contents with an earlier copy. Revisions after it are given
+  /// out again, and watches from them get 410.
+  restore(copy: StoreCopy): void;
   /// Number of calls by path, without the query.
   callCounts(): ReadonlyMap<string, number>;
   close(): void;
 }
 
+/// A copy of the store's contents at a revision.
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, Item>;
+  readonly leases: ReadonlySet<number>;
+  readonly revision: number;
+}
+
 const encode = (value: unknown) =>
   Buffer.from(JSON.stringify(value)).toString("base64");
 
@@ -60,7 +72,9 @@
   let history: StoreEvent[] = [];
   let compactedRevision = 0;
   let revision = 1;
+  let era = 1;
   let nextLease = 1;
+  let leases = new Set<number>();
   const servers: Server[] = [];
 
   const record = (event: StoreEvent) => {
@@ -86,7 +100,10 @@
   };
 
   const reply = (response: ServerResponse, status: number, body?: unknown) => {
-    response.writeHead(status, { "Content-Type": "application/json" });
+    response.writeHead(status, {
+      "Content-Type": "application/json",
+      "Store-Era": String(era),
+    });
     response.end(body === undefined ? undefined : JSON.stringify(body));
   };
 
@@ -97,7 +114,9 @@
   ) => {
     const prefix = query.get("Prefix") ?? "";
     const after = Number(query.get("After"));
-    if (after < compactedRevision) return reply(response, 410);
+    if (after < compactedRevision || after > revision) {
+      return reply(response, 410);
+    }
     const respondWithEvents = () => {
       const events = isSuppressed()
         ? []
@@ -134,6 +153,9 @@
       (items.get(Key)?.Revision ?? 0) === Revision
     );
     if (!conditionsHold) return reply(response, 412, { Items: [] });
+    if (body.Writes.some(({ Lease }) => Lease !== 0 && !leases.has(Lease))) {
+      return reply(response, 404);
+    }
     for (const { Key, Value, Lease } of body.Writes) write(Key, Value, Lease);
     body.Delete.forEach(remove);
     reply(response, 200, { Revision: revision });
@@ -165,11 +187,17 @@
     if (call === "kv-txn") return transact(text, response);
     if (call === "kv-lease") {
       const { TtlMs } = JSON.parse(text) as { TtlMs: number };
+      leases.add(nextLease);
       return reply(response, 200, { Lease: nextLease++, TtlMs });
     }
-    if (call === "kv-keep") return reply(response, 200, { TtlMs: 10_000 });
+    const lease = Number(url.pathname.split("/").at(-1));
+    if (call === "kv-keep") {
+      return leases.has(lease)
+        ? reply(response, 200, { TtlMs: 10_000 })
+        : reply(response, 404);
+    }
     if (call === "kv-lease-end") {
-      const lease = Number(url.pathname.split("/").at(-1));
+      leases.delete(lease);
       for (const { Key, Lease } of [...items.values()]) {
         if (Lease === lease) remove(Key);
       }
@@ -208,6 +236,17 @@
       return item &&
         JSON.parse(Buffer.from(item.Value, "base64").toString("utf8"));
     },
+    copy: () => ({ items: new Map(items), leases: new Set(leases), revision }),
+    restore(copy) {
+      era += 1;
+      items.clear();
+      for (const [key, item] of copy.items) items.set(key, item);
+      leases = new Set(copy.leases);
+      revision = copy.revision;
+      history = history.filter(({ Revision }) => Revision <= revision);
+      // Watches that wait are disconnected.
+      for (const server of servers) server.closeAllConnections();
+    },
     compact() {
       compactedRevision = revision;
       history = [];
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -77,8 +77,12 @@
   readonly requests: readonly ReceivedRequest[];
   /// Bodies of the orders that it received.
   readonly orders: readonly Record<string, unknown>[];
-  /// The entry under which the store lists it.
-  entry(service: string, state?: "ready" | "draining"): object;
+  /// The entry under which the store lists it, with the number of this write.
+  entry(
+    service: string,
+    state?: "ready" | "draining",
+    sequence?: number,
+  ): object;
   /// Closes all connections immediately, as a crash does.
   close(): void;
 }
@@ -231,13 +235,13 @@
     address,
     requests,
     orders,
-    entry: (service, state = "ready") => ({
+    entry: (service, state = "ready", sequence = 1) => ({
       Service: service,
       Address: address,
       Zone: "north",
       Slots: 4,
       State: state,
-      Seq: 1,
+      Seq: sequence,
       born: 1_700_000_000_000,
     }),
     close() {
