Grant permits at limited upstreams to broken-off streams first

Cause: a resumed stream waits for a permit beside all requests that haven't started, and by chance may not get one before its caller disconnects. Change: it may take the next permit before it is due, and its engines aren't left out. An attempt that is held back twice by one upstream, as when the owner of the placement doesn't know that there is no permit, waits or is refused like others.

--- a/src/gateway/placement_decider.ts
+++ b/src/gateway/placement_decider.ts
@@ -124,12 +124,13 @@
 
   const candidatesFor = (
     service: Service,
-    { avoided }: PlacementQuery,
+    { avoided, isResumed }: PlacementQuery,
     scope: DecisionScope,
   ): Candidate[] => {
-    const listed = listedFor(service, scope).filter(({ id }) =>
-      upstreamLimits.delayOf(id) === 0
-    );
+    const all = listedFor(service, scope);
+    const open = all.filter(({ id }) => upstreamLimits.delayOf(id) === 0);
+    // Resumed streams may take the next permit.
+    const listed = open.length === 0 && isResumed ? all : open;
     const preferred = listed.filter(({ id }) => !avoided.includes(id));
     const maximumRequests = service.maxConnections * USABLE_CONNECTIONS_RATIO;
     return (preferred.length > 0 ? preferred : listed).flatMap((upstream) => {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -8,7 +8,6 @@
   type MemoryReservations,
   reserveMemory,
 } from "./memory_reservations.ts";
-import type { RefusedDecision } from "./placement_decision.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { createRequestPlacer, type Placement } from "./request_placer.ts";
 import { retryAfterSeconds } from "./retry_after.ts";
@@ -80,6 +79,7 @@
     inFlightWork,
     placements,
     retryBudget,
+    upstreamLimits,
     dialect,
     log,
     metrics,
@@ -121,6 +121,8 @@
   /// Upstreams that may have executed the request.
   const mayHaveExecutedAt: Upstream[] = [];
   const avoided = new Set<string>();
+  /// Upstreams that had no permit for the request.
+  const heldBackBy = new Set<string>();
 
   const remaining = () => deadline - clock.now();
   const timer = clock.schedule(Math.max(0, remaining()), () => {
@@ -202,7 +204,7 @@
       remainingPrefill: () => placements.remainingPrefill(upstream.id),
       onResponse: ({ requestLimit: limit, isAuthentic }) => {
         if (limit === undefined && !isAuthentic) return;
-        context.upstreamLimits.record(upstream.id, { limit, sentAt });
+        upstreamLimits.record(upstream.id, { limit, sentAt });
       },
       onEvents: onEvents(work, upstream),
     });
@@ -322,14 +324,18 @@
     return end(isTimedOut ? "timed_out" : "failed", status, lastReason);
   };
 
-  /// Whether the request can still meet its objective, or its stream continue
-  /// before the caller disconnects, when a limit allows another request.
-  const mayWaitForLimit = ({ isAtLimit, retryAfter }: RefusedDecision) => {
-    if (!isAtLimit || retryAfter === undefined) return false;
+  /// Waits until a limit allows another request. Resolves to false at once if the
+  /// request would miss its objective by then, or the caller of a stream would
+  /// have disconnected.
+  const waitForLimit = async (delay: Milliseconds): Promise<boolean> => {
     const [since, patience] = response.isStarted()
       ? [lastWriteAt ?? request.arrivedAt, route.silenceMilliseconds]
       : [request.arrivedAt, route.objectiveMilliseconds];
-    return clock.now() + retryAfter <= since + patience;
+    if (clock.now() + delay > since + patience) return false;
+    await clock.sleep(delay, stopped.signal).catch(() => {
+      // Aborted; the request is over.
+    });
+    return true;
   };
 
   const recordCompleted = () =>
@@ -355,11 +361,9 @@
     if (decision.kind === "refused") {
       lastReason = decision.reason;
       retryEstimate = decision.retryAfter;
-      if (!mayWaitForLimit(decision)) return giveUp();
-      await clock.sleep(decision.retryAfter!, stopped.signal).catch(() => {
-        // Aborted; the request is over.
-      });
-      continue;
+      const mayWait = decision.isAtLimit && retryEstimate !== undefined;
+      if (mayWait && await waitForLimit(retryEstimate!)) continue;
+      return giveUp();
     }
     const decidedAt = clock.now();
     const placement = placer.resolve(decision);
@@ -368,9 +372,15 @@
       if (!placement) avoided.add(decision.upstream);
       continue;
     }
-    if (!await context.upstreamLimits.take(placement.upstream.id)) {
+    const isResumed = response.isStarted();
+    if (!await upstreamLimits.take(decision.upstream, isResumed)) {
       placements.abandon(decision);
       lastReason = "the upstream accepts no more requests for now";
+      const wasHeldBack = heldBackBy.has(decision.upstream);
+      heldBackBy.add(decision.upstream);
+      // The owner of the placement may not know that there is no permit.
+      retryEstimate = upstreamLimits.delayOf(decision.upstream);
+      if (wasHeldBack && !await waitForLimit(retryEstimate)) return giveUp();
       continue;
     }
     if (deliveredAttempts > 0 && !retryBudget.take(service.name)) {
--- a/src/upstreams/permit_schedule.ts
+++ b/src/upstreams/permit_schedule.ts
@@ -7,8 +7,9 @@
 
 export interface PermitSchedule {
   /// Takes a permit; returns false if the rate is reached. `rate` is in permits
-  /// per second and may change.
-  take(rate: number): boolean;
+  /// per second and may change. An urgent request may take the next permit before
+  /// it is due.
+  take(rate: number, isUrgent?: boolean): boolean;
   /// Time until the next permit; 0 if there is one.
   delay(): Milliseconds;
 }
@@ -21,11 +22,13 @@
 ): PermitSchedule {
   let nextAt = clock.now() + 1_000 / initialRate;
   return {
-    take(rate) {
+    take(rate, isUrgent = false) {
       const now = clock.now();
       const interval = 1_000 / rate;
-      nextAt = Math.min(nextAt, now + interval);
-      if (nextAt > now) return false;
+      const latest = isUrgent ? now + interval : now;
+      // Two intervals, if an urgent request has taken the next permit.
+      nextAt = Math.min(nextAt, now + 2 * interval);
+      if (nextAt > latest) return false;
       nextAt = Math.max(nextAt, now - BURST_MILLISECONDS) + interval;
       return true;
     },
--- a/src/upstreams/upstream_limits.ts
+++ b/src/upstreams/upstream_limits.ts
@@ -1,4 +1,4 @@
-import { Type } from "@sinclair/typebox";
+import { type Static, Type } from "@sinclair/typebox";
 import type { Links } from "../links/links.ts";
 import { defineCall, defineMessage } from "../links/message.ts";
 import { createNewPeers } from "../links/new_peers.ts";
@@ -42,7 +42,11 @@
 
 const permitCall = defineCall("upstream.limit.permit", {
   /// The owner may not have heard of the limit yet.
-  request: Type.Object({ upstream: Type.String(), limit: Type.Number() }),
+  request: Type.Object({
+    upstream: Type.String(),
+    limit: Type.Number(),
+    isUrgent: Type.Boolean(),
+  }),
   reply: Type.Object({
     isGranted: Type.Boolean(),
     /// Milliseconds until the next permit.
@@ -50,6 +54,8 @@
   }),
 });
 
+type PermitRequest = Static<typeof permitCall["request"]>;
+
 /// What a response states about the limit of its upstream.
 export interface StatedLimit {
   /// Requests per second; undefined if the response names no limit.
@@ -66,7 +72,8 @@
   /// there may be a permit.
   delayOf(upstream: string): Milliseconds;
   /// Takes a permit for one request. Resolves to false if the limit is reached.
-  take(upstream: string): Promise<boolean>;
+  /// Urgent requests are granted permits before others.
+  take(upstream: string, isUrgent?: boolean): Promise<boolean>;
   /// Number of upstreams that have a limit.
   count(): number;
   /// Forgets an upstream.
@@ -139,12 +146,12 @@
     if (known) known.exhaustedUntil = clock.now() + delay;
   };
 
-  const grant = (upstream: string, statedLimit: number) => {
-    const rate = rateOf(limits.get(upstream)?.limit ?? statedLimit);
+  const grant = ({ upstream, limit, isUrgent }: PermitRequest) => {
+    const rate = rateOf(limits.get(upstream)?.limit ?? limit);
     const schedule = schedules.get(upstream) ??
       createPermitSchedule(clock, rate);
     schedules.set(upstream, schedule);
-    const isGranted = schedule.take(rate);
+    const isGranted = schedule.take(rate, isUrgent);
     const delay = schedule.delay();
     if (isGranted) announced.delete(upstream);
     else if (!announced.has(upstream)) {
@@ -155,11 +162,11 @@
     return { isGranted, delay };
   };
 
-  const requestPermit = async (upstream: string, limit: number) => {
-    const owner = ownerOf(upstream);
-    if (owner === self.vm) return grant(upstream, limit);
+  const requestPermit = async (request: PermitRequest) => {
+    const owner = ownerOf(request.upstream);
+    if (owner === self.vm) return grant(request);
     try {
-      return await links.call(owner, permitCall, { upstream, limit }, {
+      return await links.call(owner, permitCall, request, {
         timeoutMilliseconds: REPLY_TIMEOUT_MILLISECONDS,
       });
     } catch {
@@ -174,7 +181,7 @@
 
   links.onCall(
     permitCall,
-    ({ upstream, limit }) => Promise.resolve(grant(upstream, limit)),
+    (request) => Promise.resolve(grant(request)),
   );
   links.onMessage(
     limitMessage,
@@ -210,11 +217,13 @@
     },
     isLimited: (upstream) => limits.has(upstream),
     delayOf,
-    async take(upstream) {
+    async take(upstream, isUrgent = false) {
       const known = limits.get(upstream);
       if (!known) return true;
-      if (delayOf(upstream) > 0) return false;
-      const { isGranted, delay } = await requestPermit(upstream, known.limit);
+      if (!isUrgent && delayOf(upstream) > 0) return false;
+      const { limit } = known;
+      const request = { upstream, limit, isUrgent };
+      const { isGranted, delay } = await requestPermit(request);
       if (!isGranted) setExhausted(upstream, delay);
       options.onPermit?.(isGranted);
       return isGranted;
--- a/test/gateway/upstream_limits_test.ts
+++ b/test/gateway/upstream_limits_test.ts
@@ -7,6 +7,7 @@
   until,
 } from "../../stand_ins/platform/platform_deployment.ts";
 import type {
+  ReceivedRequest,
   ScriptedUpstream,
   UpstreamAction,
 } from "../../stand_ins/platform/scripted_upstream.ts";
@@ -49,7 +50,9 @@
 
 interface UpstreamScript {
   readonly requestLimit?: () => number | undefined;
-  readonly action: UpstreamAction;
+  readonly action:
+    | UpstreamAction
+    | ((request: ReceivedRequest) => UpstreamAction);
 }
 
 async function deploy(
@@ -61,9 +64,12 @@
   t.teardown(deployment.close);
   const upstreams = await Promise.all(
     scripts.map(({ requestLimit, action }, index) =>
-      deployment.addUpstream(service, `u${index}`, () => action, {
-        requestLimit,
-      })
+      deployment.addUpstream(
+        service,
+        `u${index}`,
+        typeof action === "function" ? action : () => action,
+        { requestLimit },
+      )
     ),
   );
   await until(() => isConnected(deployment, scripts.length));
@@ -171,6 +177,22 @@
   t.true(served >= 16, `${served} served: the limits allow about 24`);
 });
 
+test("streams that break off at engines with limits are resumed", async (t) => {
+  const act = ({ headers }: ReceivedRequest): UpstreamAction =>
+    headers["last-event-id"] === undefined
+      ? { kind: "stream", to: 4, resetAfter: 2 }
+      : { kind: "stream", from: 3, to: 4 };
+  const { sendFor } = await deploy(t, "engines", [
+    { requestLimit: () => 2, action: act },
+    { requestLimit: () => 2, action: act },
+  ]);
+  const results = await sendFor(6_000, STREAM);
+  const started = results.filter(({ status }) => status === 200);
+  const broken = started.filter(({ isWhole }) => !isWhole);
+  t.true(started.length >= 8, `${started.length} started`);
+  t.is(broken.length, 0, `of ${started.length} streams`);
+});
+
 test("an upstream whose responses state no limit any more is used again", async (t) => {
   let limit: number | undefined = 1;
   const { upstreams, sendFor } = await deploy(t, "desk", [
--- a/test/upstreams/upstream_limits_test.ts
+++ b/test/upstreams/upstream_limits_test.ts
@@ -85,6 +85,23 @@
   });
 }
 
+test("urgent requests get permits before others, within the limit", async (t) => {
+  for (const limit of [1, 5]) {
+    const fleet = await startFleet({ vms: 7, limit });
+    const { clock, vms } = fleet;
+    let granted = 0;
+    for (let second = 0; second < 12; second++) {
+      await fleet.sendFor(1_000);
+      if (await clock.advanceUntil(vms[second % 7]!.take(UPSTREAM, true))) {
+        granted += 1;
+        fleet.sent.push(clock.now());
+      }
+    }
+    t.true(granted >= 11, `${granted} of 12 at ${limit} a second`);
+    t.true(fleet.most() <= allowedInWindow(limit), `${fleet.most()}`);
+  }
+});
+
 test("the owner of a limit may stop, restart or be cut off", async (t) => {
   for (const limit of [1, 5]) {
     for (let owner = 0; owner < 7; owner++) {
