--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -10,6 +10,8 @@
 /// expired during the outage list themselves again. The platform specifies two
 /// seconds.
 const RELISTING_TIMEOUT_MILLISECONDS: Milliseconds = 1_900;
+/// Upstreams that are remembered after they are gone.
+const MAXIMUM_GONE_UPSTREAMS = 4_096;
 
 /// Origin of a change, for logs.
 export interface ViewSource {
@@ -37,8 +39,7 @@
   setConfiguration(configuration: Configuration, source: ViewSource): void;
   /// Adds or replaces an upstream. A restored store may list what has left since:
   /// a process that was draining stays so, and one that is gone is added only by
-  /// a later entry.
-  /// Returns false if the entry is outdated.
+  /// a later entry. Returns false if the entry is outdated.
   setUpstream(upstream: Upstream, source: ViewSource): boolean;
   /// Removes an upstream whose entry was removed or is not usable. While
   /// upstreams may list themselves again, the removal is delayed unless the
@@ -52,9 +53,6 @@
   onChange(listener: (change: ViewChange) => void): void;
 }
 
-/// Upstreams that are remembered after they are gone.
-const MAXIMUM_GONE_UPSTREAMS = 4_096;
-
 export function createFleetView(clock: Clock): FleetView {
   const upstreams = new Map<string, Upstream>();
   /// Upstreams that are gone, by id, the earliest first.
--- a/src/gateway/free_slots.ts
+++ b/src/gateway/free_slots.ts
@@ -1,10 +1,10 @@
 import type { RandomSource } from "../support/random.ts";
+import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { SlotCount } from "./cell_summaries.ts";
 import type { FleetView } from "./fleet_view.ts";
 import type { InFlightWork } from "./in_flight_work.ts";
 import { usableSlots } from "./placement.ts";
 import type { PlacementOwners } from "./placement_owners.ts";
-import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
 
 /// The free slots of a service's upstreams, as this VM knows them.
--- a/src/gateway/placement_decider.ts
+++ b/src/gateway/placement_decider.ts
@@ -1,5 +1,6 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
+import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { EngineProfile, Service } from "./configuration.ts";
 import { passTime } from "./engine_cost.ts";
 import type { FleetView } from "./fleet_view.ts";
@@ -19,9 +20,8 @@
   PlacementQuery,
   RefusedDecision,
 } from "./placement_decision.ts";
-import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
-import type { UpstreamHealth } from "./upstream_health.ts";
 import type { Upstream } from "./upstream.ts";
+import type { UpstreamHealth } from "./upstream_health.ts";
 import type { WaitQueue } from "./wait_queue.ts";
 
 /// Decides where requests are sent, from this VM's knowledge of the work at the
--- a/src/gateway/placement_parts.ts
+++ b/src/gateway/placement_parts.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
+import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import { startCellSummaries } from "./cell_summaries.ts";
 import type { FleetView } from "./fleet_view.ts";
 import { createFreeSlots } from "./free_slots.ts";
@@ -12,7 +13,6 @@
   createPlacementService,
   type PlacementService,
 } from "./placement_service.ts";
-import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
 import { createWaitQueue } from "./wait_queue.ts";
 
