--- a/src/gateway/placement_decider.ts
+++ b/src/gateway/placement_decider.ts
@@ -1,10 +1,7 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
-import type { UpstreamLimits } from "../upstreams/upstream_limits.ts";
 import type { EngineProfile, Service } from "./configuration.ts";
 import { passTime } from "./engine_cost.ts";
-import type { FleetView } from "./fleet_view.ts";
-import type { InFlightWork } from "./in_flight_work.ts";
 import {
   type Candidate,
   type EnginePlan,
@@ -14,24 +11,22 @@
   placePrompt,
   shareMemory,
 } from "./placement.ts";
+import {
+  type CandidateOptions,
+  createCandidates,
+  type DecisionScope,
+} from "./placement_candidates.ts";
 import type {
   PlacedDecision,
   PlacementDecision,
   PlacementQuery,
   RefusedDecision,
 } from "./placement_decision.ts";
-import type { Upstream } from "./upstream.ts";
-import type { UpstreamHealth } from "./upstream_health.ts";
 import type { WaitQueue } from "./wait_queue.ts";
 
 /// Decides where requests are sent, from this VM's knowledge of the work at the
 /// upstreams.
 
-/// Share of an upstream's maximum connections that requests may use. The rest
-/// is for idle connections and for requests that other VMs have just started.
-/// Beyond its maximum an upstream resets connections, and requests on them
-/// fail.
-const USABLE_CONNECTIONS_RATIO = 0.7;
 /// Assumed duration of a call to a service without an engine profile, for the
 /// comparison of its upstreams.
 const CALL_DURATION_MILLISECONDS: Milliseconds = 25;
@@ -46,15 +41,6 @@
 /// arrive within that time.
 const MAXIMUM_WAIT_MILLISECONDS: Milliseconds = 1_000;
 
-/// Which upstreams are considered.
-export interface DecisionScope {
-  /// Data centre whose engines are used; all if undefined. Calls to services
-  /// without an engine profile may always go to any data centre.
-  readonly dataCentre?: string;
-  /// Whether a short prompt may wait for a slot.
-  readonly mayWait: boolean;
-}
-
 export interface PlacementDecider {
   /// Decides at once, or when a slot has become free. `signal` removes the
   /// request from the queue.
@@ -70,16 +56,10 @@
   ): PlacementDecision | undefined;
 }
 
-export interface PlacementDeciderOptions {
+export interface PlacementDeciderOptions extends CandidateOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly view: FleetView;
-  readonly health: UpstreamHealth;
-  readonly upstreamLimits: Pick<UpstreamLimits, "delayOf" | "isLimited">;
-  readonly inFlightWork: InFlightWork;
   readonly waitQueue: WaitQueue;
-  /// This VM's data centre.
-  readonly dataCentre: string;
 }
 
 const refused = (reason: string, retryAfter?: Milliseconds): RefusedDecision =>
@@ -109,43 +89,9 @@
 export function createPlacementDecider(
   options: PlacementDeciderOptions,
 ): PlacementDecider {
-  const { clock, random, view, health, inFlightWork, waitQueue } = options;
-  const { upstreamLimits } = options;
-
-  const listedFor = (
-    service: Service,
-    { dataCentre }: DecisionScope,
-  ): readonly Upstream[] => {
-    const all = view.available(service.name);
-    return service.engine && dataCentre !== undefined
-      ? all.filter((upstream) => upstream.dataCentre === dataCentre)
-      : all;
-  };
-
-  const candidatesFor = (
-    service: Service,
-    { avoided, isResumed }: PlacementQuery,
-    scope: DecisionScope,
-  ): Candidate[] => {
-    const all = listedFor(service, scope);
-    const open = all.filter(({ id }) => upstreamLimits.delayOf(id) === 0);
-    // Resumed streams may take the next permit.
-    const listed = open.length === 0 && isResumed ? all : open;
-    const preferred = listed.filter(({ id }) => !avoided.includes(id));
-    const maximumRequests = service.maxConnections * USABLE_CONNECTIONS_RATIO;
-    return (preferred.length > 0 ? preferred : listed).flatMap((upstream) => {
-      const work = inFlightWork.workAt(upstream.id);
-      if (work.requests >= maximumRequests) return [];
-      return [{
-        upstream,
-        work,
-        failureShare: health.failureShare(upstream.id),
-        isSuspended: health.isSuspended(upstream.id),
-        isLimited: upstreamLimits.isLimited(upstream.id),
-        isLocal: upstream.dataCentre === options.dataCentre,
-      }];
-    });
-  };
+  const { clock, random, view, inFlightWork, waitQueue } = options;
+  const candidates = createCandidates(options);
+  const candidatesFor = candidates.find;
 
   const engineRequestOf = (query: PlacementQuery): EngineRequest => ({
     promptTokens: query.promptTokens,
@@ -175,11 +121,8 @@
   });
 
   const noUpstream = (service: Service, scope: DecisionScope) => {
-    const listed = listedFor(service, scope);
-    const delay = Math.min(
-      ...listed.map(({ id }) => upstreamLimits.delayOf(id)),
-    );
-    if (listed.length > 0 && delay > 0) {
+    const delay = candidates.permitDelay(service, scope);
+    if (delay > 0) {
       const reason = "the upstreams accept no more requests for now";
       return { ...refused(reason, delay), isAtLimit: true };
     }
@@ -197,8 +140,11 @@
   ): PlacementDecision | undefined => {
     const profile = service.engine;
     const engineRequest = engineRequestOf(query);
-    const candidates = candidatesFor(service, query, scope);
-    const plan = placePrompt(profile, engineRequest, candidates);
+    const plan = placePrompt(
+      profile,
+      engineRequest,
+      candidatesFor(service, query, scope),
+    );
     if (!plan) return noUpstream(service, scope);
     const { primary, firstEventTime, spanTime } = plan;
     const isFull = primary.work.requests >= primary.upstream.slots ||
@@ -257,10 +203,12 @@
   const firstEventTimeOf = (query: PlacementQuery, scope: DecisionScope) => {
     const service = view.routeTable()?.service(query.service);
     if (!service?.engine) return 0;
-    const candidates = candidatesFor(service, query, scope);
-    const request = engineRequestOf(query);
-    return placePrompt(service.engine, request, candidates)?.firstEventTime ??
-      0;
+    const plan = placePrompt(
+      service.engine,
+      engineRequestOf(query),
+      candidatesFor(service, query, scope),
+    );
+    return plan?.firstEventTime ?? 0;
   };
 
   const waitForSlot = async (
--- a/src/gateway/placement_service.ts
+++ b/src/gateway/placement_service.ts
@@ -7,7 +7,8 @@
 import { workOfDecision } from "./decided_work.ts";
 import type { FleetView } from "./fleet_view.ts";
 import type { InFlightWork } from "./in_flight_work.ts";
-import type { DecisionScope, PlacementDecider } from "./placement_decider.ts";
+import type { DecisionScope } from "./placement_candidates.ts";
+import type { PlacementDecider } from "./placement_decider.ts";
 import {
   type PlacedDecision,
   PlacementDecision,
