--- a/src/gateway/placement_candidates.ts
+++ b/src/gateway/placement_candidates.ts
@@ -14,7 +14,8 @@
 /// Beyond its maximum an upstream resets connections, and requests on them
 /// fail.
 const USABLE_CONNECTIONS_RATIO = 0.7;
-/// The upstreams and the ways that a decision may use.
+
+/// Which upstreams a decision may use, and whether the request may wait.
 export interface DecisionScope {
   /// Data centre whose engines are used; all if undefined. Calls to services
   /// without an engine profile may always go to any data centre.
@@ -23,6 +24,7 @@
   readonly mayWait: boolean;
 }
 
+/// What the candidates follow from.
 export interface CandidateOptions {
   readonly view: FleetView;
   readonly health: UpstreamHealth;
@@ -32,6 +34,7 @@
   readonly dataCentre: string;
 }
 
+/// Finds upstreams for requests.
 export interface Candidates {
   /// Returns the upstreams that may take the request now.
   find(
--- a/src/upstreams/upstream_limits.ts
+++ b/src/upstreams/upstream_limits.ts
@@ -67,9 +67,10 @@
 export interface UpstreamLimits {
   /// Records what a response of an upstream states.
   record(upstream: string, stated: StatedLimit): void;
+  /// Whether an upstream states a limit.
   isLimited(upstream: string): boolean;
-  /// Time for which an upstream gets no requests, as far as this VM knows; 0 if
-  /// there may be a permit.
+  /// Time in milliseconds until an upstream has a permit again, as far as this VM
+  /// knows; 0 if it may have one.
   delayOf(upstream: string): Milliseconds;
   /// Takes a permit for one request. Resolves to false if the limit is reached.
   /// Urgent requests are granted permits before others.
@@ -105,7 +106,8 @@
   const limits = new Map<string, KnownLimit>();
   /// The permits that this VM grants as an owner.
   const schedules = new Map<string, PermitSchedule>();
-  /// Upstreams whose VMs have been told that there is no permit until the next.
+  /// Upstreams of this owner, of which the VMs have been told that there is no
+  /// permit left.
   const announced = new Set<string>();
 
   const ownerOf = (upstream: string) =>
