Count the silences of upstreams

The log lines of an attempt tell which requests an upstream's silence ended, but not how often upstreams fell silent without such an end. sequoiaturn_gateway_silences_total counts them by kind of route. No logic is changed.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -67,6 +67,8 @@
     metadata: UpstreamResponseMetadata,
     tunnelVm: string | undefined,
   ) => void;
+  /// Called when the upstream has sent nothing for longer than expected.
+  readonly onSilence: () => void;
   /// Receives complete events. Returns false to pause the response.
   readonly onEvents: (
     bytes: Buffer,
@@ -162,6 +164,7 @@
       ]).then(([expected, reachability]) => {
         // Data may have arrived meanwhile.
         if (timer !== scheduled) return;
+        plan.onSilence();
         const reason = `silent for ${Math.round(timeout)} ms`;
         if (!acceptsConnections(reachability)) {
           return fail(`${reason} and unreachable`, reachability);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -6,6 +6,8 @@
   readonly registry: Registry;
   readonly ended: Counter<"route_kind" | "outcome">;
   readonly retries: Counter<"reason">;
+  /// Attempts whose upstream stopped sending for longer than expected.
+  readonly silences: Counter<"route_kind">;
   readonly firstByteSeconds: Histogram<"route_kind">;
   readonly durationSeconds: Histogram<"route_kind" | "outcome">;
   readonly running: Gauge;
@@ -65,6 +67,12 @@
       labelNames: ["reason"],
       registers,
     }),
+    silences: new Counter({
+      name: "sequoiaturn_gateway_silences_total",
+      help: "Times that an upstream sent nothing for longer than expected",
+      labelNames: ["route_kind"],
+      registers,
+    }),
     firstByteSeconds: new Histogram({
       name: "sequoiaturn_gateway_first_byte_seconds",
       help: "Time from arrival to the first byte of a good answer",
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -214,6 +214,7 @@
         if (limit === undefined && !isAuthentic) return;
         upstreamLimits.record(upstream.id, { limit, sentAt });
       },
+      onSilence: () => metrics.silences.inc({ route_kind: route.kind }),
       onEvents: onEvents(work, upstream),
     });
     const result = await attempt.result;
