Show that a sound upstream's silence ends requests

Callers see a 502, or a stream that breaks off. The gateway ends an attempt after 0.6 to 0.9 s without an event, before it knows whether anything else can answer. The stand-in of an upstream can be silent, and the deployment takes the number of retries that are allowed.

--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -130,6 +130,9 @@
   readonly gateways?: number;
   readonly log?: Logger;
   readonly configuration?: object;
+  /// Retries of all VMs together in a window, beside those that the requests
+  /// allow; 100 by default.
+  readonly retryAllowance?: number;
 }
 
 /// A loopback address with a port that the operating system chooses.
@@ -208,7 +211,7 @@
           storeAddress: endpoint.address,
           stopSeconds: 4,
           repeatRatio: 0.2,
-          repeatAllowance: 100,
+          repeatAllowance: options.retryAllowance ?? 100,
           repeatWindowSeconds: 10,
           longestHoldMilliseconds: 20_000,
         },
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -42,6 +42,11 @@
     /// The process ends after this event.
     readonly crashAfter?: number;
     readonly pauseMilliseconds?: number;
+    /// A single longer pause, after the event `after`; 0 is before the first.
+    readonly silence?: {
+      readonly after: number;
+      readonly milliseconds: Milliseconds;
+    };
     readonly formatEvent?: (event: number) => string;
     readonly strayBytes?: string | undefined;
   }
@@ -113,6 +118,9 @@
     "Content-Length: 0\r\n\r\n";
 }
 
+const wait = (milliseconds: Milliseconds) =>
+  new Promise((resolve) => setTimeout(resolve, milliseconds));
+
 const defaultEvent = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
 
 export async function startScriptedUpstream(
@@ -133,14 +141,17 @@
     request: ReceivedRequest,
     response: ServerResponse,
   ) => {
-    response.writeHead(200, { "Content-Type": "text/event-stream" });
-    const { from = 1, to, resetAfter, crashAfter } = action;
+    const { from = 1, to, resetAfter, crashAfter, silence } = action;
     const { pauseMilliseconds = 1 } = action;
+    if (silence?.after === 0) await wait(silence.milliseconds);
+    response.writeHead(200, { "Content-Type": "text/event-stream" });
     const formatEvent = action.formatEvent ?? defaultEvent;
     for (let event = from; event <= to; event++) {
       if (request.wasAborted) return;
       response.write(formatEvent(event));
-      await new Promise((resolve) => setTimeout(resolve, pauseMilliseconds));
+      await wait(
+        event === silence?.after ? silence.milliseconds : pauseMilliseconds,
+      );
       if (event === resetAfter) return response.socket?.resetAndDestroy();
       if (event === crashAfter) return crash();
     }
