--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds, Timer } from "../support/clock.ts";
+import type { Milliseconds } from "../support/clock.ts";
 import type { Reachability } from "../tunnels/upstream_dialler.ts";
 import {
   acceptsConnections,
@@ -8,6 +8,7 @@
 import type { HelperEngine, UpstreamResponseMetadata } from "./dialect.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import { type Exchange, type HeaderFields, startExchange } from "./exchange.ts";
+import { createInactivityWatch } from "./inactivity_watch.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { Upstream } from "./upstream.ts";
 
@@ -17,20 +18,11 @@
 /// Limit for a response that is buffered before it is forwarded. A longer one
 /// is treated as corrupt; services respond with some kilobytes.
 const MAXIMUM_RESPONSE_BYTES = 2_097_152;
-/// Bytes that an upstream may send within one timeout without progress: a part
-/// of an event or of a head.
-const MAXIMUM_UNPRODUCTIVE_BYTES = 1_048_576;
 /// The upstream may have closed a connection that was idle for longer, so a
 /// request that must run at most once isn't sent on it. The platform states
 /// 300 ms as the shortest time after which upstreams drop idle connections.
 const MAXIMUM_ONCE_IDLE_MILLISECONDS: Milliseconds = 250;
 
-/// Time after the estimated end of a prefill within which streams continue.
-const PREFILL_MARGIN_MILLISECONDS: Milliseconds = 200;
-/// Further inactivity that is allowed for a long prompt while its engine is
-/// reachable: about the longest pass that other prompts cause.
-const TIMEOUT_EXTENSION_MILLISECONDS: Milliseconds = 2_000;
-
 export interface ResponseHead {
   readonly status: number;
   readonly headers: HeaderFields;
@@ -104,15 +96,10 @@
   let head: ResponseHead | undefined;
   let isStream = false;
   let isPaused = false;
-  let timer: Timer | undefined;
-  let wasExtended = false;
-  /// Whether the timeout passed while other work of the upstream explained it.
-  let hasWaited = false;
   let settle: (result: AttemptResult) => void = () => {};
   const result = new Promise<AttemptResult>((resolve) => {
     settle = (value) => {
-      timer?.cancel();
-      timer = undefined;
+      inactivity.stop();
       context.responseBytes.release(held);
       held = 0;
       resolve(value);
@@ -141,8 +128,7 @@
   /// closed one: a process that crashes closes all of them, and so does one that
   /// only loses a response or drops a connection.
   const checkReachable = (onResult: (result: Reachability) => void) => {
-    timer?.cancel();
-    timer = undefined;
+    inactivity.stop();
     context.connections.check(plan.upstream.address)
       .then(onResult)
       .catch((error: Error) => fail(`not checked: ${error.message}`));
@@ -158,55 +144,6 @@
     plan.onSilence(failedResult(reason, shown));
   };
 
-  let bytesAtProgress = 0;
-
-  const watchInactivity = (timeout: Milliseconds) => {
-    timer?.cancel();
-    bytesAtProgress = exchange.bytesReceived();
-    const scheduled = clock.schedule(timeout, () => {
-      const received = exchange.bytesReceived() - bytesAtProgress;
-      if (received > MAXIMUM_UNPRODUCTIVE_BYTES && !isPaused && isStream) {
-        return fail("bytes without an event");
-      }
-      if (!head && received > MAXIMUM_UNPRODUCTIVE_BYTES) {
-        return fail("a head without end");
-      }
-      if (isPaused || !plan.mayRetry()) return watchInactivity(timeout);
-      void Promise.all([
-        plan.remainingPrefill(),
-        context.connections.check(plan.upstream.address),
-      ]).then(([expected, reachability]) => {
-        // Data may have arrived meanwhile.
-        if (timer !== scheduled) return;
-        const reason = `silent for ${Math.round(timeout)} ms`;
-        const isReached = acceptsConnections(reachability);
-        // Open connections may go on in a partition that refuses new ones.
-        const isDoubtful = reachability === "through_others" &&
-          !isTunnel();
-        if (isReached && expected > 0 && !(isDoubtful && hasWaited)) {
-          hasWaited = true;
-          return watchInactivity(expected + PREFILL_MARGIN_MILLISECONDS);
-        }
-        // A busy engine resumes a long prompt sooner than another engine would
-        // complete a new prefill.
-        const mayExtend = isReached && !isDoubtful && plan.extendsTimeout;
-        if (mayExtend && !wasExtended) {
-          wasExtended = true;
-          return watchInactivity(TIMEOUT_EXTENSION_MILLISECONDS);
-        }
-        const place = isDoubtful
-          ? " on a lost path"
-          : isReached
-          ? ""
-          : " and unreachable";
-        endOrReport(`${reason}${place}`, reachability);
-        // The attempt may have ended.
-        if (timer === scheduled) watchInactivity(timeout);
-      }).catch((error: Error) => fail(`not checked: ${error.message}`));
-    });
-    timer = scheduled;
-  };
-
   const finish = () => {
     if (!head) return fail("an answer without a head");
     if (head.metadata.wasNotExecuted) {
@@ -284,7 +221,7 @@
       }
       const eventsBefore = splitter.count();
       const events = splitter.push(chunk);
-      if (splitter.count() > eventsBefore) watchInactivity(plan.idleTimeout);
+      if (splitter.count() > eventsBefore) inactivity.restart(plan.idleTimeout);
       if (splitter.isTooLong()) return fail("an event without end");
       if (!events) return;
       if (plan.onEvents(events, head, splitter.lastId())) return;
@@ -317,7 +254,20 @@
       );
     },
   });
-  watchInactivity(plan.firstEventTimeout);
+  const inactivity = createInactivityWatch({
+    clock,
+    extendsTimeout: plan.extendsTimeout,
+    mayRetry: plan.mayRetry,
+    remainingPrefill: plan.remainingPrefill,
+    bytesReceived: exchange.bytesReceived,
+    phase: () => !head ? "head" : isStream ? "stream" : "body",
+    isPaused: () => isPaused,
+    isTunnel,
+    check: () => context.connections.check(plan.upstream.address),
+    onUnproductive: fail,
+    onSilence: endOrReport,
+  });
+  inactivity.restart(plan.firstEventTimeout);
 
   return {
     result,
