Use only entries with an address that can be dialled

Callers saw: connections closed without an answer, for every request that was placed on an upstream whose entry another writer had left with a port above 65535 or a host such as 999.1.1.1. "127.1:80" would have been a name lookup.

Cause: the pattern of an entry's address accepted any digits and dots, with any five digits as the port. The client of such an address can't be constructed, and that error ended the request in the midst of its first attempt. Nothing recorded the failure, so the upstream was chosen again.

The store's stand-in writes bytes as they are.

--- /dev/null
+++ b/src/support/socket_address.ts
@@ -0,0 +1,19 @@
+/// Addresses of the form `host:port`.
+
+const MAXIMUM_PORT = 65_535;
+const ADDRESS_PATTERN = /^([^\s:/@]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})$/;
+
+/// A host and the port of a process that listens there.
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/// Parses `host:port`. Returns undefined if there is no such address: port 0 and
+/// ports out of range belong to no process.
+export function parseSocketAddress(text: string): SocketAddress | undefined {
+  const [, host, digits] = ADDRESS_PATTERN.exec(text) ?? [];
+  const port = Number(digits);
+  if (host === undefined || port < 1 || port > MAXIMUM_PORT) return undefined;
+  return { host, port };
+}
--- a/stand_ins/platform/platform_store.ts
+++ b/stand_ins/platform/platform_store.ts
@@ -32,7 +32,8 @@
 export interface PlatformStore {
   /// Opens another address.
   openEndpoint(): Promise<StoreEndpoint>;
-  /// Writes a value as the operator or an upstream does.
+  /// Writes a value as the operator or an upstream does: bytes as they are, other
+  /// values as JSON.
   put(key: string, value: unknown): void;
   remove(key: string): void;
   get(key: string): unknown;
@@ -61,7 +62,9 @@
 const RESTORE_MILLISECONDS = 400;
 
 const encode = (value: unknown) =>
-  Buffer.from(JSON.stringify(value)).toString("base64");
+  (value instanceof Uint8Array
+    ? Buffer.from(value)
+    : Buffer.from(JSON.stringify(value))).toString("base64");
 
 async function readBody(request: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
--- /dev/null
+++ b/test/gateway/odd_entries_test.ts
@@ -0,0 +1,112 @@
+import test from "ava";
+import { fleetDocuments } from "../../platform/fleet_documents.ts";
+import { createFleetView } from "../../src/gateway/fleet_view.ts";
+import { createStoreReplica } from "../../src/gateway/store_replica.ts";
+import { startViewBuilder } from "../../src/gateway/view_builder.ts";
+import { createVmDirectory } from "../../src/gateway/vm_directory.ts";
+import { createSilentLogger } from "../../src/support/log.ts";
+import { createFakeClock } from "../../stand_ins/fake_clock.ts";
+import {
+  type CallerRequest,
+  startPlatformDeployment,
+  until,
+} from "../../stand_ins/platform/platform_deployment.ts";
+
+/// An entry of the store that names no usable upstream affects nothing else, and
+/// a later valid one under its key is used.
+
+const ENTRY = {
+  Service: "desk",
+  Address: "127.0.0.1:9",
+  Zone: "north",
+  Version: "1.2",
+  Slots: 4,
+  State: "ready",
+  ColdRemainingMs: 0,
+  Seq: 1,
+  born: 1_700_000_000_000,
+};
+const encode = (value: object) => Buffer.from(JSON.stringify(value));
+const ODD_ADDRESSES = [
+  "127.0.0.1:0",
+  "127.0.0.1:65536",
+  "127.0.0.1:99999",
+  "999.1.1.1:80",
+  "256.0.0.1:80",
+  "127.0.0.1.5:80",
+  "127.1:80",
+  "...:80",
+];
+
+const ODD_VALUES: readonly (readonly [string, Uint8Array])[] = [
+  ...ODD_ADDRESSES.map((address) =>
+    [`the address ${address}`, encode({ ...ENTRY, Address: address })] as const
+  ),
+];
+
+function createView() {
+  const clock = createFakeClock();
+  const log = createSilentLogger();
+  const view = createFleetView(clock);
+  const replica = createStoreReplica();
+  const vms = createVmDirectory(clock, log);
+  startViewBuilder({ log, documents: fleetDocuments, replica, view, vms });
+  let revision = 0;
+  return {
+    view,
+    put(id: string, value: Uint8Array) {
+      const key = `servers/${id}`;
+      revision += 1;
+      const stored = { key, value, modifiedRevision: revision, lease: "0" };
+      replica.applyChanges([{ kind: "put", value: stored }], "store");
+    },
+    ids: () => view.upstreams().map(({ id }) => id),
+  };
+}
+
+for (const [title, value] of ODD_VALUES) {
+  test(`an entry with ${title} names no upstream until a valid one follows`, (t) => {
+    const { put, ids } = createView();
+    put("e1", encode(ENTRY));
+    put("e2", encode(ENTRY));
+    put("e2", value);
+    t.deepEqual(ids(), ["e1"]);
+    put("e2", encode({ ...ENTRY, Seq: 2 }));
+    t.deepEqual(ids(), ["e1", "e2"]);
+  });
+}
+
+const REQUESTS: readonly CallerRequest[] = [
+  { path: "/look/2f", method: "GET" },
+  { path: "/once/2f", body: "an order" },
+  {
+    path: "/ask/2f",
+    headers: { "X-Token-Counts": "1460,80" },
+    body: "a prompt",
+  },
+];
+
+test("no caller loses its connection to an entry with an odd address", async (t) => {
+  const deployment = await startPlatformDeployment();
+  t.teardown(deployment.close);
+  const { store } = deployment;
+  const act = () => ({ kind: "answer", body: "done" }) as const;
+  await deployment.addUpstream("engines", "u1", act);
+  for (const Service of ["desk", "engines"]) {
+    for (const Address of ODD_ADDRESSES) {
+      store.put(`servers/odd ${Address}`, { ...ENTRY, Service, Address });
+    }
+  }
+  const last = await deployment.addUpstream("desk", "u2", act);
+  await until(async () => {
+    await deployment.send(REQUESTS[0]!);
+    return last.requests.length > 0;
+  });
+  const statuses: (number | undefined)[] = [];
+  for (let round = 0; round < 10; round++) {
+    for (const request of REQUESTS) {
+      statuses.push((await deployment.send(request)).status);
+    }
+  }
+  t.deepEqual(statuses.filter((status) => status !== 200), []);
+});
