--- a/test/gateway/odd_entries_test.ts
+++ b/test/gateway/odd_entries_test.ts
@@ -27,6 +27,11 @@
   born: 1_700_000_000_000,
 };
 const encode = (value: object) => Buffer.from(JSON.stringify(value));
+/// The entry with the JSON text `text` as the value of a field.
+const withText = (field: string, text: string) =>
+  Buffer.from(JSON.stringify({ ...ENTRY, [field]: "@" }).replace('"@"', text));
+const nested = (depth: number) => "[".repeat(depth) + "]".repeat(depth);
+
 const ODD_ADDRESSES = [
   "127.0.0.1:0",
   "127.0.0.1:65536",
@@ -38,10 +43,27 @@
   "...:80",
 ];
 
+const ODD_TEXTS: readonly (readonly [string, readonly string[]])[] = [
+  ["Service", ["null", "7", '["desk"]']],
+  ["Zone", ["null", "{}", nested(100_000)]],
+  ["State", ['"standby"', "null", "true", nested(100_000)]],
+  ["Slots", ["0", "-1", "0.5", "1e308", "1e400", "9223372036854775808"]],
+  ["Slots", ['"4"', "null", nested(100_000), "9".repeat(100_000)]],
+  ["born", ["0.5", "-1", "1e308", "1e400", '"1"', "9223372036854775808"]],
+  ["Seq", ["0.5", "-1", "1e308", "1e400", '"1"', "9223372036854775808"]],
+];
+
 const ODD_VALUES: readonly (readonly [string, Uint8Array])[] = [
   ...ODD_ADDRESSES.map((address) =>
     [`the address ${address}`, encode({ ...ENTRY, Address: address })] as const
   ),
+  ...ODD_TEXTS.flatMap(([field, texts]) =>
+    texts.map((text) =>
+      [`${field} ${text.slice(0, 20)}`, withText(field, text)] as const
+    )
+  ),
+  ["bytes that are no JSON", Buffer.from([0xff, 0xfe, 0x00, 0x7b])],
+  ["nothing but nested lists", Buffer.from(nested(500_000))],
 ];
 
 function createView() {
