--- a/test/gateway/odd_entries_test.ts
+++ b/test/gateway/odd_entries_test.ts
@@ -98,6 +98,27 @@
   });
 }
 
+const ODD_IDS = ["", "a\nb", "a\r\nX-Tenant: b", "a b", "\u0000", "\u00e9"];
+
+for (const id of ODD_IDS) {
+  test(`an entry with the id ${JSON.stringify(id)}, which is no header value, names no upstream`, (t) => {
+    const { put, ids } = createView();
+    put("e1", encode(ENTRY));
+    put(id, encode(ENTRY));
+    t.deepEqual(ids(), ["e1"]);
+  });
+}
+
+for (const id of ["__proto__", "constructor", "a/b", "i-7f3a91c2"]) {
+  test(`an entry with the id ${id} is used and removed like any other`, (t) => {
+    const { put, ids } = createView();
+    put(id, encode(ENTRY));
+    t.deepEqual(ids(), [id]);
+    put(id, encode({ ...ENTRY, Slots: 0 }));
+    t.deepEqual(ids(), []);
+  });
+}
+
 const REQUESTS: readonly CallerRequest[] = [
   { path: "/look/2f", method: "GET" },
   { path: "/once/2f", body: "an order" },
