Use an upstream again after its entry was overwritten

Callers saw: one upstream less, for as long as its process ran, after another writer had overwritten its entry and the same entry came back; with a single upstream, 503. Within 1.9 s after an outage of the store the reverse: an overwritten entry stayed in use.

Cause: an entry that names no upstream was handled like a removed one. A process whose entry was removed is used again only with a higher number, which keeps out what a restored store lists, and its removal is delayed while upstreams list themselves again.

Change: the view has a call of its own for overwritten entries. It removes the upstream at once and lets any later entry of the process back in, unless the entry was removed meanwhile.

Result: the tests of an entry that comes back and of one that is overwritten after an outage failed before and pass now. That of an upstream that left meanwhile passed and passes. 76 tests of the view, odd entries, malformed input and restored stores pass.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -44,10 +44,12 @@
   /// Records that a process says it is draining, before its entry does. Returns
   /// whether that is new.
   setLeaving(id: string, startedAt: number): boolean;
-  /// Removes an upstream whose entry was removed or is not usable. While
-  /// upstreams may list themselves again, the removal is delayed unless the
-  /// upstream was draining.
+  /// Removes an upstream whose entry was removed. While upstreams may list
+  /// themselves again, the removal is delayed unless the upstream was draining.
   removeUpstream(id: string, source: ViewSource): void;
+  /// Removes an upstream whose entry no longer names one. Its process may run on,
+  /// so that a later entry of the same process is used, whatever its number.
+  unlistUpstream(id: string, source: ViewSource): void;
   /// Records that the store responds again after an outage in which entries may
   /// have expired, and the time that upstreams have to list themselves again.
   recordStoreReconnected(timeLeft?: Milliseconds): void;
@@ -56,10 +58,16 @@
   onChange(listener: (change: ViewChange) => void): void;
 }
 
+interface GoneUpstream {
+  readonly upstream: Upstream;
+  /// Whether its entry was removed, rather than overwritten.
+  readonly wasRemoved: boolean;
+}
+
 export function createFleetView(clock: Clock): FleetView {
   const upstreams = new Map<string, Upstream>();
-  /// Upstreams that are gone, by id, the earliest first.
-  const gone = new Map<string, Upstream>();
+  /// Upstreams that are no longer listed, by id, the earliest first.
+  const gone = new Map<string, GoneUpstream>();
   const listeners: ((change: ViewChange) => void)[] = [];
   let byService: Map<string, Upstream[]> | undefined;
   let table: RouteTable | undefined;
@@ -71,13 +79,20 @@
     for (const listener of listeners) listener(change);
   };
 
-  const deleteUpstream = (listed: Upstream, source: ViewSource) => {
-    upstreams.delete(listed.id);
-    gone.delete(listed.id);
-    gone.set(listed.id, listed);
+  const recordGone = (upstream: Upstream, wasRemoved: boolean) => {
+    gone.delete(upstream.id);
+    gone.set(upstream.id, { upstream, wasRemoved });
     if (gone.size > MAXIMUM_GONE_UPSTREAMS) {
       gone.delete(gone.keys().next().value!);
     }
+  };
+
+  const deleteUpstream = (
+    listed: Upstream,
+    { source, wasRemoved }: { source: ViewSource; wasRemoved: boolean },
+  ) => {
+    upstreams.delete(listed.id);
+    recordGone(listed, wasRemoved);
     const detail = `${listed.id} is gone`;
     notify({ kind: "upstream", detail, source });
   };
@@ -85,13 +100,15 @@
   /// Whether an entry is from before its process was draining or gone.
   const isOutdated = (upstream: Upstream): boolean => {
     const listed = upstreams.get(upstream.id);
-    const last = listed ?? gone.get(upstream.id);
+    const goneUpstream = gone.get(upstream.id);
+    const last = listed ?? goneUpstream?.upstream;
     if (!last || !last.startedAt || !isSameInstance(last, upstream)) {
       return false;
     }
     if (last.isLeaving) return !upstream.isLeaving;
+    if (listed || !goneUpstream?.wasRemoved) return false;
     const { sequence = Infinity } = upstream;
-    return !listed && sequence <= (last.sequence ?? -Infinity);
+    return sequence <= (last.sequence ?? -Infinity);
   };
 
   const setUpstream: FleetView["setUpstream"] = (upstream, source) => {
@@ -146,18 +163,30 @@
     removeUpstream(id, source) {
       revision = Math.max(revision, source.revision);
       const listed = upstreams.get(id);
-      if (!listed) return;
+      if (!listed) {
+        const goneUpstream = gone.get(id);
+        if (goneUpstream) recordGone(goneUpstream.upstream, true);
+        return;
+      }
+      const removal = { source, wasRemoved: true };
       const delay = relistingUntil - clock.now();
       // A draining upstream has stopped and does not list itself again.
-      if (delay <= 0 || listed.isLeaving) return deleteUpstream(listed, source);
+      if (delay <= 0 || listed.isLeaving) {
+        return deleteUpstream(listed, removal);
+      }
       // A new object, so that the timer can detect whether the entry was set
       // again.
       const retained = { ...listed };
       upstreams.set(id, retained);
       clock.schedule(delay, () => {
-        if (upstreams.get(id) === retained) deleteUpstream(listed, source);
+        if (upstreams.get(id) === retained) deleteUpstream(listed, removal);
       });
     },
+    unlistUpstream(id, source) {
+      revision = Math.max(revision, source.revision);
+      const listed = upstreams.get(id);
+      if (listed) deleteUpstream(listed, { source, wasRemoved: false });
+    },
     recordStoreReconnected(timeLeft = RELISTING_TIMEOUT_MILLISECONDS) {
       relistingUntil = Math.max(relistingUntil, clock.now() + timeLeft);
     },
--- a/src/gateway/view_builder.ts
+++ b/src/gateway/view_builder.ts
@@ -50,7 +50,7 @@
       return;
     }
     log.warn("entry names no upstream", { key, revision: source.revision });
-    view.removeUpstream(key.slice(documents.upstreamPrefix.length), source);
+    view.unlistUpstream(key.slice(documents.upstreamPrefix.length), source);
   };
 
   const applyDelete = (key: string, source: ViewSource) => {
--- a/test/gateway/odd_entries_test.ts
+++ b/test/gateway/odd_entries_test.ts
@@ -74,14 +74,16 @@
   const vms = createVmDirectory(clock, log);
   startViewBuilder({ log, documents: fleetDocuments, replica, view, vms });
   let revision = 0;
+  const change = (kind: "put" | "delete", id: string, value: Uint8Array) => {
+    const key = `servers/${id}`;
+    revision += 1;
+    const stored = { key, value, modifiedRevision: revision, lease: "0" };
+    replica.applyChanges([{ kind, value: stored }], "store");
+  };
   return {
-    view,
-    put(id: string, value: Uint8Array) {
-      const key = `servers/${id}`;
-      revision += 1;
-      const stored = { key, value, modifiedRevision: revision, lease: "0" };
-      replica.applyChanges([{ kind: "put", value: stored }], "store");
-    },
+    recordStoreReconnected: view.recordStoreReconnected,
+    put: (id: string, value: Uint8Array) => change("put", id, value),
+    remove: (id: string) => change("delete", id, Buffer.alloc(0)),
     ids: () => view.upstreams().map(({ id }) => id),
   };
 }
@@ -119,6 +121,34 @@
   });
 }
 
+test("an upstream whose entry was overwritten for a while is used again", (t) => {
+  const { put, ids } = createView();
+  put("e1", encode(ENTRY));
+  put("e1", Buffer.from("["));
+  t.deepEqual(ids(), []);
+  put("e1", encode(ENTRY));
+  t.deepEqual(ids(), ["e1"]);
+});
+
+test("an upstream that left while its entry was overwritten isn't used again", (t) => {
+  const { put, remove, ids } = createView();
+  put("e1", encode(ENTRY));
+  put("e1", Buffer.from("["));
+  remove("e1");
+  put("e1", encode(ENTRY));
+  t.deepEqual(ids(), []);
+  put("e1", encode({ ...ENTRY, Seq: 2 }));
+  t.deepEqual(ids(), ["e1"]);
+});
+
+test("an overwritten entry names no upstream while others list themselves again", (t) => {
+  const { recordStoreReconnected, put, ids } = createView();
+  put("e1", encode(ENTRY));
+  recordStoreReconnected();
+  put("e1", encode({ ...ENTRY, State: "standby" }));
+  t.deepEqual(ids(), []);
+});
+
 const REQUESTS: readonly CallerRequest[] = [
   { path: "/look/2f", method: "GET" },
   { path: "/once/2f", body: "an order" },
