Fail connections to addresses with no such port

Callers would see: all connections of a VM broken at once. A VM that is asked for a tunnel to a port above 65535 ended by an uncaught error.

Cause: connect() throws at once for such a port, outside the handling of socket errors, here in the event listener of the server of the links.

Change: an address is parsed first, and the socket of one that can't be parsed emits an error like that of a failed connection.

--- a/src/support/socket_address.ts
+++ b/src/support/socket_address.ts
@@ -1,10 +1,12 @@
 /// Addresses of the form `host:port`.
 
 const MAXIMUM_PORT = 65_535;
-const ADDRESS_PATTERN = /^([^\s:/@]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})$/;
+const ADDRESS_PATTERN =
+  /^(?:\[([0-9A-Fa-f:.]+)\]|([^\s:/@[\]]+)):([0-9]{1,5})$/;
 
 /// A host and the port of a process that listens there.
 export interface SocketAddress {
+  /// Without the brackets of an IPv6 address.
   readonly host: string;
   readonly port: number;
 }
@@ -12,7 +14,8 @@
 /// Parses `host:port`. Returns undefined if there is no such address: port 0 and
 /// ports out of range belong to no process.
 export function parseSocketAddress(text: string): SocketAddress | undefined {
-  const [, host, digits] = ADDRESS_PATTERN.exec(text) ?? [];
+  const [, bracketed, plain, digits] = ADDRESS_PATTERN.exec(text) ?? [];
+  const host = bracketed ?? plain;
   const port = Number(digits);
   if (host === undefined || port < 1 || port > MAXIMUM_PORT) return undefined;
   return { host, port };
--- a/src/tunnels/dial.ts
+++ b/src/tunnels/dial.ts
@@ -1,5 +1,6 @@
-import { connect, type Socket } from "node:net";
+import { connect, Socket } from "node:net";
 import type { Clock, Milliseconds } from "../support/clock.ts";
+import { parseSocketAddress } from "../support/socket_address.ts";
 
 /// Opening of one TCP connection to an upstream.
 
@@ -23,18 +24,15 @@
   cancel(): void;
 }
 
-/// Starts a connection to an address and returns its socket.
+/// Starts a connection to an address and returns its socket. It doesn't throw:
+/// the socket emits an error if there is no such address.
 export type OpenSocket = (address: string) => Socket;
 
 /// Starts a TCP connection to `host:port`.
 export const openTcpSocket: OpenSocket = (address) => {
-  const separator = address.lastIndexOf(":");
-  return connect({
-    host: address.slice(0, separator),
-    port: Number(address.slice(separator + 1)),
-    noDelay: true,
-    keepAlive: false,
-  });
+  const target = parseSocketAddress(address);
+  if (!target) return new Socket().destroy(new Error(`no address: ${address}`));
+  return connect({ ...target, noDelay: true, keepAlive: false });
 };
 
 export interface DirectDialOptions {
--- a/test/tunnels/tunnel_test.ts
+++ b/test/tunnels/tunnel_test.ts
@@ -7,7 +7,11 @@
 } from "node:net";
 import test, { type ExecutionContext } from "ava";
 import { createSystemClock } from "../../src/support/clock.ts";
-import { type DialResult, openTcpSocket } from "../../src/tunnels/dial.ts";
+import {
+  dialDirectly,
+  type DialResult,
+  openTcpSocket,
+} from "../../src/tunnels/dial.ts";
 import { dialThroughVm } from "../../src/tunnels/tunnel_client.ts";
 import { startTunnelServer } from "../../src/tunnels/tunnel_server.ts";
 import { watchLostVms } from "../../src/tunnels/lost_vms.ts";
@@ -30,6 +34,7 @@
 async function deploy(
   t: ExecutionContext,
   onUpstream: (socket: Socket) => void,
+  options: { readonly mayConnect?: (address: string) => boolean } = {},
 ) {
   const upstream = createTcpServer({}, (socket) => {
     socket.on("error", () => {});
@@ -45,6 +50,7 @@
     openSocket: openTcpSocket,
     secrets: ["an earlier secret", SECRET],
     mayConnect: (candidate) => candidate === address,
+    ...options,
     isPartitioned: () => isPartitioned,
     onOpened: () => {},
   });
@@ -74,6 +80,8 @@
   return { tunnels, upstream, dial, connect, partition };
 }
 
+const ODD_ADDRESSES = ["127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1", ":80"];
+
 const echo = (socket: Socket) => void socket.pipe(socket);
 const once = (socket: Socket, event: string) =>
   new Promise<unknown>((resolve) => socket.once(event, resolve));
@@ -157,3 +165,19 @@
   await clock.advance(10_000);
   t.deepEqual(lost, ["vm-3"]);
 });
+
+for (const address of ODD_ADDRESSES) {
+  test(`a connection to ${address} fails and throws nothing`, async (t) => {
+    const result = await new Promise<DialResult>((resolve) => {
+      const openSocket = openTcpSocket;
+      dialDirectly({ clock, openSocket, address, timeout: 1_000 }, resolve);
+    });
+    t.is(result.kind, "failed");
+  });
+
+  test(`a request for a tunnel to ${address} doesn't end the VM that is asked`, async (t) => {
+    const { dial } = await deploy(t, echo, { mayConnect: () => true });
+    t.is((await dial({ address })).kind, "failed");
+    t.is((await dial()).kind, "connected");
+  });
+}
