Link to the other VMs while one is listed with a bad address

Callers would see: requests at a VM that has no links, placed without knowledge of the others' work, and connections that fail in a partition. A VM whose entry has such an address for a moment was never dialled again by the VMs that read it.

Cause: constructing a WebSocket throws for a port above 65535 and for hosts that can't be parsed. That ended the round of connecting, and the VM stayed marked as being dialled. Asking such a VM for a tunnel threw as well, outside any handler.

Change: both check the address first. A VM without a usable one is passed over until its entry has changed; as the way of a tunnel it counts as unavailable. Hosts that are no URL hosts, such as 999.1.1.1, are no addresses.

--- a/src/links/dialler.ts
+++ b/src/links/dialler.ts
@@ -2,6 +2,7 @@
 import type { ListedVm, VmList } from "../infrastructure/vm_list.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
+import { parseSocketAddress } from "../support/socket_address.ts";
 import type { VmIdentity } from "../vms/identity.ts";
 import type { DirectPeers } from "./direct_peers.ts";
 import { allPeers, type LinkTopology, type PeerSelection } from "./topology.ts";
@@ -66,6 +67,7 @@
   };
 
   const dial = ({ name, linkAddress }: ListedVm) => {
+    if (!parseSocketAddress(linkAddress)) return;
     dialling.add(name);
     const dialEnded = () => void dialling.delete(name);
     const socket = new WebSocket(`ws://${linkAddress}`, {
--- a/src/tunnels/tunnel_client.ts
+++ b/src/tunnels/tunnel_client.ts
@@ -1,5 +1,6 @@
 import { request } from "node:http";
 import type { Clock, Milliseconds } from "../support/clock.ts";
+import { parseSocketAddress } from "../support/socket_address.ts";
 import type { Dial, DialFailure, DialResult } from "./dial.ts";
 import { TUNNEL_VM_FIELD, tunnelCredentials } from "./tunnel_credentials.ts";
 
@@ -29,7 +30,13 @@
   { clock, self, vmAddress, address, secret, timeout }: TunnelDialOptions,
   onResult: (result: DialResult) => void,
 ): Dial {
-  const separator = vmAddress.lastIndexOf(":");
+  const target = parseSocketAddress(vmAddress);
+  if (!target) {
+    const reason = `tunnel: no address: ${vmAddress}`;
+    const failure = "unavailable";
+    const report = () => onResult({ kind: "failed", failure, reason });
+    return clock.schedule(0, report);
+  }
   let isSettled = false;
   const settle = (result?: DialResult) => {
     if (isSettled) return;
@@ -41,8 +48,7 @@
   const fail = (failure: DialFailure, reason: string) =>
     settle({ kind: "failed", failure, reason: `tunnel: ${reason}` });
   const outgoing = request({
-    host: vmAddress.slice(0, separator),
-    port: Number(vmAddress.slice(separator + 1)),
+    ...target,
     agent: false,
     method: "CONNECT",
     path: address,
