Take only the known fields from the entries of VMs

Callers would see: requests placed by a VM that others don't know as the owner of the placement, or only after its time-out. Only VMs write these entries, so it needs a writer beside them.

Cause: all fields of an entry were taken over, also a name, a state and a kind, which replaced those that follow from its key. Any number was a capacity, so that 1e308 made a VM the first hub of its data centre for all that read it.

Change: an entry states a data centre, a link address and a capacity of 0 to 1024 cores, and nothing else of it is used. A VM whose entry doesn't is known by its last good one, as before.

--- a/src/gateway/vm_directory.ts
+++ b/src/gateway/vm_directory.ts
@@ -5,6 +5,7 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
+import { parseSocketAddress } from "../support/socket_address.ts";
 
 /// The VMs of the deployment, from the entries that they write to the store.
 
@@ -20,11 +21,15 @@
 /// themselves again.
 const MAXIMUM_RENEWAL_DELAY_MILLISECONDS: Milliseconds = 1_000;
 
+const MAXIMUM_CAPACITY = 1_024;
+
 const Entry = Type.Object({
   dataCentre: Type.String(),
   linkAddress: Type.String(),
   /// Processor cores of the VM.
-  capacity: Type.Optional(Type.Number()),
+  capacity: Type.Optional(
+    Type.Number({ minimum: 0, maximum: MAXIMUM_CAPACITY }),
+  ),
 });
 type Entry = Static<typeof Entry>;
 const entryCheck = TypeCompiler.Compile(Entry);
@@ -53,7 +58,10 @@
         const text = Buffer.from(value).toString("utf8");
         const entry: unknown = JSON.parse(text);
         if (!entryCheck.Check(entry)) throw new TypeError("not a VM entry");
-        entries.set(name, { name, ...entry, state: "live" });
+        const { dataCentre, linkAddress, capacity } = entry;
+        if (!parseSocketAddress(linkAddress)) throw new TypeError("no address");
+        const vm = { name, dataCentre, linkAddress, capacity };
+        entries.set(name, { ...vm, state: "live" });
       } catch (error) {
         const reason = (error as Error).message;
         log.warn("VM entry not readable", { key, reason });
--- a/test/gateway/odd_entries_test.ts
+++ b/test/gateway/odd_entries_test.ts
@@ -183,3 +183,24 @@
   }
   t.deepEqual(statuses.filter((status) => status !== 200), []);
 });
+
+const VM_ENTRY = { dataCentre: "north", linkAddress: "127.0.0.1:9" };
+const ODD_VM_ENTRIES: readonly (readonly [string, object])[] = [
+  ["another name", { ...VM_ENTRY, name: "vm-2" }],
+  ["a state", { ...VM_ENTRY, state: "leaving", kind: "upstream" }],
+  ["the port 65536", { ...VM_ENTRY, linkAddress: "127.0.0.1:65536" }],
+  ["a negative capacity", { ...VM_ENTRY, capacity: -1 }],
+  ["the capacity 1e308", { ...VM_ENTRY, capacity: 1e308 }],
+  ["a capacity in words", { ...VM_ENTRY, capacity: "2" }],
+];
+
+for (const [title, entry] of ODD_VM_ENTRIES) {
+  test(`a VM that is listed with ${title} stays listed as before`, async (t) => {
+    const vms = createVmDirectory(createFakeClock(), createSilentLogger());
+    const key = "sequoiaturn/vms/vm-1";
+    vms.applyEntry(key, encode(VM_ENTRY));
+    const before = await vms.read();
+    vms.applyEntry(key, encode(entry));
+    t.deepEqual(await vms.read(), before);
+  });
+}
