--- a/test/gateway/odd_entries_test.ts
+++ b/test/gateway/odd_entries_test.ts
@@ -1,8 +1,11 @@
+import { randomBytes } from "node:crypto";
 import test from "ava";
 import { fleetDocuments } from "../../platform/fleet_documents.ts";
+import { createStoreClient } from "../../platform/store_client.ts";
 import { createFleetView } from "../../src/gateway/fleet_view.ts";
 import { createStoreReplica } from "../../src/gateway/store_replica.ts";
 import { startViewBuilder } from "../../src/gateway/view_builder.ts";
+import { packReply } from "../../src/gateway/view_messages.ts";
 import { createVmDirectory } from "../../src/gateway/vm_directory.ts";
 import { createSilentLogger } from "../../src/support/log.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
@@ -11,6 +14,7 @@
   startPlatformDeployment,
   until,
 } from "../../stand_ins/platform/platform_deployment.ts";
+import { createPlatformStore } from "../../stand_ins/platform/platform_store.ts";
 
 /// An entry of the store that names no usable upstream affects nothing else, and
 /// a later valid one under its key is used.
@@ -204,3 +208,23 @@
     t.deepEqual(await vms.read(), before);
   });
 }
+
+test("an entry of a megabyte isn't sent from VM to VM, and a large configuration is", async (t) => {
+  const store = createPlatformStore();
+  const client = createStoreClient((await store.openEndpoint()).address);
+  t.teardown(() => {
+    client.close();
+    store.close();
+  });
+  store.put("servers/e1", randomBytes(1_048_576));
+  const sizeOfReply = async () => {
+    const replica = createStoreReplica();
+    replica.replaceContents(await client.range(""), "store");
+    return packReply(replica.changesSince(0), 0).body.length;
+  };
+  const withoutConfiguration = await sizeOfReply();
+  t.true(withoutConfiguration < 1_000, `${withoutConfiguration} bytes`);
+  store.put("op/config", randomBytes(150_000));
+  const withConfiguration = await sizeOfReply();
+  t.true(withConfiguration > 150_000, `${withConfiguration} bytes`);
+});
