Refuse sheets with addresses that can't be dialled

Callers would see: no engines at daemons that adopt the sheet, since the error occurs while the engines of the new sheet are added, and again after a restart.

Cause: the sheet's address was checked for its characters only. The constructor of a client throws for a port above 65535, a host such as 999.1.1.1 and an IPv6 address without brackets.

Change: the check of a sheet also requires an IP address with a port from 1 to 65535, and names the row. The pattern of the column stays.

--- a/src/contracts/sheet_check.ts
+++ b/src/contracts/sheet_check.ts
@@ -1,6 +1,8 @@
+import { isIP } from "node:net";
 import { type Static, Type } from "@sinclair/typebox";
 import { TypeCompiler } from "@sinclair/typebox/compiler";
 import { Value } from "@sinclair/typebox/value";
+import { parseSocketAddress } from "../support/socket_address.ts";
 import { Sheet } from "./sheet.ts";
 
 /// Checks a sheet beyond the types of its columns: duplicate names, and
@@ -93,6 +95,13 @@
   requireUnique("upstreams", ["address"]);
   requireUnique("operations", ["service", "method", "path"]);
 
+  for (const [index, { address }] of rowsOf("upstreams").entries()) {
+    if (typeof address !== "string") continue;
+    if (isIP(parseSocketAddress(address)?.host ?? "") > 0) continue;
+    const message = `address: "${address}" is no IP address with a port`;
+    faults.push({ section: "upstreams", index, column: "address", message });
+  }
+
   const hashes = rowsOf("customers").flatMap(({ keyHashes }, index) =>
     Array.isArray(keyHashes)
       ? keyHashes.map((hash) => ({ index, value: String(hash) }))
