Read on after a body that is too large

After a 413, and after a 503 for want of memory for bodies, the rest of a longer body stayed unread, so the next request on the connection got neither an answer nor a refusal. Leaving the loop over the body destroyed the message without its connection, and its further bytes stopped the reads for good.

The body is read with listeners, which discard what follows the refusal. Before: the request after a body of 2 MB timed out after 15 s; now it is answered. Requests after a 404 and a 401 were answered before, too.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Milliseconds } from "../support/clock.ts";
+import { createBodyReader } from "./body_reader.ts";
 import {
   type CallerResponse,
   createCallerResponse,
@@ -55,7 +56,7 @@
   const { clock, random, log, metrics, dialect, view } = context;
   let acceptsUntil = Infinity;
   let running = 0;
-  let bufferedBytes = 0;
+  const bodies = createBodyReader(MAXIMUM_BUFFERED_BODY_BYTES);
 
   /// Reads the body, or sends an error response and resolves to undefined.
   const readBody = async (
@@ -63,37 +64,25 @@
     callerResponse: CallerResponse,
     { limit, request }: { limit: number; request: string | undefined },
   ): Promise<Buffer | undefined> => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    try {
-      for await (const chunk of message as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        bufferedBytes += chunk.length;
-        if (size > limit) {
-          callerResponse.sendText(413, "the body is too large\n");
-          return undefined;
-        }
-        if (bufferedBytes > MAXIMUM_BUFFERED_BODY_BYTES) {
-          callerResponse.sendText(
-            503,
-            "too many bodies\n",
-            BODY_MEMORY_RETRY_AFTER_SECONDS,
-          );
-          return undefined;
-        }
-        chunks.push(chunk);
+    const result = await bodies.read(message, limit);
+    switch (result.kind) {
+      case "read":
+        return result.body;
+      case "too_large":
+        callerResponse.sendText(413, "the body is too large\n");
+        return undefined;
+      case "no_memory":
+        callerResponse.sendText(
+          503,
+          "too many bodies\n",
+          BODY_MEMORY_RETRY_AFTER_SECONDS,
+        );
+        return undefined;
+      case "failed": {
+        const { reason, size } = result;
+        log.info("body not read", { request, reason, size });
+        return undefined;
       }
-      return Buffer.concat(chunks, size);
-    } catch (error) {
-      // The caller disconnected or violated the protocol within its body.
-      log.info("body not read", {
-        request,
-        reason: (error as Error).message,
-        size,
-      });
-      return undefined;
-    } finally {
-      bufferedBytes -= size;
     }
   };
 
@@ -206,7 +195,7 @@
     request: GatewayRequest,
     callerResponse: CallerResponse,
   ) => {
-    bufferedBytes += request.body.length;
+    const release = bodies.hold(request.body);
     try {
       const outcome = await handleRequest(context, request, callerResponse);
       const took = clock.now() - request.arrivedAt;
@@ -235,7 +224,7 @@
         took: Math.round(took),
       });
     } finally {
-      bufferedBytes -= request.body.length;
+      release();
     }
   };
 
