Close idle connections of callers by the timeout in force

Callers reuse connections for up to four fifths of the last idle timeout. After a configuration had raised it, connections that had carried a request before were still closed after the old one: Node.js starts the timer of each with the timeout that was in force at its last request. A request that arrived during a pause of the process also found its connection reset, since due timers run before what has arrived is read.

The timeout event of the server now decides: it waits for the rest of a longer timeout, and closes a connection only if nothing was read in the meantime.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -12,6 +12,7 @@
   createCallerResponse,
 } from "./caller_response.ts";
 import type { CallerLimits, Route } from "./configuration.ts";
+import { startIdleConnections } from "./idle_connections.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { handleRequest } from "./request_handler.ts";
 import type { RouteTable } from "./route_table.ts";
@@ -235,6 +236,7 @@
     },
     (message, response) => {
       running += 1;
+      idleConnections.track(response);
       response.on("close", () => void (running -= 1));
       handle(message, response).catch((error: Error) => {
         log.warn("request failed by a fault of the gateway", {
@@ -246,6 +248,8 @@
     },
   );
 
+  const idleConnections = startIdleConnections(server, clock);
+
   return {
     server,
     startDraining: (until) => void (acceptsUntil = until),
--- a/test/gateway/unanswered_requests_test.ts
+++ b/test/gateway/unanswered_requests_test.ts
@@ -5,6 +5,7 @@
 } from "../../stand_ins/platform/caller_connection.ts";
 import {
   isConnected,
+  type PlatformDeployment,
   sampleConfiguration,
   startPlatformDeployment,
   until,
@@ -18,6 +19,10 @@
 /// are kept for the next one.
 
 const ORDER = "/once/2f";
+const limits = (overrides: object) => ({
+  Limits: { ...sampleConfiguration(1).Limits, ...overrides },
+});
+
 const sleep = (milliseconds: number) =>
   new Promise((resolve) => setTimeout(resolve, milliseconds));
 
@@ -43,6 +48,28 @@
   return { deployment, desk, connection };
 }
 
+/// Writes a configuration and waits until it is in force.
+async function configure(
+  { store, readMetrics }: PlatformDeployment,
+  version: number,
+  overrides: object,
+) {
+  store.put("op/config", sampleConfiguration(version, overrides));
+  await until(async () =>
+    (await readMetrics()).includes(`configuration_version ${version}\n`)
+  );
+}
+
+/// Blocks the event loop, as a pause of the process does. What others send
+/// meanwhile waits in the socket.
+const pauseProcess = (milliseconds: number) =>
+  void Atomics.wait(
+    new Int32Array(new SharedArrayBuffer(4)),
+    0,
+    0,
+    milliseconds,
+  );
+
 interface RefusedBodyCase {
   readonly title: string;
   readonly path: string;
@@ -70,3 +97,69 @@
     t.deepEqual(connection.statuses(), [status, 200]);
   });
 }
+
+interface IdleTimeoutCase {
+  readonly title: string;
+  /// Idle timeout before the first request, and while it is answered.
+  readonly timeouts: readonly [number, number];
+  readonly idleMilliseconds: number;
+}
+
+const CHANGED_IDLE_TIMEOUTS: readonly IdleTimeoutCase[] = [
+  { title: "raised", timeouts: [400, 4_000], idleMilliseconds: 2_000 },
+  { title: "lowered", timeouts: [4_000, 100], idleMilliseconds: 2_000 },
+  { title: "removed", timeouts: [400, 0], idleMilliseconds: 2_000 },
+];
+
+for (const { title, timeouts, idleMilliseconds } of CHANGED_IDLE_TIMEOUTS) {
+  for (const isBeforeAnswer of [true, false]) {
+    const when = isBeforeAnswer ? "before" : "after";
+    test(`a connection whose idle timeout is ${title} ${when} an answer serves the next request`, async (t) => {
+      const { deployment, connection } = await deploy(t, {
+        configuration: limits({ IdleTimeoutMs: timeouts[0] }),
+        act: () => ({
+          kind: "raw",
+          write: (socket, head) =>
+            void setTimeout(
+              () => socket.write(`${head(["Content-Length: 4"])}\r\ndone`),
+              500,
+            ),
+        }),
+      });
+      const changed = limits({ IdleTimeoutMs: timeouts[1] });
+      connection.send(formatRequest(ORDER));
+      if (isBeforeAnswer) await configure(deployment, 2, changed);
+      await until(() => connection.statuses().length === 1);
+      if (!isBeforeAnswer) await configure(deployment, 2, changed);
+      await sleep(idleMilliseconds);
+      connection.send(formatRequest(ORDER));
+      await until(() => connection.statuses().length === 2);
+      t.deepEqual(connection.statuses(), [200, 200]);
+    });
+  }
+}
+
+test.serial("a request that arrives during a pause of the process is answered on its kept connection", async (t) => {
+  const { connection } = await deploy(t, {
+    configuration: limits({ IdleTimeoutMs: 500 }),
+  });
+  connection.send(formatRequest(ORDER));
+  await until(() => connection.statuses().length === 1);
+  await sleep(200);
+  connection.send(formatRequest(ORDER));
+  pauseProcess(2_000);
+  await until(() => connection.statuses().length === 2);
+  t.deepEqual(connection.statuses(), [200, 200]);
+});
+
+test("a connection without requests is closed after its idle timeout", async (t) => {
+  const { connection } = await deploy(t, {
+    configuration: limits({ IdleTimeoutMs: 500 }),
+  });
+  connection.send(formatRequest(ORDER));
+  await until(() => connection.statuses().length === 1);
+  const since = performance.now();
+  await until(connection.isClosed);
+  const took = performance.now() - since;
+  t.true(took > 500 && took < 3_000, `${took}`);
+});
