Check the limit on headers in force for each request

A parser keeps the limit that its connection began with. After a configuration had raised MaxHeaderBytes, requests on open connections were ended by the old limit, with 431 and a closed connection, after which callers don't retry; after it had been lowered, larger headers were still passed on there. The same held for connections that were opened before the first configuration was known.

Connections are parsed up to 64 KB, or a larger limit, and the limit in force is checked for each request. Before: 431 and close instead of 200 on the raised limit, 200 instead of 431 on the lowered one; now both tests pass.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -15,6 +15,7 @@
 import { startIdleConnections } from "./idle_connections.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { handleRequest } from "./request_handler.ts";
+import { findRequestFault } from "./request_check.ts";
 import type { RouteTable } from "./route_table.ts";
 
 /// Accepts requests from callers: reads them, finds their route, checks their
@@ -22,6 +23,10 @@
 
 /// Interval of the checks for open connections whose headers take too long.
 const HEADER_CHECK_INTERVAL_MILLISECONDS = 500;
+/// Header size up to which requests are parsed. The parser of a connection keeps
+/// the limit that it began with, so that of the configuration is checked for each
+/// request.
+const PARSED_HEADER_BYTES = 65_536;
 /// Retry-After of a VM that has just started: about the time that it takes to
 /// read the configuration.
 const NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5;
@@ -137,6 +142,9 @@
         NO_CONFIGURATION_RETRY_AFTER_SECONDS,
       );
     }
+    const { headerBytes, bodyBytes } = table.configuration.limits;
+    const fault = findRequestFault(message, headerBytes);
+    if (fault) return refuse(callerResponse, { ...fault, request });
     const target = message.url ?? "/";
     const path = pathOf(target);
     const route = table.findRoute(hostOf(message.headers.host), path);
@@ -156,7 +164,6 @@
       const reason = "no customer has the key";
       return refuse(callerResponse, { status: 401, reason, request, path });
     }
-    const { bodyBytes } = table.configuration.limits;
     const body = await readBody(message, callerResponse, {
       limit: bodyBytes,
       request,
@@ -233,6 +240,7 @@
     {
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MILLISECONDS,
       noDelay: true,
+      maxHeaderSize: PARSED_HEADER_BYTES,
     },
     (message, response) => {
       running += 1;
@@ -257,8 +265,10 @@
       server.headersTimeout = limits.headerMilliseconds;
       server.keepAliveTimeout = limits.idleMilliseconds;
       // The property exists in Node.js but not in its type definitions.
-      (server as Server & { maxHeaderSize: number }).maxHeaderSize =
-        limits.headerBytes;
+      (server as Server & { maxHeaderSize: number }).maxHeaderSize = Math.max(
+        PARSED_HEADER_BYTES,
+        limits.headerBytes,
+      );
     },
     running: () => running,
   };
--- a/test/gateway/unanswered_requests_test.ts
+++ b/test/gateway/unanswered_requests_test.ts
@@ -163,3 +163,32 @@
   const took = performance.now() - since;
   t.true(took > 500 && took < 3_000, `${took}`);
 });
+
+interface HeaderLimitCase {
+  readonly title: string;
+  readonly limits: readonly [number, number];
+  readonly statuses: readonly number[];
+}
+
+const CHANGED_HEADER_LIMITS: readonly HeaderLimitCase[] = [
+  { title: "raised", limits: [4_000, 12_000], statuses: [200, 200, 200] },
+  { title: "lowered", limits: [12_000, 4_000], statuses: [200, 431, 200] },
+];
+
+for (
+  const { title, limits: [first, second], statuses } of CHANGED_HEADER_LIMITS
+) {
+  test(`a limit on headers that is ${title} applies to connections that are open`, async (t) => {
+    const { deployment, connection } = await deploy(t, {
+      configuration: limits({ MaxHeaderBytes: first }),
+    });
+    const lines = [[], [`X-Note: ${"n".repeat(8_000)}`], []];
+    for (const [index, line] of lines.entries()) {
+      connection.send(formatRequest(ORDER, { lines: line }));
+      await until(() => connection.statuses().length === index + 1);
+      if (index > 0) continue;
+      await configure(deployment, 2, limits({ MaxHeaderBytes: second }));
+    }
+    t.deepEqual(connection.statuses(), statuses);
+  });
+}
