Refuse requests that undici doesn't write

A request with two Host fields, or with a tab in its path, passes the parser, but undici throws for it. The attempt counted as a connection that could not be opened, so one such request suspended every upstream that it was tried at, and other callers got 503.

Such a request is now refused with 400.

--- a/test/gateway/unanswered_requests_test.ts
+++ b/test/gateway/unanswered_requests_test.ts
@@ -192,3 +192,24 @@
     t.deepEqual(connection.statuses(), statuses);
   });
 }
+
+interface InvalidRequestCase {
+  readonly title: string;
+  readonly path?: string;
+  readonly lines?: readonly string[];
+}
+
+const INVALID_REQUESTS: readonly InvalidRequestCase[] = [
+  { title: "two hosts", lines: ["Host: callers.example"] },
+  { title: "a tab in its path", path: "/once/\t" },
+];
+
+for (const { title, path = ORDER, lines } of INVALID_REQUESTS) {
+  test(`a request with ${title} is refused and suspends no upstream`, async (t) => {
+    const { deployment, connection } = await deploy(t);
+    connection.send(formatRequest(path, { lines }));
+    await until(() => connection.statuses().length === 1);
+    t.deepEqual(connection.statuses(), [400]);
+    t.regex(await deployment.readMetrics(), /suspended_upstreams 0\n/);
+  });
+}
