--- a/test/gateway/unanswered_requests_test.ts
+++ b/test/gateway/unanswered_requests_test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext } from "ava";
+import { fleetDocuments } from "../../platform/fleet_documents.ts";
 import {
   formatRequest,
   openCallerConnection,
@@ -193,6 +194,48 @@
   });
 }
 
+const latin1 = (text: string) => Buffer.from(text, "utf8").toString("latin1");
+
+test("a customer's key and name that aren't ASCII are passed as they are configured", async (t) => {
+  const [name, key] = ["Zürich à 北", "clé-à-北"];
+  const { desk, connection } = await deploy(t, {
+    configuration: { Tenants: [{ Name: name, ApiKeys: [key] }] },
+  });
+  connection.send(formatRequest(ORDER, { key: latin1(key) }));
+  await until(() => connection.statuses().length === 1);
+  t.deepEqual(connection.statuses(), [200]);
+  t.is(desk.requests[0]!.headers["x-tenant"], latin1(name));
+});
+
+interface HeaderBytesCase {
+  readonly title: string;
+  readonly value: string;
+}
+
+const HEADER_BYTES: readonly HeaderBytesCase[] = [
+  { title: "UTF-8", value: latin1("café €") },
+  { title: "other bytes over 127", value: "caf\xe9 \x80\xff" },
+];
+
+for (const { title, value } of HEADER_BYTES) {
+  test(`a header with ${title} is passed on byte for byte in both directions`, async (t) => {
+    const { desk, connection } = await deploy(t, {
+      act: () => ({
+        kind: "raw",
+        write: (socket, head) =>
+          void socket.write(
+            `${head([`X-Note: ${value}`, "Content-Length: 4"])}\r\ndone`,
+            "latin1",
+          ),
+      }),
+    });
+    connection.send(formatRequest(ORDER, { lines: [`X-Note: ${value}`] }));
+    await until(() => connection.received().endsWith("done"));
+    t.is(/^x-note: (.*)\r$/im.exec(connection.received())?.[1], value);
+    t.is(desk.requests[0]!.headers["x-note"], value);
+  });
+}
+
 interface InvalidRequestCase {
   readonly title: string;
   readonly path?: string;
@@ -213,3 +256,19 @@
     t.regex(await deployment.readMetrics(), /suspended_upstreams 0\n/);
   });
 }
+
+test("an entry whose id can't be written into a header names no upstream", (t) => {
+  const entry = Buffer.from(JSON.stringify({
+    Service: "desk",
+    Address: "127.0.0.1:1",
+    Zone: "north",
+    Slots: 1,
+    State: "ready",
+  }));
+  const parse = (key: string) => fleetDocuments.parseUpstream(key, entry)?.id;
+  t.is(parse("servers/d1"), "d1");
+  t.is(parse("servers/dé1"), "dé1");
+  for (const id of ["", "a\r\nX-Tenant: b", "a\0"]) {
+    t.is(parse(`servers/${id}`), undefined);
+  }
+});
