Pass on pipelined requests one after the other

Node.js hands over all requests of a connection at once, and each was passed on. If the answer to the first ended with the close of the connection, the others ran and their answers had nowhere to go. If the caller left, only the first was ended at its upstream; the others ran on, and counted as running for good, so that a stop waited for them to its end.

A request now starts when the answer before it has ended, and not at all if the connection closes by then.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -16,6 +16,7 @@
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { handleRequest } from "./request_handler.ts";
 import { findRequestFault } from "./request_check.ts";
+import { createRequestSequence } from "./request_sequence.ts";
 import type { RouteTable } from "./route_table.ts";
 
 /// Accepts requests from callers: reads them, finds their route, checks their
@@ -125,8 +126,11 @@
     });
   };
 
-  const handle = async (message: IncomingMessage, response: ServerResponse) => {
-    const arrivedAt = clock.now();
+  const handle = async (
+    message: IncomingMessage,
+    response: ServerResponse,
+    arrivedAt: Milliseconds,
+  ) => {
     const callerResponse = createCallerResponse(response, {
       closesConnection: () => acceptsUntil < Infinity,
     });
@@ -236,6 +240,7 @@
     }
   };
 
+  const startInSequence = createRequestSequence();
   const server = createServer(
     {
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MILLISECONDS,
@@ -243,15 +248,18 @@
       maxHeaderSize: PARSED_HEADER_BYTES,
     },
     (message, response) => {
-      running += 1;
-      idleConnections.track(response);
-      response.on("close", () => void (running -= 1));
-      handle(message, response).catch((error: Error) => {
-        log.warn("request failed by a fault of the gateway", {
-          reason: error.stack ?? error.message,
+      const arrivedAt = clock.now();
+      startInSequence(message, response, () => {
+        running += 1;
+        idleConnections.track(response);
+        response.on("close", () => void (running -= 1));
+        handle(message, response, arrivedAt).catch((error: Error) => {
+          log.warn("request failed by a fault of the gateway", {
+            reason: error.stack ?? error.message,
+          });
+          createCallerResponse(response, { closesConnection: () => true })
+            .abort();
         });
-        createCallerResponse(response, { closesConnection: () => true })
-          .abort();
       });
     },
   );
