Answer a request that fails by a fault of the gateway

Whatever threw while a request was handled closed its connection without an answer, also if nothing of a response had been sent. Headers of a response that could not be written stayed set, so a failure that followed would have had the signature of an upstream.

Such a request now gets 502, which promises nothing, with the headers of no other response. Before: a closed connection in the tests with calls, and with only the 502 in place the signature was still there after the upstream; now all six pass.

--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -53,6 +53,8 @@
     // The connection failed; the "close" event follows and is handled above.
   });
   const writeHead = (status: number, headers: ResponseHeaders) => {
+    // An earlier response may have failed before it was sent.
+    for (const name of response.getHeaderNames()) response.removeHeader(name);
     if (closesConnection()) response.setHeader("Connection", "close");
     for (const [name, value] of headers) response.setHeader(name, value);
     response.writeHead(status);
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -257,8 +257,11 @@
           log.warn("request failed by a fault of the gateway", {
             reason: error.stack ?? error.message,
           });
-          createCallerResponse(response, { closesConnection: () => true })
-            .abort();
+          const callerResponse = createCallerResponse(response, {
+            closesConnection: () => true,
+          });
+          if (callerResponse.isStarted()) return callerResponse.abort();
+          callerResponse.sendText(502, "a fault of the gateway\n");
         });
       });
     },
--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -6,6 +6,7 @@
   createStoreClient,
   type StoreClient,
 } from "../../platform/store_client.ts";
+import type { GatewayDialect } from "../../src/gateway/dialect.ts";
 import { type Gateway, startGateway } from "../../src/gateway/gateway.ts";
 import { createSystemClock } from "../../src/support/clock.ts";
 import { createSilentLogger, type Logger } from "../../src/support/log.ts";
@@ -133,6 +134,8 @@
   /// Retries of all VMs together in a window, beside those that the requests
   /// allow; 100 by default.
   readonly retryAllowance?: number;
+  /// Replaces parts of the platform's dialect.
+  readonly dialect?: Partial<GatewayDialect>;
 }
 
 /// A loopback address with a port that the operating system chooses.
@@ -216,7 +219,7 @@
           longestHoldMilliseconds: 20_000,
         },
         platform: {
-          dialect: httpDialect,
+          dialect: { ...httpDialect, ...options.dialect },
           documents: fleetDocuments,
           reservations: reservationClient,
           store: client,
--- a/test/gateway/unanswered_requests_test.ts
+++ b/test/gateway/unanswered_requests_test.ts
@@ -1,5 +1,6 @@
 import test, { type ExecutionContext } from "ava";
 import { fleetDocuments } from "../../platform/fleet_documents.ts";
+import type { GatewayDialect } from "../../src/gateway/dialect.ts";
 import {
   formatRequest,
   openCallerConnection,
@@ -30,13 +31,15 @@
 /// Starts a gateway and one upstream of `desk`.
 async function deploy(
   t: ExecutionContext,
-  { act = () => ({ kind: "answer", body: "done" }), configuration = {} }: {
+  { act = () => ({ kind: "answer", body: "done" }), configuration, dialect }: {
     act?: (request: ReceivedRequest) => UpstreamAction;
     configuration?: object;
+    dialect?: Partial<GatewayDialect>;
   } = {},
 ) {
   const deployment = await startPlatformDeployment({
     configuration: sampleConfiguration(1, configuration),
+    ...(dialect ? { dialect } : {}),
   });
   t.teardown(deployment.close);
   const desk = await deployment.addUpstream("desk", "d1", act);
@@ -272,3 +275,45 @@
     t.is(parse(`servers/${id}`), undefined);
   }
 });
+
+interface FaultCase {
+  readonly title: string;
+  readonly dialect: Partial<GatewayDialect>;
+}
+
+const FAULTS: readonly FaultCase[] = [
+  {
+    title: "before the upstream",
+    dialect: {
+      buildUpstreamHeaders() {
+        throw new Error("no headers");
+      },
+    },
+  },
+  {
+    title: "after the upstream",
+    dialect: {
+      buildCallerHeaders: () => [
+        ["X-Response-Signature", "signed by d1"],
+        ["X-Note", "€"],
+      ],
+    },
+  },
+];
+
+for (const { title, dialect } of FAULTS) {
+  for (const path of [ORDER, "/look/2f", "/ask/2f"]) {
+    test(`a fault of the gateway ${title} ends ${path} with a failure that has no signature`, async (t) => {
+      const { deployment, connection } = await deploy(t, { dialect });
+      const stream = () => ({ kind: "stream", to: 2 }) as const;
+      await deployment.addUpstream("engines", "e1", stream);
+      await until(() => isConnected(deployment, 2));
+      connection.send(formatRequest(path));
+      await until(() =>
+        connection.statuses().length > 0 || connection.isClosed()
+      );
+      t.deepEqual(connection.statuses(), [502]);
+      t.notRegex(connection.received(), /signature/i);
+    });
+  }
+}
