Keep idle connections for the timeout that their last response stated

If the idle timeout was lowered while a request was answered, the response stated the old one in Keep-Alive and its connection was closed by the new one, so that a caller's next request found it closed. The tests with a change before the answer had missed this: the answer mostly came first.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -249,9 +249,9 @@
     },
     (message, response) => {
       const arrivedAt = clock.now();
+      idleConnections.track(message, response);
       startInSequence(message, response, () => {
         running += 1;
-        idleConnections.track(response);
         response.on("close", () => void (running -= 1));
         handle(message, response, arrivedAt).catch((error: Error) => {
           log.warn("request failed by a fault of the gateway", {
--- a/test/gateway/unanswered_requests_test.ts
+++ b/test/gateway/unanswered_requests_test.ts
@@ -119,20 +119,25 @@
   for (const isBeforeAnswer of [true, false]) {
     const when = isBeforeAnswer ? "before" : "after";
     test(`a connection whose idle timeout is ${title} ${when} an answer serves the next request`, async (t) => {
-      const { deployment, connection } = await deploy(t, {
+      let answer = () => {};
+      const { deployment, desk, connection } = await deploy(t, {
         configuration: limits({ IdleTimeoutMs: timeouts[0] }),
         act: () => ({
           kind: "raw",
-          write: (socket, head) =>
-            void setTimeout(
-              () => socket.write(`${head(["Content-Length: 4"])}\r\ndone`),
-              500,
-            ),
+          write(socket, head) {
+            const fields = ["Content-Length: 4", "Connection: close"];
+            answer = () => void socket.end(`${head(fields)}\r\ndone`);
+            if (!isBeforeAnswer || desk.requests.length > 1) answer();
+          },
         }),
       });
       const changed = limits({ IdleTimeoutMs: timeouts[1] });
       connection.send(formatRequest(ORDER));
-      if (isBeforeAnswer) await configure(deployment, 2, changed);
+      if (isBeforeAnswer) {
+        await until(() => desk.requests.length === 1);
+        await configure(deployment, 2, changed);
+        answer();
+      }
       await until(() => connection.statuses().length === 1);
       if (!isBeforeAnswer) await configure(deployment, 2, changed);
       await sleep(idleMilliseconds);
