Send streams to callers in HTTP/1.0 without chunks

The gateway set the chunked encoding for all streams, also for requests in HTTP/1.0, for which Node.js doesn't use it, so that such a caller got the chunk sizes as part of its events. Before: the test got chunks.

--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -59,13 +59,17 @@
     for (const [name, value] of headers) response.setHeader(name, value);
     response.writeHead(status);
   };
+  /// The default is false for callers that don't know chunks.
+  const setFraming = (isFramed: boolean) => {
+    response.useChunkedEncodingByDefault &&= isFramed;
+  };
   return {
     isClosed: () => isDisconnected,
     isStarted: () => response.headersSent,
     forward({ status, headers, isFramed }, body) {
       if (isDisconnected || response.headersSent) return;
       const length = String(body.length);
-      response.useChunkedEncodingByDefault = isFramed;
+      setFraming(isFramed);
       writeHead(
         status,
         isFramed ? [...headers, ["Content-Length", length]] : headers,
@@ -88,7 +92,7 @@
     },
     startStream({ status, headers, isFramed }) {
       if (isDisconnected || response.headersSent) return;
-      response.useChunkedEncodingByDefault = isFramed;
+      setFraming(isFramed);
       writeHead(status, headers);
     },
     write: (bytes) => isDisconnected || response.write(bytes),
--- /dev/null
+++ b/test/gateway/unusual_requests_test.ts
@@ -0,0 +1,136 @@
+import { PassThrough } from "node:stream";
+import type { IncomingMessage } from "node:http";
+import test from "ava";
+import { createBodyReader } from "../../src/gateway/body_reader.ts";
+import {
+  type CallerConnection,
+  formatRequest,
+  openCallerConnection,
+} from "../../stand_ins/platform/caller_connection.ts";
+import {
+  isConnected,
+  startPlatformDeployment,
+  until,
+} from "../../stand_ins/platform/platform_deployment.ts";
+
+/// Requests in forms that HTTP permits and callers seldom use.
+
+interface UnusualRequestCase {
+  readonly title: string;
+  readonly send: (connection: CallerConnection) => void;
+  readonly statuses: readonly number[];
+}
+
+const ORDER = "/once/2f";
+const STREAM = ["X-Token-Counts: 100,10"];
+const request = (line: string, value: string) =>
+  formatRequest(ORDER).replace(line, value);
+const withTokens = (counts: string) =>
+  formatRequest("/ask/2f", { lines: [`X-Token-Counts: ${counts}`] });
+const chunked = (trailer: string) =>
+  formatRequest(ORDER)
+    .replace("Content-Length: 8", "Transfer-Encoding: chunked")
+    .replace("an order", `8\r\nan order\r\n0\r\n${trailer}\r\n`);
+
+const UNUSUAL_REQUESTS: readonly UnusualRequestCase[] = [
+  {
+    title: "Expect: 100-continue",
+    send: ({ send }) =>
+      send(formatRequest(ORDER, { lines: ["Expect: 100-continue"] })),
+    statuses: [100, 200],
+  },
+  {
+    title: "an upgrade that isn't supported",
+    send: ({ send }) =>
+      send(formatRequest(ORDER, {
+        lines: ["Connection: Upgrade", "Upgrade: websocket"],
+      })),
+    statuses: [200],
+  },
+  {
+    title: "chunks and trailers",
+    send: ({ send }) => send(chunked("X-Note: 1\r\n") + chunked("")),
+    statuses: [200, 200],
+  },
+  {
+    title: "an empty line before the next one",
+    send: ({ send }) =>
+      send(`${formatRequest(ORDER)}\r\n${formatRequest(ORDER)}`),
+    statuses: [200, 200],
+  },
+  ...["1e300", "3e9", "2147483648", "NaN", "Infinity"].map((deadline) => ({
+    title: `the deadline ${deadline}`,
+    send: ({ send }: CallerConnection) => send(request("2500", deadline)),
+    statuses: [200],
+  })),
+  ...["-5", "0", "-1e300"].map((deadline) => ({
+    title: `the deadline ${deadline}`,
+    send: ({ send }: CallerConnection) => send(request("2500", deadline)),
+    statuses: [503],
+  })),
+  ...["1e308,1e308", "1e200,1", "1,1e308"].map((counts) => ({
+    title: `the token counts ${counts}`,
+    send: ({ send }: CallerConnection) => send(withTokens(counts)),
+    statuses: [503],
+  })),
+  ...["-5,-7", "0,0", "1e999,x"].map((counts) => ({
+    title: `the token counts ${counts}`,
+    send: ({ send }: CallerConnection) => send(withTokens(counts)),
+    statuses: [200],
+  })),
+];
+
+async function deploy(t: { teardown(close: () => void): void }) {
+  const deployment = await startPlatformDeployment();
+  t.teardown(deployment.close);
+  const answer = () => ({ kind: "answer", body: "done" }) as const;
+  await deployment.addUpstream("desk", "d1", answer);
+  const stream = () => ({ kind: "stream", to: 3 }) as const;
+  await deployment.addUpstream("engines", "e1", stream);
+  await until(() => isConnected(deployment, 2));
+  await until(() => deployment.isReady());
+  const { callers } = deployment.gateways[0]!.addresses;
+  const connection = openCallerConnection(callers);
+  t.teardown(() => connection.socket.destroy());
+  return { deployment, connection };
+}
+
+for (const { title, send, statuses } of UNUSUAL_REQUESTS) {
+  test(`a request with ${title} is answered`, async (t) => {
+    const { connection } = await deploy(t);
+    send(connection);
+    await until(() =>
+      connection.statuses().length === statuses.length ||
+      connection.isClosed()
+    );
+    t.deepEqual(connection.statuses(), statuses);
+  });
+}
+
+test("a stream in HTTP/1.0 has no chunks and ends with its connection", async (t) => {
+  const { connection } = await deploy(t);
+  const lines = STREAM;
+  connection.send(formatRequest("/ask/2f", { lines, version: "1.0" }));
+  await until(connection.isClosed);
+  t.regex(connection.received(), /\r\n\r\n(id: \d\ndata: piece \d\n\n){3}$/);
+});
+
+test("a body without memory for it is discarded, and its memory used by the next", async (t) => {
+  const bodies = createBodyReader(10);
+  const open = () => new PassThrough();
+  const read = (stream: PassThrough) =>
+    bodies.read(stream as unknown as IncomingMessage, 100);
+  const [first, second, third] = [open(), open(), open()];
+  const results = [read(first), read(second)];
+  first.write("12345678");
+  await until(() => first.readableLength === 0);
+  second.write("12345678");
+  t.is((await results[1]!).kind, "no_memory");
+  second.end("1".repeat(1_000_000));
+  await until(() => second.readableEnded);
+  first.end();
+  t.is((await results[0]!).kind, "read");
+  const last = read(third);
+  third.end("12345678");
+  t.is((await last).kind, "read");
+});
