--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -267,6 +267,12 @@
     },
   );
 
+  // Node.js closes the connection of this method if nothing handles it.
+  server.on("connect", (_message, socket) =>
+    void socket.end(
+      "HTTP/1.1 405 Method Not Allowed\r\n" +
+        "Connection: close\r\nContent-Length: 0\r\n\r\n",
+    ));
   const idleConnections = startIdleConnections(server, clock);
 
   return {
--- a/test/gateway/unusual_requests_test.ts
+++ b/test/gateway/unusual_requests_test.ts
@@ -58,6 +58,14 @@
       send(`${formatRequest(ORDER)}\r\n${formatRequest(ORDER)}`),
     statuses: [200, 200],
   },
+  {
+    title: "the method CONNECT",
+    send: ({ send }) =>
+      send(
+        "CONNECT callers.example:80 HTTP/1.1\r\nHost: callers.example\r\n\r\n",
+      ),
+    statuses: [405],
+  },
   ...["1e300", "3e9", "2147483648", "NaN", "Infinity"].map((deadline) => ({
     title: `the deadline ${deadline}`,
     send: ({ send }: CallerConnection) => send(request("2500", deadline)),
