Take permits from VMs that know limits

While an upgrade runs, VMs of builds before the limits on requests are linked to VMs with them. The owner of an upstream's permits is chosen among all linked VMs, and an earlier build replies to each call for a permit that it doesn't know the call. The request then counted as held back, each time, so that the newer VMs sent nothing to an upstream that states a limit.

A VM that replies so now owns no permits, and the next one is asked at once.

--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -68,5 +68,26 @@
 /// The call was sent, and then timed out, failed at the peer or lost its link. It
 /// may have been handled.
 export class LinkUnansweredError extends Error {
-  override readonly name = "LinkUnansweredError";
+  override readonly name: string = "LinkUnansweredError";
+}
+
+/// The called VM runs a build that doesn't know the call.
+export class UnknownCallError extends LinkUnansweredError {
+  override readonly name = "UnknownCallError";
+}
+
+/// Start of the reply to a call that the called VM doesn't know. Earlier builds
+/// send the same.
+const UNKNOWN_CALL_TEXT = "unknown call ";
+
+/// Returns the error that a VM replies to a call that it doesn't know.
+export function createUnknownCallReply(name: string): Error {
+  return new Error(UNKNOWN_CALL_TEXT + name);
+}
+
+/// Returns the error of a call whose reply is the text of an error.
+export function toCallError(reply: string): LinkUnansweredError {
+  return reply.startsWith(UNKNOWN_CALL_TEXT)
+    ? new UnknownCallError(reply)
+    : new LinkUnansweredError(reply);
 }
--- a/src/links/message_router.ts
+++ b/src/links/message_router.ts
@@ -1,7 +1,7 @@
 import type { TSchema } from "@sinclair/typebox";
 import { type TypeCheck, TypeCompiler } from "@sinclair/typebox/compiler";
 import type { VmIdentity } from "../vms/identity.ts";
-import type { Links } from "./links.ts";
+import { createUnknownCallReply, type Links } from "./links.ts";
 
 /// Dispatches messages and calls received over links to registered handlers.
 export interface MessageRouter extends Pick<Links, "onMessage" | "onCall"> {
@@ -41,7 +41,7 @@
     },
     async handleCall(name, value, from) {
       const registration = calls.get(name);
-      if (!registration) throw new Error(`unknown call ${name}`);
+      if (!registration) throw createUnknownCallReply(name);
       if (!registration.check.Check(value)) {
         throw new TypeError(`malformed call ${name}`);
       }
--- a/src/links/pending_calls.ts
+++ b/src/links/pending_calls.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds, Timer } from "../support/clock.ts";
 import type { PayloadFrame } from "./frame.ts";
-import { LinkUnansweredError } from "./links.ts";
+import { LinkUnansweredError, toCallError } from "./links.ts";
 
 /// Calls that wait for their replies. Each fails at its timeout.
 
@@ -52,7 +52,7 @@
       const call = remove(id);
       if (!call) return;
       if (error === undefined) return call.resolve(value);
-      call.reject(new LinkUnansweredError(error));
+      call.reject(toCallError(error));
     },
     fail(vm) {
       for (const [id, call] of [...pending]) {
--- a/src/upstreams/upstream_limits.ts
+++ b/src/upstreams/upstream_limits.ts
@@ -1,9 +1,10 @@
 import { type Static, Type } from "@sinclair/typebox";
-import type { Links } from "../links/links.ts";
+import { type Links, UnknownCallError } from "../links/links.ts";
 import { defineCall, defineMessage } from "../links/message.ts";
 import { createNewPeers } from "../links/new_peers.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
+import type { VmIdentity } from "../vms/identity.ts";
 import { rankByRendezvous } from "../vms/rendezvous.ts";
 import {
   createPermitSchedule,
@@ -13,7 +14,8 @@
 /// Limits that upstreams state in their responses: how many requests a second
 /// they accept from all VMs together. VMs tell each other of limits. Each request
 /// to a limited upstream needs a permit from the upstream's owner, a VM chosen by
-/// rendezvous hashing among the linked VMs.
+/// rendezvous hashing among the linked VMs. VMs of builds that know no limits own
+/// none.
 
 /// Rate at which an upstream that states a lower limit still gets requests:
 /// only its responses show that the limit has ended.
@@ -97,6 +99,8 @@
   exhaustedUntil: Milliseconds;
 }
 
+const keyOf = ({ vm, incarnation }: VmIdentity) => `${vm} ${incarnation}`;
+
 export function createUpstreamLimits(
   options: UpstreamLimitsOptions,
 ): UpstreamLimits {
@@ -110,11 +114,19 @@
   /// permit left.
   const announced = new Set<string>();
 
-  const ownerOf = (upstream: string) =>
-    rankByRendezvous(`limit ${upstream}`, [
+  /// Processes that don't know the call for a permit.
+  const unaware = new Set<string>();
+
+  const ownerOf = (upstream: string) => {
+    const peers = links.peers();
+    const owners = unaware.size === 0
+      ? peers
+      : peers.filter((peer) => !unaware.has(keyOf(peer)));
+    return rankByRendezvous(`limit ${upstream}`, [
       self.vm,
-      ...links.peers().map(({ vm }) => vm),
+      ...owners.map(({ vm }) => vm),
     ])[0]!;
+  };
 
   const remove = (upstream: string) => {
     limits.delete(upstream);
@@ -164,14 +176,21 @@
     return { isGranted, delay };
   };
 
-  const requestPermit = async (request: PermitRequest) => {
+  const requestPermit = async (
+    request: PermitRequest,
+  ): Promise<Static<typeof permitCall["reply"]>> => {
     const owner = ownerOf(request.upstream);
     if (owner === self.vm) return grant(request);
+    const called = links.peers().find(({ vm }) => vm === owner);
     try {
       return await links.call(owner, permitCall, request, {
         timeoutMilliseconds: REPLY_TIMEOUT_MILLISECONDS,
       });
-    } catch {
+    } catch (error) {
+      if (called && error instanceof UnknownCallError) {
+        unaware.add(keyOf(called));
+        return requestPermit(request);
+      }
       return { isGranted: false, delay: UNREACHABLE_OWNER_MILLISECONDS };
     }
   };
@@ -195,6 +214,10 @@
   );
   links.onPeersChange(() => {
     const added = newPeers();
+    if (unaware.size > 0) {
+      const linked = new Set(links.peers().map(keyOf));
+      for (const key of unaware) if (!linked.has(key)) unaware.delete(key);
+    }
     // A new owner grants from a schedule of its own.
     for (const upstream of schedules.keys()) {
       if (ownerOf(upstream) === self.vm) continue;
--- a/stand_ins/local_links.ts
+++ b/stand_ins/local_links.ts
@@ -2,6 +2,7 @@
   type Links,
   LinkUnansweredError,
   LinkUnreachableError,
+  toCallError,
 } from "../src/links/links.ts";
 import {
   createMessageRouter,
@@ -150,7 +151,7 @@
             other.router.handleCall(type.name, copy, self).then(
               (reply) => settle(() => resolve(structuredClone(reply) as never)),
               (error: Error) =>
-                settle(() => reject(new LinkUnansweredError(error.message))),
+                settle(() => reject(toCallError(error.message))),
             );
           });
         });
--- a/test/upstreams/upstream_limits_test.ts
+++ b/test/upstreams/upstream_limits_test.ts
@@ -18,6 +18,11 @@
   readonly limit: number;
 }
 
+interface SendOptions {
+  readonly isRunning?: (index: number) => boolean;
+  readonly upstream?: string;
+}
+
 async function startFleet({ vms: count, limit }: FleetOptions) {
   const clock = createFakeClock();
   const network = createLocalNetwork(clock, { detectionMilliseconds: 500 });
@@ -41,12 +46,12 @@
   /// each step.
   const sendFor = async (
     duration: number,
-    isRunning: (index: number) => boolean = () => true,
+    { isRunning = () => true, upstream = UPSTREAM }: SendOptions = {},
   ) => {
     for (let passed = 0; passed < duration; passed += STEP_MILLISECONDS) {
       for (const [index, limits] of vms.entries()) {
-        if (!isRunning(index) || limits.delayOf(UPSTREAM) > 0) continue;
-        void limits.take(UPSTREAM).then((isGranted) => {
+        if (!isRunning(index) || limits.delayOf(upstream) > 0) continue;
+        void limits.take(upstream).then((isGranted) => {
           if (isGranted) sent.push(clock.now());
         });
       }
@@ -109,7 +114,7 @@
       const { network, sendFor } = fleet;
       await sendFor(3_000);
       network.remove(`vm-${owner}`);
-      await sendFor(3_000, (index) => index !== owner);
+      await sendFor(3_000, { isRunning: (index) => index !== owner });
       const before = fleet.sent.length;
       fleet.vms[owner] = fleet.join(owner);
       await sendFor(4_000);
@@ -149,6 +154,30 @@
   t.is(joined.count(), 1);
 });
 
+test("VMs of a build that knows no limits don't keep permits from the others", async (t) => {
+  const limit = 5;
+  const seconds = 12;
+  const withEarlierVms = 3;
+  const fleet = await startFleet({ vms: 4, limit });
+  for (let index = 0; index < withEarlierVms; index++) {
+    fleet.network.join({
+      vm: `earlier-${index}`,
+      incarnation: "1",
+      dataCentre: "north",
+    });
+  }
+  for (let upstream = 0; upstream < 8; upstream++) {
+    fleet.vms[0]!.record(`u${upstream}`, { limit, sentAt: fleet.clock.now() });
+  }
+  await fleet.clock.advance(600);
+  for (let upstream = 0; upstream < 8; upstream++) {
+    fleet.sent.length = 0;
+    await fleet.sendFor(seconds * 1_000, { upstream: `u${upstream}` });
+    t.true(fleet.most() <= allowedInWindow(limit), `${fleet.most()}`);
+    t.true(fleet.sent.length >= 0.7 * (limit * seconds - 1));
+  }
+});
+
 interface EndCase {
   readonly title: string;
   readonly sentBefore: boolean;
