Keep requests from held upstreams when an earlier build places them

A VM tells the owner of placements which upstreams want no requests of it for a time. The field is new, and an owner of an earlier build ignores it. The asking VM dropped each such decision just before sending, and asked again at once, so that a request went round until the time was over.

Held upstreams are now also sent as ones to be avoided, which all builds know, and a decision for a held upstream is dropped on arrival. The VM then decides alone, and refuses with the remaining time if all upstreams are held.

Test "an owner of a build that knows no holds places no requests at held upstreams": before, the decision named the held upstream north-e0. Now all four requests are placed at the one that isn't held.

--- a/src/gateway/placement_service.ts
+++ b/src/gateway/placement_service.ts
@@ -197,9 +197,12 @@
     const ticket = nextTicket++;
     // The decision may arrive before the reply that announces it.
     const announced = awaited.wait(vm, ticket, signal);
+    // Owners of earlier builds don't read `held`.
+    const held = query.held?.map(({ upstream }) => upstream) ?? [];
+    const avoided = [...query.avoided, ...health.suspended(), ...held];
     try {
       const reply = await links.call(vm, placeCall, {
-        query: { ...query, avoided: [...query.avoided, ...health.suspended()] },
+        query: { ...query, avoided },
         isForwarded: false,
         ticket,
       }, { timeoutMilliseconds: REPLY_TIMEOUT_MILLISECONDS });
@@ -224,12 +227,17 @@
   };
 
   /// Whether this VM may send to the upstreams of another VM's decision: its
-  /// own view may be newer.
-  const isUsable = (decision: PlacementDecision) =>
+  /// own view may be newer, and an owner of an earlier build doesn't know which
+  /// of them want no requests of this VM.
+  const isUsable = (
+    decision: PlacementDecision,
+    { held = [] }: PlacementQuery,
+  ) =>
     decision.kind === "refused" ||
     [decision.upstream, ...decision.helpers].every((id) => {
       const upstream = view.upstream(id);
-      return upstream !== undefined && !upstream.isLeaving;
+      return upstream !== undefined && !upstream.isLeaving &&
+        !held.some((each) => each.upstream === id);
     });
 
   const decide: PlacementService["decide"] = async (query, signal) => {
@@ -239,7 +247,7 @@
     const askedAt = clock.now();
     const owner = owners.ownerOf();
     const decision = owner && await askOwner(owner, query, signal);
-    if (decision && isUsable(decision)) return decision;
+    if (decision && isUsable(decision, query)) return decision;
     if (decision) abandon(decision);
     const waited = clock.now() - askedAt;
     const aged = {
--- a/test/gateway/placement_owner_test.ts
+++ b/test/gateway/placement_owner_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { createFleetView } from "../../src/gateway/fleet_view.ts";
+import type { Links } from "../../src/links/links.ts";
 import type { PlacementQuery } from "../../src/gateway/placement_decision.ts";
 import { createPlacementParts } from "../../src/gateway/placement_parts.ts";
 import { createUpstreamHealth } from "../../src/gateway/upstream_health.ts";
@@ -63,14 +64,29 @@
   readonly vmsPerDataCentre: number;
   readonly enginesPerDataCentre: number;
   readonly dataCentres?: readonly string[];
+  /// VMs of a build that knows no holds.
+  readonly earlierVms?: readonly string[];
+}
+
+/// Links over which calls arrive without the field `held`.
+function withoutHolds(links: Links): Links {
+  return {
+    ...links,
+    onCall: (type, handler) =>
+      links.onCall(type, (value, from) => {
+        const { query, ...rest } = value as { query?: PlacementQuery };
+        return handler({ ...rest, query: { ...query, held: [] } }, from);
+      }),
+  };
 }
 
 function createFleet(options: FleetOptions) {
-  const { dataCentres = ["north"] } = options;
+  const { dataCentres = ["north"], earlierVms = [] } = options;
   const clock = createFakeClock();
   const network = createLocalNetwork(clock, { hubsPerDataCentre: 2 });
   const join = (vm: string, dataCentre: string) => {
-    const links = network.join({ vm, incarnation: "1", dataCentre });
+    const ownLinks = network.join({ vm, incarnation: "1", dataCentre });
+    const links = earlierVms.includes(vm) ? withoutHolds(ownLinks) : ownLinks;
     const random = createSeededRandom(vm.length);
     const view = createFleetView(clock);
     const source = { kind: "store" as const, revision: 1 };
@@ -226,6 +242,29 @@
   t.is((await fleet.place(asker!)).kind, "placed");
 });
 
+test("an owner of a build that knows no holds places no requests at held upstreams", async (t) => {
+  const fleet = createFleet({
+    vmsPerDataCentre: 40,
+    enginesPerDataCentre: 3,
+    earlierVms: ["north-00"],
+  });
+  await fleet.clock.advance(1_000);
+  const asker = fleet.vms[2]!;
+  const delay = 1_000;
+  const held = ["north-e0", "north-e1"].map((upstream) => ({
+    upstream,
+    delay,
+  }));
+  for (let request = 0; request < 4; request++) {
+    const decision = await fleet.place(asker, { ...SHORT, held });
+    if (decision.kind === "refused") return t.fail(decision.reason);
+    t.is(decision.upstream, "north-e2");
+  }
+  const allHeld = [...held, { upstream: "north-e2", delay }];
+  const decision = await fleet.place(asker, { ...SHORT, held: allHeld });
+  t.like(decision, { kind: "refused", isAtLimit: true, retryAfter: delay });
+});
+
 test("a full data centre uses engines of another one, and counts there", async (t) => {
   const fleet = createFleet({
     vmsPerDataCentre: 20,
