--- a/stand_ins/soak/gateway_process.ts
+++ b/stand_ins/soak/gateway_process.ts
@@ -11,11 +11,15 @@
 export interface GatewayProcess {
   readonly vm: string;
   readonly callerAddress: string;
+  readonly readinessAddress: string;
+  readonly linkAddress: string;
+  readonly metricsAddress: string;
   isRunning(): boolean;
   signal(signal: NodeJS.Signals): void;
-  /// Starts the process unless it is running. Resolves once it listens, or
-  /// when a signal or an exit with code 0 ends it earlier.
-  start(): Promise<void>;
+  /// Starts the process unless it is running, from the current build unless
+  /// `program` names another one. Resolves once it listens, or when a signal or
+  /// an exit with code 0 ends it earlier.
+  start(program?: string): Promise<void>;
   /// Resolves when the process has exited.
   waitForExit(): Promise<void>;
   /// The last log lines, to diagnose a failed soak.
@@ -78,11 +82,14 @@
   return {
     vm,
     callerAddress,
+    readinessAddress: settings.readinessAddress,
+    linkAddress: settings.linkAddress,
+    metricsAddress: settings.metricsAddress,
     isRunning,
     signal: (signal) => void (isRunning() && child!.kill(signal)),
-    async start() {
+    async start(program = PROGRAM) {
       if (isRunning()) return;
-      child = spawn(process.execPath, [PROGRAM, "--settings", file], {
+      child = spawn(process.execPath, [program, "--settings", file], {
         stdio: ["ignore", "pipe", "inherit"],
       });
       const started = new Promise<void>((resolve, reject) => {
