Expect that ids beyond ASCII name no upstream in both tests of ids

What an upstream compares with such bytes isn't defined, so the stricter rule stands, and the test expects that of 'dé1' too.

--- a/test/gateway/unanswered_requests_test.ts
+++ b/test/gateway/unanswered_requests_test.ts
@@ -275,8 +275,7 @@
   }));
   const parse = (key: string) => fleetDocuments.parseUpstream(key, entry)?.id;
   t.is(parse("servers/d1"), "d1");
-  t.is(parse("servers/dé1"), "dé1");
-  for (const id of ["", "a\r\nX-Tenant: b", "a\0"]) {
+  for (const id of ["", "a\r\nX-Tenant: b", "a\0", "dé1"]) {
     t.is(parse(`servers/${id}`), undefined);
   }
 });
