Count every attempt that may have run, also at the same upstream

Cause: the upstreams that may have run the request became a set of upstreams, and the limit counted its size, so repeats at one upstream counted once.

The set now holds placements, which are new for each attempt, so a silence and the later end of one attempt still count once. An attempt that was silent and is then refused as not run is taken out again: it leaves its place to another one, and the caller gets a 503 instead of a 502 if nothing else may have run.

--- a/src/gateway/attempt_records.ts
+++ b/src/gateway/attempt_records.ts
@@ -2,15 +2,15 @@
 import type { Milliseconds } from "../support/clock.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
+import type { Placement } from "./request_placer.ts";
 import type { RequestProgress } from "./request_progress.ts";
-import type { Upstream } from "./upstream.ts";
 
 /// Records what the attempts of a request show of their upstreams: their health,
 /// crashes, and the log.
 
 /// The result of an attempt at an upstream, or what its silence shows so far.
 export interface AttemptRecord {
-  readonly upstream: Upstream;
+  readonly placement: Placement;
   readonly result: AttemptResult;
   /// Time since the attempt was started.
   readonly took: Milliseconds;
@@ -37,7 +37,8 @@
   const { health, inFlightWork, log, view } = context;
   const { metadata, route } = request;
 
-  const recordHealth = ({ upstream, result }: AttemptRecord) => {
+  const recordHealth = ({ placement, result }: AttemptRecord) => {
+    const { upstream } = placement;
     const hadNoPath = result.kind === "not_run" && result.hadNoPath === true;
     const isPathLost = hadNoPath ||
       (result.kind === "failed" && result.isPathLost);
@@ -64,8 +65,9 @@
     } else health.recordFailure(upstream.id);
   };
 
-  const recordCrash = ({ upstream, result, took }: AttemptRecord) => {
+  const recordCrash = ({ placement, result, took }: AttemptRecord) => {
     if (result.kind !== "failed" || !result.hasCrashed) return;
+    const { upstream } = placement;
     void context.crashRecords.record({
       fingerprint: request.fingerprint,
       parts: metadata.sharedParts,
@@ -76,13 +78,13 @@
     progress.hasCrashedUpstream = true;
   };
 
-  const fieldsOf = ({ upstream, result, took }: AttemptRecord) => ({
+  const fieldsOf = ({ placement, result, took }: AttemptRecord) => ({
     request: metadata.attemptId,
     fingerprint: abbreviateFingerprint(request.fingerprint),
     promptParts: metadata.sharedParts.join() || undefined,
     route: route.name,
-    upstream: upstream.id,
-    address: upstream.address,
+    upstream: placement.upstream.id,
+    address: placement.upstream.address,
     try: progress.attempts,
     result: result.kind,
     status: result.kind === "answered" ? result.status : undefined,
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -16,7 +16,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { RequestOutcome } from "./request_outcome.ts";
-import { createRequestPlacer } from "./request_placer.ts";
+import { createRequestPlacer, type Placement } from "./request_placer.ts";
 import { createRequestProgress } from "./request_progress.ts";
 import { createResponseWriter } from "./response_writer.ts";
 import { retryAfterSeconds } from "./retry_after.ts";
@@ -77,11 +77,12 @@
       !progress.avoided.has(id) && !health.isSuspended(id)
     );
 
-  /// Whether the request may run at a further upstream, beside those where it
-  /// may have run and `current`.
-  const mayRunElsewhere = (current?: Upstream) => {
+  /// Whether the request may have a further attempt, beside those that may have
+  /// run and `current`. Each one counts, also at the same upstream.
+  const mayRunElsewhere = (current?: Placement) => {
     const used = new Set(
-      [...progress.mayHaveExecutedAt].filter(isStillListed),
+      [...progress.mayHaveExecutedAt]
+        .filter(({ upstream }) => isStillListed(upstream)),
     );
     if (current) used.add(current);
     return isRetryable && used.size < route.maxUpstreams;
@@ -91,22 +92,19 @@
   const canContinue = () =>
     !response.isStarted() || progress.lastId !== undefined;
 
-  const recordPossibleExecution = (upstream: Upstream, reason: string) => {
+  const recordPossibleExecution = (placement: Placement, reason: string) => {
     progress.lastReason = reason;
-    progress.mayHaveExecuted = true;
-    progress.mayHaveExecutedAt.add(upstream);
+    progress.mayHaveExecutedAt.add(placement);
     progress.deliveredAttempts += 1;
-    progress.avoided.add(upstream.id);
+    progress.avoided.add(placement.upstream.id);
   };
 
-  const onSilence = (
-    upstream: Upstream,
-    { result, took }: { result: AttemptResult; took: Milliseconds },
-  ) => {
+  const onSilence = (record: AttemptRecord) => {
+    const { placement, result } = record;
     metrics.silences.inc({ route_kind: route.kind });
-    records.silent({ upstream, result, took });
+    records.silent(record);
     if (result.kind !== "failed") return;
-    recordPossibleExecution(upstream, result.reason);
+    recordPossibleExecution(placement, result.reason);
   };
 
   const start = (
@@ -142,7 +140,7 @@
         IDLE_TIMEOUT_FACTOR * route.pauseMilliseconds,
       ),
       extendsTimeout: placer.isLong,
-      mayRetry: () => mayRunElsewhere(upstream),
+      mayRetry: () => mayRunElsewhere(placement),
       remainingPrefill: () => placements.remainingPrefill(upstream.id),
       onResponse: (head, tunnelVm) => {
         const { requestLimit: limit, isAuthentic, retryAfter } = head;
@@ -155,7 +153,7 @@
         context.upstreamLimits.record(upstream.id, { limit, sentAt });
       },
       onSilence(result) {
-        onSilence(upstream, { result, took: clock.now() - sentAt });
+        onSilence({ placement, result, took: clock.now() - sentAt });
         events.onSilent();
       },
       onEvents(bytes, head, id) {
@@ -168,7 +166,7 @@
     const end = (result: AttemptResult): AttemptRecord => {
       if (result.kind === "not_run") work.prefillDone();
       work.end();
-      const record = { upstream, result, took: clock.now() - sentAt };
+      const record = { placement, result, took: clock.now() - sentAt };
       records.ended(record);
       void reservations?.release();
       return record;
@@ -180,20 +178,23 @@
   /// Takes a result into account that doesn't end the request by itself. Returns
   /// whether a further attempt may follow.
   const recordFailure = (
-    { upstream, result, took }: AttemptRecord,
+    { placement, result, took }: AttemptRecord,
   ): boolean => {
     if (result.kind === "answered" || result.kind === "failed") {
       const reason = result.kind === "failed"
         ? result.reason
         : `the upstream answered ${result.status}`;
       if (result.kind === "answered") progress.lastResponse = result;
-      recordPossibleExecution(upstream, reason);
+      progress.mayHaveExecuted = true;
+      recordPossibleExecution(placement, reason);
       return mayRunElsewhere() &&
         (result.kind === "answered" || canContinue());
     }
     if (result.kind !== "not_run") return false;
     progress.lastReason = result.reason;
-    progress.avoided.add(upstream.id);
+    progress.avoided.add(placement.upstream.id);
+    // It may have been silent before.
+    progress.mayHaveExecutedAt.delete(placement);
     if (!result.isUnreachable) progress.deliveredAttempts += 1;
     const faulty = result.faultAddress === undefined
       ? undefined
--- a/src/gateway/request_progress.ts
+++ b/src/gateway/request_progress.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from "../support/clock.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { RequestOutcome } from "./request_outcome.ts";
-import type { Upstream } from "./upstream.ts";
+import type { Placement } from "./request_placer.ts";
 
 /// What is known of one request over all its attempts.
 export interface RequestProgress {
@@ -23,8 +23,8 @@
   lastId: string | undefined;
   lastWriteAt: Milliseconds | undefined;
   lastPlacement: RequestOutcome["placement"];
-  /// Upstreams that may have executed the request.
-  readonly mayHaveExecutedAt: Set<Upstream>;
+  /// Placements of the attempts that may have been executed.
+  readonly mayHaveExecutedAt: Set<Placement>;
   /// IDs of upstreams that are used again only if there are no others.
   readonly avoided: Set<string>;
 }
