Replace a silent upstream at once when its replacement fails

Cause: the search for a replacement begins only when the silent attempt reports its silence, and a failed replacement waited for its next report.

When an attempt fails and the one that is left has been silent since its last event, the next search begins at once, or after the usual delay if all upstreams have had the request.

--- a/src/gateway/attempt_race.ts
+++ b/src/gateway/attempt_race.ts
@@ -46,6 +46,8 @@
 
 export function createAttemptRace(options: AttemptRaceOptions): AttemptRace {
   const running = new Set<StartedAttempt>();
+  /// Attempts whose upstreams have sent nothing since they fell silent.
+  const silent = new Set<StartedAttempt>();
   let search: AbortController | undefined;
 
   const cancelSearch = () => {
@@ -68,8 +70,12 @@
     finish: (record: AttemptRecord) => void,
   ) => {
     const started = options.start(prepared, {
-      onSilent: () => void replace(finish),
+      onSilent() {
+        silent.add(started);
+        void replace(finish);
+      },
       onProgress() {
+        silent.delete(started);
         if (running.size > 1 || search) keepOnly(started);
       },
     });
@@ -78,7 +84,8 @@
       // Another attempt has taken its place.
       if (!running.delete(started)) return;
       if (running.size > 0 && !options.isFinal(record)) {
-        return options.onFailed(record);
+        options.onFailed(record);
+        return void replace(finish);
       }
       keepOnly();
       finish(record);
@@ -86,7 +93,9 @@
   };
 
   const replace = async (finish: (record: AttemptRecord) => void) => {
-    if (search || running.size > 1 || !options.mayReplace()) return;
+    const hasSilentOnly = [...running].every((each) => silent.has(each));
+    if (search || running.size > 1 || !hasSilentOnly) return;
+    if (!options.mayReplace()) return;
     const current = new AbortController();
     search = current;
     const prepared = await options.prepareReplacement(current.signal);
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -221,8 +221,11 @@
 
   const race = createAttemptRace({
     start,
-    prepareReplacement: (signal) =>
-      preparation.prepare(AbortSignal.any([signal, stopped.signal])),
+    async prepareReplacement(signal) {
+      if (!hasUntriedUpstream()) await clock.sleep(RETRY_DELAY_MILLISECONDS);
+      const either = AbortSignal.any([signal, stopped.signal]);
+      return preparation.prepare(either);
+    },
     discard: (prepared) => void preparation.discard(prepared),
     mayReplace: () =>
       mayRunElsewhere() && canContinue() &&
--- a/test/gateway/silent_upstreams_followup_test.ts
+++ b/test/gateway/silent_upstreams_followup_test.ts
@@ -13,6 +13,8 @@
 /// What follows the silence or the failure of an upstream: how many further
 /// attempts, and how soon.
 
+const EVENTS = 6;
+
 type Act = (request: ReceivedRequest) => UpstreamAction;
 
 async function deploy(
@@ -36,6 +38,32 @@
   return { deployment, upstreams };
 }
 
+const streamFrom = (request: ReceivedRequest): UpstreamAction => {
+  const last = request.headers["last-event-id"];
+  return {
+    kind: "stream",
+    from: last === undefined ? 1 : Number(last) + 1,
+    to: EVENTS,
+  };
+};
+
+/// The first upstreams that get a request act alike.
+const inOrder = (actions: readonly Act[]): Act => {
+  let arrivals = 0;
+  return (request) =>
+    actions[Math.min(arrivals++, actions.length - 1)]!(request);
+};
+
+const silentForGood: Act = (request) => ({
+  ...streamFrom(request) as UpstreamAction & { kind: "stream" },
+  silence: { after: 3, milliseconds: 20_000 },
+});
+
+const STREAM = {
+  path: "/ask/2f",
+  headers: { "X-Deadline-Ms": "3000", "X-Token-Counts": "100,20" },
+};
+
 for (
   const [name, act] of [
     ["answers 500", () => ({ kind: "answer", status: 500, body: "failed" })],
@@ -51,3 +79,13 @@
     );
   });
 }
+
+test("a refusal by a silent upstream's replacement doesn't delay the next one", async (t) => {
+  const act = inOrder([silentForGood, () => ({ kind: "refuse" }), streamFrom]);
+  const { deployment } = await deploy(t, "engines", [act, act, act]);
+  const startedAt = performance.now();
+  const { isWhole, body } = await deployment.send(STREAM);
+  t.true(isWhole, body);
+  const took = performance.now() - startedAt;
+  t.true(took < 1_500, `${took} ms`);
+});
