Try a third upstream when two are silent

A stream whose first two upstreams were silent for good, such as two machines without power, never reached a third one, although its route allows three: the caller got nothing more until the deadline.

Cause: the race never had more than two attempts, so neither of two silent ones was replaced.

A replacement is prepared whenever all running attempts have been silent since their last events. Each of them counts as one that may have run, so that the route's maximum still limits how many there are at a time.

--- a/src/gateway/attempt_race.ts
+++ b/src/gateway/attempt_race.ts
@@ -2,9 +2,10 @@
 import type { PreparedAttempt } from "./attempt_preparation.ts";
 import type { AttemptRecord } from "./attempt_records.ts";
 
-/// Runs the attempts of one request: one at a time, and a replacement beside one
-/// whose upstream has fallen silent. A silent attempt may still succeed, so it
-/// isn't ended before the replacement responds; whichever goes on first is kept.
+/// Runs the attempts of one request: one at a time, and a replacement beside
+/// those whose upstreams have all fallen silent. A silent attempt may still
+/// succeed, so it isn't ended before a replacement responds; whichever goes on
+/// first is kept.
 
 /// An attempt in progress.
 export interface StartedAttempt extends Pick<Attempt, "abort" | "resume"> {
@@ -27,7 +28,7 @@
   prepareReplacement(signal: AbortSignal): Promise<PreparedAttempt | undefined>;
   /// Gives up an attempt that was prepared and isn't started.
   discard(prepared: PreparedAttempt): void;
-  /// Whether a silent attempt may have a replacement.
+  /// Whether silent attempts may have a further replacement.
   mayReplace(): boolean;
   /// Whether a result ends the request, whatever other attempts do.
   isFinal(record: AttemptRecord): boolean;
@@ -94,8 +95,7 @@
 
   const replace = async (finish: (record: AttemptRecord) => void) => {
     const hasSilentOnly = [...running].every((each) => silent.has(each));
-    if (search || running.size > 1 || !hasSilentOnly) return;
-    if (!options.mayReplace()) return;
+    if (search || !hasSilentOnly || !options.mayReplace()) return;
     const current = new AbortController();
     search = current;
     const prepared = await options.prepareReplacement(current.signal);
--- a/test/gateway/silent_upstreams_followup_test.ts
+++ b/test/gateway/silent_upstreams_followup_test.ts
@@ -89,3 +89,11 @@
   const took = performance.now() - startedAt;
   t.true(took < 1_500, `${took} ms`);
 });
+
+test("two silent upstreams don't keep a third one from the request", async (t) => {
+  const silent: Act = () => ({ kind: "silence" });
+  const act = inOrder([silentForGood, silent, streamFrom]);
+  const { deployment } = await deploy(t, "engines", [act, act, act]);
+  const { isWhole, body } = await deployment.send(STREAM);
+  t.true(isWhole, body);
+});
