Count the silence of one attempt once in the health of its upstream

One stream that was silent for 1.8 s suspended its sound upstream, and VMs told each other of a failure each time; requests of other callers then avoided it.

Cause: an attempt reports its silence each time that as much time has passed, and each report counted as a failed request. Two are enough for a suspension.

A failure of an attempt is now counted once, be it a silence or its end. A check that doesn't reach the upstream still counts each time, since it is made anew.

--- a/src/gateway/attempt_records.ts
+++ b/src/gateway/attempt_records.ts
@@ -36,9 +36,22 @@
 ): AttemptRecords {
   const { health, inFlightWork, log, view } = context;
   const { metadata, route } = request;
+  /// Attempts whose failure the health of their upstreams includes.
+  const countedFailures = new Set<Placement>();
 
-  const recordHealth = ({ placement, result }: AttemptRecord) => {
-    const { upstream } = placement;
+  /// A silence is recorded several times, but shows one failed request. Only a
+  /// check that doesn't reach the upstream shows something new.
+  const isCounted = ({ placement, result }: AttemptRecord) => {
+    if (result.kind !== "failed" || result.isUnreachable) return false;
+    const isKnown = countedFailures.has(placement);
+    countedFailures.add(placement);
+    return isKnown;
+  };
+
+  const recordHealth = (record: AttemptRecord) => {
+    if (isCounted(record)) return;
+    const { result } = record;
+    const { upstream } = record.placement;
     const hadNoPath = result.kind === "not_run" && result.hadNoPath === true;
     const isPathLost = hadNoPath ||
       (result.kind === "failed" && result.isPathLost);
--- a/test/gateway/silent_upstreams_followup_test.ts
+++ b/test/gateway/silent_upstreams_followup_test.ts
@@ -21,6 +21,7 @@
   t: ExecutionContext,
   service: string,
   acts: readonly Act[],
+  retryAllowance = 100,
 ) {
   const configuration = sampleConfiguration(1);
   for (const route of configuration.Routes) {
@@ -28,6 +29,7 @@
   }
   const deployment = await startPlatformDeployment({
     configuration,
+    retryAllowance,
   });
   t.teardown(deployment.close);
   const upstreams = await Promise.all(
@@ -97,3 +99,10 @@
   const { isWhole, body } = await deployment.send(STREAM);
   t.true(isWhole, body);
 });
+
+test("one silent request doesn't suspend its upstream", async (t) => {
+  const { deployment } = await deploy(t, "engines", [silentForGood], 0);
+  await deployment.send(STREAM);
+  const metrics = await deployment.readMetrics();
+  t.regex(metrics, /suspended_upstreams 0\n/);
+});
