Don't end a stream because its upstream refuses new connections

A stream on a sound connection was broken off after 0.9 s of silence when the VM, and no other one that it asked, could open a new connection to the upstream: in a partition that keeps open connections and refuses new ones, and that reaches more VMs than this one.

A process that ends closes its connections, which ends an attempt by itself and is still checked and counted as a crash. An open connection that is only silent is now kept while a replacement is sought, whatever the check finds.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -134,12 +134,11 @@
       .catch((error: Error) => fail(`not checked: ${error.message}`));
   };
 
-  /// Handles the silence of the upstream. A request that it hasn't received, or
-  /// whose process has ended, gets no response; any other may.
+  /// Handles the silence of the upstream. A request that it hasn't received gets
+  /// no response. Any other may, also if new connections are refused: that
+  /// happens in partitions too, and a process that ends closes its connections.
   const endOrReport = (reason: string, reachability: Reachability) => {
-    if (!exchange.wasSent() || reachability === "refuses") {
-      return fail(reason, reachability);
-    }
+    if (!exchange.wasSent()) return fail(reason, reachability);
     const shown = { wasSent: true, isTunnel: isTunnel(), reachability };
     plan.onSilence(failedResult(reason, shown));
   };
--- a/test/gateway/silent_upstreams_followup_test.ts
+++ b/test/gateway/silent_upstreams_followup_test.ts
@@ -106,3 +106,15 @@
   const metrics = await deployment.readMetrics();
   t.regex(metrics, /suspended_upstreams 0\n/);
 });
+
+test("a refused new connection doesn't end a stream whose connection goes on", async (t) => {
+  const act: Act = (request) => ({
+    ...streamFrom(request) as UpstreamAction & { kind: "stream" },
+    silence: { after: 3, milliseconds: 1_300 },
+  });
+  const { deployment } = await deploy(t, "engines", [act, act]);
+  const running = deployment.send(STREAM);
+  setTimeout(() => deployment.upstreamNetworks[0]!.partition("refuse"), 300);
+  const { isWhole, body } = await running;
+  t.true(isWhole, body);
+});
