Ignore the last check of an attempt that was aborted meanwhile

A response without a length ends with a check that its upstream is still there. If the attempt was replaced during that check and its stream had no event, the check's result began the caller's response with the head of the replaced attempt, ended the attempt that had replaced it, and nothing was left that could end the request.

Cause: aborting an attempt doesn't cancel the check, and its result was acted on.

The result of a check is ignored once the attempt has ended.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -96,9 +96,11 @@
   let head: ResponseHead | undefined;
   let isStream = false;
   let isPaused = false;
+  let isSettled = false;
   let settle: (result: AttemptResult) => void = () => {};
   const result = new Promise<AttemptResult>((resolve) => {
     settle = (value) => {
+      isSettled = true;
       inactivity.stop();
       context.responseBytes.release(held);
       held = 0;
@@ -130,7 +132,8 @@
   const checkReachable = (onResult: (result: Reachability) => void) => {
     inactivity.stop();
     context.connections.check(plan.upstream.address)
-      .then(onResult)
+      // The attempt may have been aborted meanwhile.
+      .then((reachability) => isSettled || onResult(reachability))
       .catch((error: Error) => fail(`not checked: ${error.message}`));
   };
 
