Renew reserved memory in time after an engine's silence

The memory of a prompt expired, and the engines cut the request off, when one engine didn't respond to renewals for somewhat more than 1.5 s.

Cause: a renewal fails after 0.4 s, and the next one followed 1.1 s later: at 1.1, 2.6 and 4.1 s, but the reservation lasts 3.4 s, so that only one renewal could fail, not two. The engines of a prompt were also renewed in step, so a silent one delayed the others.

Each reservation is renewed by itself, and 0.1 s after a failure. A last renewal then comes 3.1 s after the last one that succeeded. The stand-in of an upstream can lose orders.

--- a/src/gateway/memory_reservations.ts
+++ b/src/gateway/memory_reservations.ts
@@ -12,8 +12,10 @@
 /// Shorter than the time after which the platform counts memory without a
 /// request as leaked (`FreeMs`, 4 s on all sites).
 const RESERVATION_LIFETIME_MILLISECONDS: Milliseconds = 3_400;
-/// Two renewals may fail before a reservation expires.
 const RENEWAL_INTERVAL_MILLISECONDS: Milliseconds = 1_100;
+/// Delay after a renewal that failed. An engine that was silent for two seconds
+/// still gets the next one before the reservation expires.
+const RENEWAL_RETRY_DELAY_MILLISECONDS: Milliseconds = 100;
 
 export interface MemoryReservations {
   /// The helper engines of the request, with the reservations of those that
@@ -65,26 +67,25 @@
     );
   const results = await Promise.allSettled(entries.map(reserve));
   const released = new AbortController();
-  const renew = async () => {
+  const renew = async (entry: typeof entries[number]) => {
+    let delay = RENEWAL_INTERVAL_MILLISECONDS;
     while (!released.signal.aborted) {
-      await context.clock.sleep(RENEWAL_INTERVAL_MILLISECONDS, released.signal)
-        .catch(() => {
-          // Released while waiting; the loop ends.
-        });
+      await context.clock.sleep(delay, released.signal).catch(() => {
+        // Released while waiting; the loop ends.
+      });
       if (released.signal.aborted) return;
-      await Promise.all(entries.map(async (entry) => {
-        const { upstream, id } = entry;
-        try {
-          await reserve(entry);
-        } catch (error) {
-          log.warn("reservation not renewed", {
-            request: attemptId,
-            upstream: upstream.id,
-            reservation: id,
-            reason: (error as Error).message,
-          });
-        }
-      }));
+      try {
+        await reserve(entry);
+        delay = RENEWAL_INTERVAL_MILLISECONDS;
+      } catch (error) {
+        delay = RENEWAL_RETRY_DELAY_MILLISECONDS;
+        log.warn("reservation not renewed", {
+          request: attemptId,
+          upstream: entry.upstream.id,
+          reservation: entry.id,
+          reason: (error as Error).message,
+        });
+      }
     }
   };
   const release = async () => {
@@ -126,7 +127,7 @@
     await release();
     return undefined;
   }
-  void renew();
+  for (const entry of entries) void renew(entry);
   const ids = new Map(entries.map(({ upstream, id }) => [upstream, id]));
   // Engines fill the reservations in the order of this list.
   const helpers = [
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -79,6 +79,8 @@
   readonly id: string;
   /// Delay of the response to its first order.
   readonly firstOrderDelayMilliseconds?: number;
+  /// Whether an order gets lost now, so that it gets no response.
+  readonly losesOrder?: () => boolean;
   /// Requests per second that its responses state as its limit.
   readonly requestLimit?: () => number | undefined;
   /// Further header fields of its responses.
@@ -124,9 +126,10 @@
 const defaultEvent = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
 
 export async function startScriptedUpstream(
-  { id, act, headers, requestLimit, firstOrderDelayMilliseconds = 0 }:
-    ScriptedUpstreamOptions,
+  options: ScriptedUpstreamOptions,
 ): Promise<ScriptedUpstream> {
+  const { id, act, headers, requestLimit } = options;
+  const { firstOrderDelayMilliseconds = 0 } = options;
   const requests: ReceivedRequest[] = [];
   const orders: Record<string, unknown>[] = [];
   const connections = new Set<Socket>();
@@ -229,6 +232,7 @@
     for await (const chunk of message) chunks.push(chunk as Buffer);
     const body = Buffer.concat(chunks).toString("utf8");
     if (message.url === "/sequoiaturn/order") {
+      if (options.losesOrder?.()) return;
       orders.push(JSON.parse(body) as Record<string, unknown>);
       const delay = orders.length === 1 ? firstOrderDelayMilliseconds : 0;
       await new Promise((resolve) => setTimeout(resolve, delay));
