Reserve a prompt's memory elsewhere if an engine doesn't respond

A prompt that needs the memory of several engines was refused with 503 after 1.4 to 2.5 s when one engine didn't respond to reservations, although others had free memory.

Cause: the next decision knew nothing of the failed call, chose the same engine again, and three failures refuse a request.

Engines whose calls fail are avoided in the request's next decisions. If the others don't suffice, they are used again, since a silence may be over by then; three failures still refuse the request.

--- a/src/gateway/attempt_preparation.ts
+++ b/src/gateway/attempt_preparation.ts
@@ -64,6 +64,9 @@
   };
   /// Upstreams that had no permit for the request.
   const heldBackBy = new Set<string>();
+  /// Engines that didn't respond to a reservation. They are used again if the
+  /// others don't suffice.
+  const unresponsive = new Set<string>();
 
   const crashRefusal = () => findCrashRefusal(context.crashRecords, suspects);
 
@@ -91,11 +94,15 @@
         return undefined;
       }
       const decision = await placer.decide({
-        avoided: progress.avoided,
+        avoided: new Set([...progress.avoided, ...unresponsive]),
         remaining: remaining(),
         isResumed: isResumed(),
         signal,
       });
+      if (decision.kind === "refused" && unresponsive.size > 0) {
+        unresponsive.clear();
+        continue;
+      }
       if (decision.kind === "refused") {
         const { retryAfter } = decision;
         progress.lastReason = decision.reason;
@@ -145,12 +152,14 @@
       return { placement, helpers, reservations: undefined };
     }
     const { attemptId } = metadata;
-    const reservations = await reserveMemory(context, placement, attemptId);
-    if (!reservations) {
+    const result = await reserveMemory(context, placement, attemptId);
+    if (result.kind === "refused") {
+      result.unresponsive.forEach((id) => unresponsive.add(id));
       progress.lastReason = "memory could not be reserved";
       progress.refusals += 1;
       return undefined;
     }
+    const { reservations } = result;
     return { placement, helpers: reservations.helpers, reservations };
   };
 
--- a/src/gateway/memory_reservations.ts
+++ b/src/gateway/memory_reservations.ts
@@ -26,6 +26,12 @@
   release(): Promise<void>;
 }
 
+/// How reserving the memory of a placement ended.
+export type ReservationResult =
+  | { readonly kind: "reserved"; readonly reservations: MemoryReservations }
+  /// `unresponsive` has the ids of engines whose calls failed.
+  | { readonly kind: "refused"; readonly unresponsive: readonly string[] };
+
 let nextReservation = 0;
 
 /// Makes one call over a connection, which is kept unless the call fails.
@@ -43,13 +49,12 @@
   }
 }
 
-/// Reserves all shares or none: resolves to undefined if an engine refuses or
-/// the call fails.
+/// Reserves all shares, or none if an engine refuses or the call fails.
 export async function reserveMemory(
   context: RequestContext,
   placement: Placement,
   attemptId: string | undefined,
-): Promise<MemoryReservations | undefined> {
+): Promise<ReservationResult> {
   const { log, connections, reservations, reservationPrefix } = context;
   const lifetime = Math.min(
     context.maximumReservationLifetime,
@@ -125,7 +130,10 @@
         : "not enough memory",
     });
     await release();
-    return undefined;
+    const unresponsive = entries.flatMap(({ upstream }, index) =>
+      results[index]!.status === "rejected" ? [upstream.id] : []
+    );
+    return { kind: "refused", unresponsive };
   }
   for (const entry of entries) void renew(entry);
   const ids = new Map(entries.map(({ upstream, id }) => [upstream, id]));
@@ -137,5 +145,5 @@
     address: upstream.address,
     reservation: ids.get(upstream),
   }));
-  return { helpers, release };
+  return { kind: "reserved", reservations: { helpers, release } };
 }
