Resume a stream whose engine isn't reached for a few seconds

Callers saw streams break off with upstream_lost, also when they resumed one with their key, although the engine ran the stream on.

Cause: after a lost connection, the entry resumed the stream up to four times without a delay, and gave it up at once if the engine wasn't reached, which released it. The four counted over the whole stream, also if each resumption had made progress.

Evidence: the new test silent_upstream_test.ts, with paths lost for one and three seconds.

A resumption that wasn't reached now counts like a lost one. Resumptions without progress follow after 0, 0.5, 1 and 2 seconds, and progress starts the count anew. The stream is given up earlier if the engine responds that it has no such stream, if its VM responds that no process listens, or, before the first token, once the limits of retries allow another attempt.

--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -1,36 +1,33 @@
-import { raceAbort, untilAborted } from "../support/abort.ts";
+import { raceAbort } from "../support/abort.ts";
 import type { Clock } from "../support/clock.ts";
 import {
   type CompletionCall,
   type EngineChunk,
-  type EngineClient,
-  EngineLostError,
   EngineNotReachedError,
   EngineRefusedError,
 } from "../upstreams/engine_client.ts";
 import type {
   EngineDirectory,
   EngineView,
-  SendRecord,
 } from "../upstreams/engine_directory.ts";
-import type { EngineHoldings, Holding } from "../upstreams/engine_holdings.ts";
+import type { EngineHoldings } from "../upstreams/engine_holdings.ts";
 import { uncachedTokens } from "../upstreams/placement.ts";
-import { checkedChunks } from "./checked_chunks.ts";
 import type { CompletionRequest, RunContext } from "./completion_request.ts";
 import {
   CALLER_GRACE_MILLISECONDS,
   type ResumableRun,
 } from "./resumable_stream.ts";
-import { isResponsive, startIdleTimeout } from "./idle_timeout.ts";
+import {
+  type EngineStream,
+  readStream,
+  requestResumption,
+} from "./engine_stream.ts";
 import { RequestError } from "./request_error.ts";
 import { prefillSpans } from "./span_prefill.ts";
 
 /// One attempt at a completion, at one engine, or at several for a prompt that
 /// doesn't fit into the memory of one.
 
-/// Resumptions of one stream.
-const MAXIMUM_RESUMPTIONS = 4;
-
 /// Progress of a request over all its attempts.
 export interface RequestProgress {
   readonly requestId: string;
@@ -51,6 +48,9 @@
   readonly request: CompletionRequest;
   readonly state: RequestProgress;
   readonly context: RunContext;
+  /// Takes the retry that may replace the attempt. Returns false if there is
+  /// none.
+  takeRetry(): boolean;
 }
 
 export interface AttemptRunnerOptions {
@@ -79,88 +79,11 @@
   ): AsyncIterable<EngineChunk>;
 }
 
-interface EngineStream {
-  readonly engine: string;
-  readonly client: EngineClient;
-  readonly holding: Holding;
-  /// Counts the stream as outstanding work of the engine.
-  readonly send: SendRecord;
-  /// Set if a later attempt may take over the stream. A stream over several
-  /// engines ends when its VM fails, because no other VM could take over the
-  /// reservations.
-  readonly resumable?: ResumableRun;
-  /// Starts the stream at the engine, or resumes an earlier attempt's stream.
-  readonly open: () => AsyncIterable<EngineChunk>;
-}
-
 export function createAttemptRunner(
   options: AttemptRunnerOptions,
 ): AttemptRunner {
   const { clock, engines, holdings } = options;
 
-  /// Yields chunks until the stream ends, the context aborts or the idle timeout
-  /// expires. Inactivity is expected before the first token, as long as the
-  /// engine responds to probes.
-  async function* monitorStream(
-    source: AsyncIterable<EngineChunk>,
-    { client, holding, send }: EngineStream,
-    { state, context }: AttemptRuntime,
-  ): AsyncIterable<EngineChunk> {
-    const { attempt, offset } = state;
-    const streamId = holding.id;
-    const checked = checkedChunks(source, { streamId, attempt, offset });
-    const isIdleExpected = async () =>
-      state.offset === offset && await isResponsive(client, clock);
-    const idleTimeout = startIdleTimeout({ clock, isIdleExpected });
-    const signal = AbortSignal.any([context.signal, idleTimeout.signal]);
-    try {
-      for await (const chunk of untilAborted(checked, signal)) {
-        idleTimeout.recordChunk();
-        const { firstTokenAt: seen } = context.open.record();
-        if (seen === undefined && chunk.tokens > 0) {
-          const firstTokenAt = clock.now();
-          context.open.update({ state: "streaming", firstTokenAt });
-          send.prefillEnded();
-        }
-        state.offset += chunk.tokens;
-        yield chunk;
-      }
-    } finally {
-      idleTimeout.stop();
-    }
-  }
-
-  const requestResumption = (
-    { client, holding }: Pick<EngineStream, "client" | "holding">,
-    { state, context }: AttemptRuntime,
-  ) => {
-    const { offset, attempt } = state;
-    return client.resume(holding.id, { offset, attempt }, context.signal);
-  };
-
-  /// Reads a stream to its end, resuming it when its connection is lost.
-  async function* readStream(
-    stream: EngineStream,
-    runtime: AttemptRuntime,
-  ): AsyncIterable<EngineChunk> {
-    const { state, context } = runtime;
-    let source = stream.open();
-    let lost: EngineLostError | undefined;
-    for (let resumptions = 0;; resumptions++) {
-      try {
-        return yield* monitorStream(source, stream, runtime);
-      } catch (error) {
-        if (context.signal.aborted) throw error;
-        if (!(error instanceof EngineLostError)) throw lost ?? error;
-        lost = error;
-        if (resumptions === MAXIMUM_RESUMPTIONS) throw error;
-        state.attempt++;
-        context.open.update({ attempt: state.attempt });
-        source = requestResumption(stream, runtime);
-      }
-    }
-  }
-
   /// Runs a stream, then releases what the engine still holds of it. An
   /// unfinished stream that is resumable may be left to a later attempt.
   async function* runStream(
@@ -177,7 +100,7 @@
       if (placed) await raceAbort(placed, context.signal);
       needsRelease = true;
       state.mayHaveRun = true;
-      yield* readStream(stream, runtime);
+      yield* readStream(stream, runtime, clock);
       needsRelease = false;
     } catch (error) {
       if (isCertainlyNotStarted(error)) {
@@ -230,7 +153,16 @@
       const call = toCall(holding.id, runtime);
       const open = () => client.complete(call, runtime.context.signal);
       const { resumable } = runtime.state;
-      const stream = { engine: name, client, holding, resumable, open, send };
+      const isStarted = false;
+      const stream = {
+        engine: name,
+        client,
+        holding,
+        resumable,
+        isStarted,
+        open,
+        send,
+      };
       try {
         yield* runStream(stream, runtime);
       } finally {
@@ -244,7 +176,16 @@
       const holding = holdings.adopt(name, streamId, { graceMilliseconds });
       const open = () => requestResumption({ client, holding }, runtime);
       const { resumable } = runtime.state;
-      const stream = { engine: name, client, holding, resumable, open, send };
+      const isStarted = true;
+      const stream = {
+        engine: name,
+        client,
+        holding,
+        resumable,
+        isStarted,
+        open,
+        send,
+      };
       try {
         yield* runStream(stream, runtime);
       } finally {
@@ -278,7 +219,11 @@
         };
         const open = () => client.complete(call, signal);
         const engine = upstream.name;
-        yield* runStream({ engine, client, holding, open, send }, runtime);
+        const isStarted = false;
+        yield* runStream(
+          { engine, client, holding, isStarted, open, send },
+          runtime,
+        );
       } finally {
         await spans.release();
       }
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -149,9 +149,17 @@
     }
   }
 
-  const mayRetry = (error: unknown, state: RequestProgress, attempts: number) =>
-    state.offset === 0 && attempts < MAXIMUM_ATTEMPTS && isEngineError(error) &&
-    retryBudget.take();
+  const createRuntime = (
+    run: Omit<AttemptRuntime, "takeRetry">,
+    attempts: number,
+  ): AttemptRuntime => {
+    let taken = false;
+    return {
+      ...run,
+      takeRetry: () =>
+        taken ||= attempts < MAXIMUM_ATTEMPTS && retryBudget.take(),
+    };
+  };
 
   const createProgress = (
     { resumePoint }: CompletionRequest,
@@ -182,7 +190,7 @@
       retryBudget.recordRequest();
       for (let attempts = 1;; attempts++) {
         state.attempt++;
-        const runtime = { request, state, context };
+        const runtime = createRuntime({ request, state, context }, attempts);
         const earlierPlacement = attempts === 1
           ? resumable?.earlierPlacement
           : undefined;
@@ -193,7 +201,9 @@
         } catch (error) {
           const { aborted, reason } = context.signal;
           if (aborted) throw toFailure(reason, state);
-          if (!mayRetry(error, state, attempts)) throw toFailure(error, state);
+          const mayRetry = state.offset === 0 && isEngineError(error) &&
+            runtime.takeRetry();
+          if (!mayRetry) throw toFailure(error, state);
           context.open.update({ state: "waiting" });
           const delay = clock.sleep(RETRY_DELAY_MILLISECONDS, context.signal);
           await delay.catch((failure) => {
--- a/src/tunnels/connector.ts
+++ b/src/tunnels/connector.ts
@@ -1,9 +1,15 @@
 import type { buildConnector } from "undici";
+import type { DialFailure } from "./dial.ts";
 import type { UpstreamDialler } from "./upstream_dialler.ts";
 
 /// The connection to an upstream could not be opened, so nothing was sent.
 export class NotConnectedError extends Error {
   override readonly name = "NotConnectedError";
+  readonly failure: DialFailure;
+  constructor(reason: string, failure: DialFailure) {
+    super(reason);
+    this.failure = failure;
+  }
 }
 
 /// Returns the function by which a pool of undici opens connections to an
@@ -15,6 +21,6 @@
   return (_options, callback) =>
     dialler.dial(address, (result) => {
       if (result.kind === "connected") return callback(null, result.socket);
-      callback(new NotConnectedError(result.reason), null);
+      callback(new NotConnectedError(result.reason, result.failure), null);
     });
 }
--- a/src/upstreams/engine_client.ts
+++ b/src/upstreams/engine_client.ts
@@ -138,9 +138,20 @@
   cacheEvents(after: number): Promise<readonly CacheEvent[]>;
 }
 
+/// Why an engine was not reached.
+export interface NotReachedOptions extends ErrorOptions {
+  readonly hasEnded?: boolean;
+}
+
 /// No byte of the request reached the engine, so it was not executed.
 export class EngineNotReachedError extends Error {
   override readonly name = "EngineNotReachedError";
+  /// Whether the engine's VM responded that no process listens there.
+  readonly hasEnded: boolean;
+  constructor(message: string, options: NotReachedOptions = {}) {
+    super(message, options);
+    this.hasEnded = options.hasEnded ?? false;
+  }
 }
 
 /// The engine replied that it did not start the request.
--- a/src/upstreams/http_engine_client.ts
+++ b/src/upstreams/http_engine_client.ts
@@ -73,7 +73,8 @@
   if (error instanceof EngineRefusedError) return error;
   const reason = error instanceof Error ? error.message : String(error);
   if (error instanceof NotConnectedError) {
-    return new EngineNotReachedError(reason, { cause: error });
+    const hasEnded = error.failure === "refused";
+    return new EngineNotReachedError(reason, { cause: error, hasEnded });
   }
   return new EngineLostError(reason, { cause: error });
 }
--- a/stand_ins/engine_model.ts
+++ b/stand_ins/engine_model.ts
@@ -339,7 +339,8 @@
   };
 
   const requireUp = () => {
-    if (isDown) throw new EngineNotReachedError(`${name} is down`);
+    if (!isDown) return;
+    throw new EngineNotReachedError(`${name} is down`, { hasEnded: true });
   };
 
   const start = (
--- a/test/requests/completion_run_test.ts
+++ b/test/requests/completion_run_test.ts
@@ -102,16 +102,18 @@
   t.is(models.reduce((total, model) => total + model.counters.finished, 0), 1);
 });
 
-test("an engine crash after the first token fails the request", async (t) => {
+test("an engine crash after the first token fails the request at once", async (t) => {
   const { clock, run, busy } = await setUp();
   const answer = run();
   await clock.advance(150);
   busy()!.crash();
+  const crashedAt = clock.now();
   const error = await t.throwsAsync(clock.advanceUntil(answer), {
     instanceOf: RequestError,
   });
   t.is(error!.code, "upstream_lost");
   t.is(error!.executed, "unknown");
+  t.true(clock.now() - crashedAt < 300);
 });
 
 test("a stalled engine ends the request at its deadline", async (t) => {
--- /dev/null
+++ b/test/requests/silent_upstream_test.ts
@@ -0,0 +1,121 @@
+import test from "ava";
+import { createKey } from "../../src/requests/idempotency_key.ts";
+import { RequestError } from "../../src/requests/request_error.ts";
+import { expectedAnswer } from "../../stand_ins/engine_answer.ts";
+import { type Fleet, startFleet } from "../../stand_ins/fleet.ts";
+import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
+
+/// Sound upstreams that make no progress, don't respond, or can't be reached, for
+/// up to three seconds.
+
+const CALL = { vm: "vm-1", key: "caller-key" };
+const ANSWER_TOKENS = 200;
+const PROMPT = "word".repeat(8_000);
+const ANSWER = expectedAnswer(PROMPT, ANSWER_TOKENS);
+const COMPLETION = { prompt: PROMPT, maximumTokens: ANSWER_TOKENS };
+const KEY = createKey(1_750_000_000_000, "0123456789abcdef0123");
+const DURATIONS_MILLISECONDS = [1_000, 3_000];
+/// Within the prefill of the prompt, and within its answer.
+const TIMES = { "before its first token": 50, "in the middle": 1_500 };
+
+interface FleetSize {
+  readonly longPromptTokens?: number;
+  readonly memoryTokens?: number;
+}
+
+async function start({ longPromptTokens = 100_000, memoryTokens }: FleetSize) {
+  const sample = sampleSheet();
+  const options = { ...sample.options, longPromptTokens };
+  const sheet = { ...sample, options };
+  const engine = memoryTokens === undefined ? {} : { memoryTokens };
+  const fleet = await startFleet({ sheet, entries: 2, seed: 5, engine });
+  await fleet.clock.advance(3_000);
+  return fleet;
+}
+
+const stall = (fleet: Fleet, duration: number) =>
+  fleet.engines.forEach((engine) => engine.stall(duration));
+
+const hang = (fleet: Fleet, duration: number) => {
+  stall(fleet, duration);
+  fleet.engines.forEach((engine) => engine.hang(duration));
+};
+
+const partition = (fleet: Fleet, duration: number) => {
+  const setAll = (isPartitioned: boolean) => {
+    for (const vm of fleet.entries.keys()) {
+      fleet.setPartitioned(vm, isPartitioned);
+    }
+  };
+  setAll(true);
+  fleet.clock.schedule(duration, () => setAll(false));
+};
+
+const FAULTS = {
+  "makes no progress": stall,
+  "doesn't respond": hang,
+  "can't be reached": partition,
+};
+
+for (const [fault, cause] of Object.entries(FAULTS)) {
+  for (const duration of DURATIONS_MILLISECONDS) {
+    for (const [time, wait] of Object.entries(TIMES)) {
+      if (cause === partition && wait === 50) continue;
+      test(`a stream whose engine ${fault} for ${duration} ms ${time} is completed`, async (t) => {
+        const fleet = await start({});
+        const answer = fleet.complete(CALL, COMPLETION);
+        await fleet.clock.advance(wait);
+        cause(fleet, duration);
+        const { text, error } = await fleet.clock.advanceUntil(answer);
+        t.is(error, undefined);
+        t.true(text === ANSWER);
+      });
+    }
+
+    test(`a caller resumes its stream while its engine ${fault} for ${duration} ms`, async (t) => {
+      const fleet = await start({ longPromptTokens: 1_000 });
+      const gone = new AbortController();
+      const headers = { idempotencyKey: KEY };
+      const disconnectSignal = gone.signal;
+      const call = { ...CALL, headers, disconnectSignal };
+      const first = fleet.complete(call, COMPLETION);
+      await fleet.clock.advance(1_500);
+      gone.abort(new RequestError("caller_gone", { executed: "unknown" }));
+      const { text: begin } = await fleet.clock.advanceUntil(first);
+      cause(fleet, duration);
+      const resumeOffset = begin.split(" ").length - 1;
+      t.true(resumeOffset > 0);
+      const again = { ...CALL, headers: { ...headers, resumeOffset } };
+      const second = fleet.complete({ ...again, vm: "vm-2" }, COMPLETION);
+      const { text, error } = await fleet.clock.advanceUntil(second);
+      t.is(error, undefined);
+      t.true(begin + text === ANSWER);
+    });
+
+    for (const wait of [1_000, 4_000]) {
+      test(`a prompt over several engines, of which each ${fault} for ${duration} ms after ${wait} ms, is answered`, async (t) => {
+        const fleet = await start({ memoryTokens: 20_000 });
+        const prompt = "word".repeat(44_000);
+        const answer = fleet.complete(CALL, { ...COMPLETION, prompt });
+        await fleet.clock.advance(wait);
+        cause(fleet, duration);
+        const { error, end } = await fleet.clock.advanceUntil(answer);
+        t.is(error, undefined);
+        t.is(end?.usage.completionTokens, ANSWER_TOKENS);
+      });
+    }
+  }
+}
+
+test("a stream whose connection is lost again and again is completed", async (t) => {
+  const fleet = await start({});
+  const answer = fleet.complete(CALL, COMPLETION);
+  await fleet.clock.advance(1_000);
+  for (let losses = 0; losses < 8; losses++) {
+    await fleet.clock.advance(150);
+    partition(fleet, 20);
+  }
+  const { text, error } = await fleet.clock.advanceUntil(answer);
+  t.is(error, undefined);
+  t.true(text === ANSWER);
+});
