Repeat attempts that reach no engine until one is reached

Callers got upstream_lost or no_upstream when the paths to the engines were lost for one to three seconds before the first token of their answer.

Cause: an attempt that reached no engine counted as one of four and took a retry of the budget, although it gave the engine no work. Four fail within 0.2 s. The search for a usable engine ended after 3 s, which a silence of that time exceeds.

Such attempts are now repeated for 5 s and count in neither limit, and the search lasts 5 s.

--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -50,8 +50,12 @@
   ): AsyncIterable<EngineChunk>;
 }
 
-/// Attempts of one request, not counting resumptions.
+/// Attempts of one request, not counting resumptions nor attempts that reached no
+/// engine.
 const MAXIMUM_ATTEMPTS = 4;
+/// Time for which a request tries engines that aren't reached. A sound engine may
+/// not be reached for a few seconds, and what isn't reached has no work from it.
+const UNREACHED_TIMEOUT_MILLISECONDS: Milliseconds = 5_000;
 const RETRY_DELAY_MILLISECONDS: Milliseconds = 50;
 
 export function createCompletionRunner(
@@ -188,12 +192,12 @@
       const resumable = await raceAbort(claim, context.signal);
       const state = createProgress(request, context, resumable);
       retryBudget.recordRequest();
-      for (let attempts = 1;; attempts++) {
+      let { earlierPlacement } = resumable ?? {};
+      let unreachedSince: Milliseconds | undefined;
+      let attempts = 1;
+      while (true) {
         state.attempt++;
         const runtime = createRuntime({ request, state, context }, attempts);
-        const earlierPlacement = attempts === 1
-          ? resumable?.earlierPlacement
-          : undefined;
         try {
           return yield* earlierPlacement
             ? resumeEarlierStream(earlierPlacement, runtime)
@@ -201,8 +205,16 @@
         } catch (error) {
           const { aborted, reason } = context.signal;
           if (aborted) throw toFailure(reason, state);
+          earlierPlacement = undefined;
+          const isUnreached = error instanceof EngineNotReachedError;
+          unreachedSince = isUnreached
+            ? unreachedSince ?? clock.now()
+            : undefined;
+          if (!isUnreached) attempts++;
           const mayRetry = state.offset === 0 && isEngineError(error) &&
-            runtime.takeRetry();
+            (unreachedSince === undefined
+              ? runtime.takeRetry()
+              : clock.now() - unreachedSince < UNREACHED_TIMEOUT_MILLISECONDS);
           if (!mayRetry) throw toFailure(error, state);
           context.open.update({ state: "waiting" });
           const delay = clock.sleep(RETRY_DELAY_MILLISECONDS, context.signal);
--- a/src/requests/engine_selector.ts
+++ b/src/requests/engine_selector.ts
@@ -16,7 +16,7 @@
 /// Interval at which a waiting request looks for an engine.
 const POLL_INTERVAL_MILLISECONDS: Milliseconds = 50;
 /// Time for which a request waits while its model has no usable engine.
-const NO_ENGINE_TIMEOUT_MILLISECONDS: Milliseconds = 3_000;
+const NO_ENGINE_TIMEOUT_MILLISECONDS: Milliseconds = 5_000;
 
 export interface ChosenEngines {
   /// One engine whose memory fits the whole prompt, or all usable engines,
--- a/test/requests/silent_upstream_test.ts
+++ b/test/requests/silent_upstream_test.ts
@@ -16,7 +16,11 @@
 const KEY = createKey(1_750_000_000_000, "0123456789abcdef0123");
 const DURATIONS_MILLISECONDS = [1_000, 3_000];
 /// Within the prefill of the prompt, and within its answer.
-const TIMES = { "before its first token": 50, "in the middle": 1_500 };
+const TIMES = {
+  "before it is sent": 0,
+  "before its first token": 50,
+  "in the middle": 1_500,
+};
 
 interface FleetSize {
   readonly longPromptTokens?: number;
@@ -41,16 +45,20 @@
   fleet.engines.forEach((engine) => engine.hang(duration));
 };
 
-const partition = (fleet: Fleet, duration: number) => {
-  const setAll = (isPartitioned: boolean) => {
-    for (const vm of fleet.entries.keys()) {
-      fleet.setPartitioned(vm, isPartitioned);
-    }
-  };
-  setAll(true);
-  fleet.clock.schedule(duration, () => setAll(false));
+const partitionVms = (
+  fleet: Fleet,
+  vms: readonly string[],
+  duration: number,
+) => {
+  for (const vm of vms) fleet.setPartitioned(vm, true);
+  fleet.clock.schedule(duration, () => {
+    for (const vm of vms) fleet.setPartitioned(vm, false);
+  });
 };
 
+const partition = (fleet: Fleet, duration: number) =>
+  partitionVms(fleet, [...fleet.entries.keys()], duration);
+
 const FAULTS = {
   "makes no progress": stall,
   "doesn't respond": hang,
@@ -60,7 +68,6 @@
 for (const [fault, cause] of Object.entries(FAULTS)) {
   for (const duration of DURATIONS_MILLISECONDS) {
     for (const [time, wait] of Object.entries(TIMES)) {
-      if (cause === partition && wait === 50) continue;
       test(`a stream whose engine ${fault} for ${duration} ms ${time} is completed`, async (t) => {
         const fleet = await start({});
         const answer = fleet.complete(CALL, COMPLETION);
@@ -107,6 +114,18 @@
   }
 }
 
+test("more streams than retries are completed after their VM has lost the engines", async (t) => {
+  const fleet = await start({});
+  const prompts = Array.from({ length: 80 }, (_, index) => `prompt ${index}`);
+  const answers = prompts.map((prompt) =>
+    fleet.complete(CALL, { ...COMPLETION, prompt })
+  );
+  await fleet.clock.advance(5);
+  partitionVms(fleet, [CALL.vm], 3_000);
+  const ended = await fleet.clock.advanceUntil(Promise.all(answers));
+  t.deepEqual(ended.filter(({ error }) => error), []);
+});
+
 test("a stream whose connection is lost again and again is completed", async (t) => {
   const fleet = await start({});
   const answer = fleet.complete(CALL, COMPLETION);
