Try the instances of a service again that weren't reached

Callers got no_upstream for idempotent and one-time calls when all instances of a service, often one or two, could not be reached for a second. An idempotent call whose connection was lost at each of them failed with upstream_lost.

Cause: an instance at which an attempt had failed was excluded for the rest of the call, so the call ended once each had been tried, long before its deadline.

Calls whose service responds after one or three seconds were answered before too, and a one-time call that is lost after it was sent still ends with executed "unknown".

Once all instances have been tried, they are now tried again, except those whose VM responds that no process listens, for 5 s after the first that wasn't reached. Nothing was sent to them. Idempotent calls are lost at most three times, as before. The attempts of a call have moved to service_attempt.ts.

--- a/src/requests/service_run.ts
+++ b/src/requests/service_run.ts
@@ -1,8 +1,5 @@
-import { createHash } from "node:crypto";
 import type { Contracts } from "../contracts/contract_book.ts";
 import { raceAbort } from "../support/abort.ts";
-import { anyTrue } from "../support/any_true.ts";
-import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
 import {
   type ServiceAnswer,
@@ -10,23 +7,22 @@
   ServiceLostError,
   ServiceNotReachedError,
 } from "../upstreams/service_client.ts";
-import type {
-  ServiceDirectory,
-  ServiceView,
-} from "../upstreams/service_directory.ts";
-import type { UpstreamChecks } from "../upstreams/upstream_checks.ts";
 import type { RunContext } from "./completion_request.ts";
 import type { Claim } from "./claim.ts";
 import { parseKey } from "./idempotency_key.ts";
 import type { Ledger } from "./ledger.ts";
 import { LedgerUnavailableError } from "./ledger_router.ts";
-import type { Quarantine } from "./quarantine.ts";
 import { RECORDED_BODY_BYTES, type RecordedOutcome } from "./ledger_state.ts";
 import {
   type ProblemCode,
   RequestError,
   toRequestError,
 } from "./request_error.ts";
+import {
+  createServiceAttempts,
+  fingerprintOf,
+  type ServiceAttemptsOptions,
+} from "./service_attempt.ts";
 
 /// Runs an admitted call of a service. Idempotent operations are retried; the
 /// others are claimed in the ledger and sent at most once.
@@ -38,16 +34,9 @@
   readonly contracts: Contracts;
 }
 
-export interface ServiceRunnerOptions {
-  readonly clock: Clock;
+export interface ServiceRunnerOptions extends ServiceAttemptsOptions {
   readonly random: RandomSource;
-  readonly services: Pick<ServiceDirectory, "choose" | "recordCall">;
-  readonly upstreamChecks: UpstreamChecks;
   readonly ledger: Ledger;
-  readonly quarantine: Pick<
-    Quarantine,
-    "requireAllowed" | "recordCrash" | "recordCompleted"
-  >;
 }
 
 export interface ServiceRunner {
@@ -55,7 +44,8 @@
   run(request: ServiceRequest, context: RunContext): Promise<ServiceAnswer>;
 }
 
-const MAXIMUM_ATTEMPTS = 3;
+/// Attempts of an idempotent call that are lost after it was sent.
+const MAXIMUM_LOST_ATTEMPTS = 3;
 const RETRY_DELAY_MILLISECONDS = 50;
 const CLAIM_ID_BYTES = 12;
 const MAXIMUM_CONTENT_TYPE_CHARACTERS = 200;
@@ -73,16 +63,6 @@
 ]);
 const LEDGER_FULL_RETRY_AFTER_SECONDS = 60;
 
-function fingerprintOf(request: ServiceRequest): string {
-  const { call } = request;
-  return createHash("sha256")
-    .update(`${request.customer}\n${request.service}\n${call.method}\n`)
-    .update(`${call.path}\n${call.query}\n`)
-    .update(call.body ?? "")
-    .digest("hex")
-    .slice(0, 32);
-}
-
 function toOutcome(answer: ServiceAnswer): RecordedOutcome {
   return {
     status: answer.status,
@@ -117,84 +97,28 @@
 export function createServiceRunner(
   options: ServiceRunnerOptions,
 ): ServiceRunner {
-  const { clock, services, ledger, quarantine, upstreamChecks } = options;
-
-  /// Records a crash if the instance is gone: one that only loses a response
-  /// still accepts connections, if only those of other VMs.
-  const recordIfCrashed = async (
-    { client, upstream }: ServiceView,
-    { fingerprint, startedAt }: {
-      fingerprint: string;
-      startedAt: Milliseconds;
-    },
-  ) => {
-    const isReached = await anyTrue([
-      client.acceptsConnections(),
-      upstreamChecks.isReachedByOthers(upstream.name),
-    ]);
-    if (isReached) return;
-    const ran = clock.now() - startedAt;
-    await quarantine.recordCrash(fingerprint, { upstream: upstream.name, ran });
-  };
-
-  const sendOnce = async (
-    request: ServiceRequest,
-    excluded: Set<string>,
-    options: { open: RunContext["open"]; signal: AbortSignal },
-  ) => {
-    const fingerprint = fingerprintOf(request);
-    quarantine.requireAllowed({ fingerprint, parts: [] });
-    const instance = services.choose(request.service, excluded);
-    if (!instance) {
-      const retryAfterSeconds = RETRY_AFTER_SECONDS;
-      throw new RequestError("no_upstream", { retryAfterSeconds });
-    }
-    const { name } = instance.upstream;
-    const startedAt = clock.now();
-    excluded.add(name);
-    const attempt = excluded.size;
-    options.open.update({ state: "sent", attempt, upstream: name });
-    const recordEnd = services.recordCall(name);
-    try {
-      const sent = instance.client.send(request.call, options.signal);
-      const answer = await raceAbort(sent, options.signal);
-      quarantine.recordCompleted(fingerprint);
-      return answer;
-    } catch (error) {
-      if (error instanceof ServiceLostError) {
-        const recorded = recordIfCrashed(instance, {
-          fingerprint,
-          startedAt,
-        });
-        await raceAbort(recorded, options.signal);
-      }
-      throw error;
-    } finally {
-      recordEnd();
-    }
-  };
+  const { clock, ledger } = options;
 
   const runIdempotent = async (
     request: ServiceRequest,
-    context: RunContext,
+    { open, signal }: RunContext,
   ): Promise<ServiceAnswer> => {
-    const excluded = new Set<string>();
-    let lost = false;
+    const attempts = createServiceAttempts({ request, open }, options);
+    let lost = 0;
     while (true) {
       try {
-        return await sendOnce(request, excluded, context);
+        return await attempts.send(signal);
       } catch (error) {
-        if (context.signal.aborted) throw context.signal.reason;
-        lost ||= error instanceof ServiceLostError;
+        if (signal.aborted) throw signal.reason;
+        if (error instanceof ServiceLostError) lost += 1;
         const isRetryable = error instanceof ServiceLostError ||
           error instanceof ServiceNotReachedError;
-        const exhausted = excluded.size >= MAXIMUM_ATTEMPTS;
-        if (lost && (exhausted || !isRetryable)) {
+        if (lost === MAXIMUM_LOST_ATTEMPTS || lost > 0 && !isRetryable) {
           throw unknownOutcome(request, "upstream_lost", error);
         }
         if (!isRetryable) throw toRequestError(error);
-        if (exhausted) throw new RequestError("no_upstream", { cause: error });
-        await clock.sleep(RETRY_DELAY_MILLISECONDS, context.signal);
+        await clock.sleep(RETRY_DELAY_MILLISECONDS, signal);
+        await attempts.prepareNext(signal);
       }
     }
   };
@@ -207,7 +131,8 @@
     claim: Claim,
     context: RunContext,
   ): Promise<ServiceAnswer> => {
-    const excluded = new Set<string>();
+    const { open } = context;
+    const attempts = createServiceAttempts({ request, open }, options);
     const sendTimeout = new AbortController();
     const timeoutMilliseconds = context.deadline.remaining() +
       LATE_ANSWER_TIMEOUT_MILLISECONDS;
@@ -215,7 +140,6 @@
       timeoutMilliseconds,
       () => sendTimeout.abort(new RequestError("deadline_exceeded")),
     );
-    const { open } = context;
     try {
       while (true) {
         const isLate = context.deadline.remaining() === 0;
@@ -227,8 +151,7 @@
           throw new RequestError(isLate ? "deadline_exceeded" : reason);
         }
         try {
-          const signal = sendTimeout.signal;
-          const answer = await sendOnce(request, excluded, { open, signal });
+          const answer = await attempts.send(sendTimeout.signal);
           ledger.finish(claim, toOutcome(answer));
           return answer;
         } catch (error) {
@@ -239,9 +162,13 @@
             throw unknownOutcome(request, "upstream_lost", error);
           }
           ledger.markUnsent(claim);
-          if (error instanceof ServiceNotReachedError) continue;
-          ledger.abandon(claim);
-          throw error;
+          if (!(error instanceof ServiceNotReachedError)) {
+            ledger.abandon(claim);
+            throw error;
+          }
+          await attempts.prepareNext(context.signal).catch(() => {
+            // The next turn ends the call.
+          });
         }
       }
     } finally {
--- a/src/upstreams/service_client.ts
+++ b/src/upstreams/service_client.ts
@@ -31,6 +31,15 @@
 /// No byte of the call reached the service, so it was not executed.
 export class ServiceNotReachedError extends Error {
   override readonly name = "ServiceNotReachedError";
+  /// Whether the service's VM responded that no process listens there.
+  readonly hasEnded: boolean;
+  constructor(
+    message: string,
+    options: ErrorOptions & { readonly hasEnded?: boolean } = {},
+  ) {
+    super(message, options);
+    this.hasEnded = options.hasEnded ?? false;
+  }
 }
 
 /// The call failed after it was sent, so it may have been executed.
@@ -46,9 +55,11 @@
 
 function toServiceError(error: unknown): Error {
   const reason = error instanceof Error ? error.message : String(error);
-  return error instanceof NotConnectedError
-    ? new ServiceNotReachedError(reason, { cause: error })
-    : new ServiceLostError(reason, { cause: error });
+  if (error instanceof NotConnectedError) {
+    const hasEnded = error.failure === "refused";
+    return new ServiceNotReachedError(reason, { cause: error, hasEnded });
+  }
+  return new ServiceLostError(reason, { cause: error });
 }
 
 /// Creates a client of the service at `address`, which is `host:port`.
--- a/stand_ins/service_model.ts
+++ b/stand_ins/service_model.ts
@@ -63,7 +63,8 @@
     connect: (name = "") => ({
       async send(call, signal) {
         if (isDown || crashed.has(name)) {
-          throw new ServiceNotReachedError("the service is down");
+          const hasEnded = true;
+          throw new ServiceNotReachedError("the service is down", { hasEnded });
         }
         signal.throwIfAborted();
         if (crashes(call)) {
--- a/test/requests/silent_upstream_test.ts
+++ b/test/requests/silent_upstream_test.ts
@@ -114,6 +114,46 @@
   }
 }
 
+const TARGETS = {
+  "an idempotent call": { method: "GET", path: "/orders/status?key=sound" },
+  "a one-time call": { method: "POST", path: "/orders" },
+} as const;
+
+for (const [kind, target] of Object.entries(TARGETS)) {
+  for (const duration of DURATIONS_MILLISECONDS) {
+    const isIdempotent = target.method === "GET";
+    const call = { ...CALL, headers: { idempotencyKey: KEY } };
+
+    test(`${kind} whose service can't be reached for ${duration} ms is answered`, async (t) => {
+      const fleet = await start({});
+      partition(fleet, duration);
+      const sent = fleet.callService(call, { service: "desk", ...target });
+      const { answer, error } = await fleet.clock.advanceUntil(sent);
+      t.is(error, undefined);
+      t.is(answer?.status, 200);
+    });
+
+    test(`${kind} whose service responds after ${duration} ms is answered`, async (t) => {
+      const fleet = await start({});
+      fleet.services.get("desk")!.setDelay(duration);
+      const sent = fleet.callService(call, { service: "desk", ...target });
+      const { answer } = await fleet.clock.advanceUntil(sent);
+      t.is(answer?.status, 200);
+    });
+
+    test(`${kind} whose service can't be reached for ${duration} ms after it was sent is sent again only if it may run twice`, async (t) => {
+      const fleet = await start({});
+      fleet.services.get("desk")!.setDelay(200);
+      const sent = fleet.callService(call, { service: "desk", ...target });
+      await fleet.clock.advance(100);
+      partition(fleet, duration);
+      const { answer, error } = await fleet.clock.advanceUntil(sent);
+      t.is(answer?.status, isIdempotent ? 200 : undefined);
+      t.is(error?.executed, isIdempotent ? undefined : "unknown");
+    });
+  }
+}
+
 test("more streams than retries are completed after their VM has lost the engines", async (t) => {
   const fleet = await start({});
   const prompts = Array.from({ length: 80 }, (_, index) => `prompt ${index}`);
