Send every response before a drained daemon stops

Callers whose requests a daemon ran when it was drained saw their connections closed: without a response if the request still ran at the end of the drain limit, and in the middle of the response if they read slower than it was written.

Cause: a request counts as ended before its response has been sent, and closing the daemon destroys all connections of callers.

A daemon now waits until its responses have been sent. A stream with a key runs on for its caller to reconnect at another VM; without that, the new case in resume_test.ts failed with upstream_lost.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -155,7 +155,7 @@
   entry.burn.onObjectiveResult((objective, good) =>
     metrics.objectiveRequests.inc({ objective, result: good ? "good" : "bad" })
   );
-  const callerApi = createCallerApi({
+  const { application, responses } = createCallerApi({
     clock,
     random,
     handler: entry.handler,
@@ -168,7 +168,7 @@
     links.close();
     tunnelServer.close();
     linkServer.close();
-    await Promise.allSettled([callerApi.close(), administrationApi.close()]);
+    await Promise.allSettled([application.close(), administrationApi.close()]);
     await store.close();
   };
 
@@ -184,7 +184,9 @@
     log.info("draining", { running: registry.running().length });
     tunnelServer.startDraining();
     const limit = settings.drainLimitMilliseconds;
+    const endsAt = clock.now() + limit;
     await Promise.all([entry.drain(limit), drainTunnels(limit)]);
+    await responses.finish(Math.max(0, endsAt - clock.now()));
     log.info("drained", { running: registry.running().length });
     await close();
   };
@@ -202,11 +204,11 @@
     drain: () => void drain(),
   });
 
-  await callerApi.listen(parseAddress(settings.callerAddress));
+  await application.listen(parseAddress(settings.callerAddress));
   await administrationApi.listen(parseAddress(settings.administrationAddress));
   const daemon: Daemon = {
     identity,
-    callerAddress: formatBoundAddress(callerApi.server),
+    callerAddress: formatBoundAddress(application.server),
     administrationAddress: formatBoundAddress(administrationApi.server),
     linkAddress: formatBoundAddress(linkServer),
     drain,
--- a/src/requests/caller_api.ts
+++ b/src/requests/caller_api.ts
@@ -13,6 +13,7 @@
   readCompletionBody,
 } from "./caller_body.ts";
 import { readCallerHeaders } from "./caller_headers.ts";
+import { createOpenResponses, type OpenResponses } from "./open_responses.ts";
 import { RequestError, toRequestError } from "./request_error.ts";
 import type { ReceivedRequest, RequestHandler } from "./request_handler.ts";
 
@@ -65,23 +66,16 @@
   );
 }
 
-function toReceivedRequest(request: FastifyRequest, reply: FastifyReply) {
-  const disconnect = new AbortController();
-  reply.raw.once("close", () => {
-    if (reply.raw.writableFinished) return;
-    disconnect.abort(new RequestError("caller_gone", { executed: "unknown" }));
-  });
-  const received: ReceivedRequest = {
-    id: request.id,
-    headers: readCallerHeaders(request.raw),
-    disconnectSignal: disconnect.signal,
-  };
-  return received;
+export interface CallerApi {
+  /// It doesn't listen yet.
+  readonly application: FastifyInstance;
+  readonly responses: OpenResponses;
 }
 
-/// Creates the application, which doesn't listen yet.
-export function createCallerApi(options: CallerApiOptions): FastifyInstance {
+/// Creates the application and the record of its responses.
+export function createCallerApi(options: CallerApiOptions): CallerApi {
   const { clock, random, handler } = options;
+  const responses = createOpenResponses(clock);
   const application = Fastify({
     bodyLimit: options.bodyLimit,
     genReqId: () => random.hex(REQUEST_ID_BYTES),
@@ -90,6 +84,21 @@
     forceCloseConnections: true,
   });
 
+  const toReceivedRequest = (request: FastifyRequest, reply: FastifyReply) => {
+    const end = new AbortController();
+    responses.add(reply.raw, (reason) => end.abort(reason));
+    reply.raw.once("close", () => {
+      if (reply.raw.writableFinished) return;
+      end.abort(new RequestError("caller_gone", { executed: "unknown" }));
+    });
+    const received: ReceivedRequest = {
+      id: request.id,
+      headers: readCallerHeaders(request.raw),
+      disconnectSignal: end.signal,
+    };
+    return received;
+  };
+
   const sendProblem = (
     reply: FastifyReply,
     error: RequestError,
@@ -172,5 +181,5 @@
     scope.post("/v1/services/:service/*", callService);
     done();
   });
-  return application;
+  return { application, responses };
 }
--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -22,12 +22,18 @@
   readStream,
   requestResumption,
 } from "./engine_stream.ts";
-import { RequestError } from "./request_error.ts";
+import { type ProblemCode, RequestError } from "./request_error.ts";
 import { prefillSpans } from "./span_prefill.ts";
 
 /// One attempt at a completion, at one engine, or at several for a prompt that
 /// doesn't fit into the memory of one.
 
+/// Reasons of the end of requests whose callers may reconnect with their key.
+const CODES_OF_LOST_CONNECTIONS: ReadonlySet<ProblemCode> = new Set([
+  "caller_gone",
+  "draining",
+]);
+
 /// Progress of a request over all its attempts.
 export interface RequestProgress {
   readonly requestId: string;
@@ -234,9 +240,9 @@
 /// Why a stream is abandoned before its end.
 function stopReasonOf({ signal }: RunContext): "callerGone" | "failed" {
   const { reason } = signal;
-  const hasDisconnected = reason instanceof RequestError &&
-    reason.code === "caller_gone";
-  return hasDisconnected ? "callerGone" : "failed";
+  const mayReconnect = reason instanceof RequestError &&
+    CODES_OF_LOST_CONNECTIONS.has(reason.code);
+  return mayReconnect ? "callerGone" : "failed";
 }
 
 function isCertainlyNotStarted(error: unknown): boolean {
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -53,7 +53,7 @@
 export interface ReceivedRequest {
   readonly id: string;
   readonly headers: CallerHeaders;
-  /// Aborts when the caller closes its connection.
+  /// Aborts when the caller closes its connection, or when this VM stops.
   readonly disconnectSignal: AbortSignal;
 }
 
--- a/stand_ins/deployment.ts
+++ b/stand_ins/deployment.ts
@@ -22,6 +22,8 @@
   readonly sheet: Sheet;
   readonly vms: number;
   readonly engine?: Partial<EngineModelOptions>;
+  /// Settings of the daemons, by name, that replace those of the stand-ins.
+  readonly flags?: Readonly<Record<string, string>>;
 }
 
 export interface Deployment extends Omit<Dependencies, "storeUrl"> {
@@ -113,7 +115,10 @@
   const daemons: Daemon[] = [];
   const upstreamNetworks: UpstreamNetwork[] = [];
   for (let number = 1; number <= options.vms; number++) {
-    const flags = daemonFlags({ number, ...dependencies });
+    const flags = {
+      ...daemonFlags({ number, ...dependencies }),
+      ...options.flags,
+    };
     const network = createUpstreamNetwork();
     upstreamNetworks.push(network);
     const settings = readSettings({ flags, environment: {} });
--- a/test/requests/resume_test.ts
+++ b/test/requests/resume_test.ts
@@ -98,6 +98,17 @@
   return answer;
 };
 
+const disconnectByDrain = async (fleet: Fleet) => {
+  const stop = new AbortController();
+  const answer = send(fleet, "vm-1", { disconnectSignal: stop.signal });
+  await fleet.clock.advance(1_000);
+  stop.abort(new RequestError("draining", { executed: "unknown" }));
+  const first = await fleet.clock.advanceUntil(answer);
+  await fleet.clock.advance(1_000);
+  fleet.kill("vm-1");
+  return first;
+};
+
 const disconnectByCaller = (fleet: Fleet) => sendAndDisconnect(fleet, "vm-1");
 
 const RECONNECTS: readonly ReconnectCase[] = [
@@ -108,6 +119,12 @@
     vm: "vm-3",
     after: 25e3,
   },
+  {
+    name: "its VM was stopped",
+    disconnect: disconnectByDrain,
+    vm: "vm-2",
+    after: 0,
+  },
   { name: "its VM restarted", disconnect: restart, vm: "vm-1", after: 0 },
   {
     name: "its connection broke",
