Answer a request although bytes that are no request follow its body

Callers that sent more bytes than their Content-Length got 400 with executed "no" instead of the response, and lost the connection, while the request ran.

Cause: bytes that can't be parsed were answered on the connection at once, also if the response to a complete request was open there.

Evidence: "a running request is answered although other bytes follow its body" in caller_api_test.js got the 400 on the code before.

The connection is now closed after the open response. The record of open responses covers requests from their header on, and holds the signal that ends them. A request whose body isn't complete doesn't delay the stop of a daemon.

--- a/src/requests/caller_api.ts
+++ b/src/requests/caller_api.ts
@@ -76,28 +76,31 @@
 export function createCallerApi(options: CallerApiOptions): CallerApi {
   const { clock, random, handler } = options;
   const responses = createOpenResponses(clock);
+  /// Connections that are closed after their open response.
+  const closing = new WeakSet<Socket>();
   const application = Fastify({
     bodyLimit: options.bodyLimit,
     genReqId: () => random.hex(REQUEST_ID_BYTES),
-    clientErrorHandler: (error, socket) =>
-      rejectMalformedHttp(error, socket as Socket),
+    clientErrorHandler(error, connection) {
+      const socket = connection as Socket;
+      const response = responses.find(socket);
+      if (!response) return rejectMalformedHttp(error, socket);
+      // The bytes follow a request that is still being answered.
+      if (closing.has(socket)) return;
+      closing.add(socket);
+      response.once("close", () => socket.destroy());
+    },
     forceCloseConnections: true,
   });
 
-  const toReceivedRequest = (request: FastifyRequest, reply: FastifyReply) => {
-    const end = new AbortController();
-    responses.add(reply.raw, (reason) => end.abort(reason));
-    reply.raw.once("close", () => {
-      if (reply.raw.writableFinished) return;
-      end.abort(new RequestError("caller_gone", { executed: "unknown" }));
-    });
-    const received: ReceivedRequest = {
-      id: request.id,
-      headers: readCallerHeaders(request.raw),
-      disconnectSignal: end.signal,
-    };
-    return received;
-  };
+  const toReceivedRequest = (
+    request: FastifyRequest,
+    reply: FastifyReply,
+  ): ReceivedRequest => ({
+    id: request.id,
+    headers: readCallerHeaders(request.raw),
+    disconnectSignal: responses.endSignalOf(reply.raw),
+  });
 
   const sendProblem = (
     reply: FastifyReply,
@@ -148,6 +151,10 @@
       .send(answer.body);
   };
 
+  application.addHook("onRequest", (_request, reply, done) => {
+    responses.add(reply.raw);
+    done();
+  });
   application.setErrorHandler((error, request, reply) =>
     sendProblem(reply, fromFastifyError(error), request.id)
   );
--- a/src/requests/open_responses.ts
+++ b/src/requests/open_responses.ts
@@ -9,21 +9,27 @@
 const LAST_RESPONSE_TIMEOUT_MILLISECONDS: Milliseconds = 1_000;
 
 export interface OpenResponses {
-  /// Adds the response of a request, which `end` ends with an error.
-  add(response: ServerResponse, end: (reason: RequestError) => void): void;
-  /// Whether a request on the connection has no complete response yet.
-  hasAny(connection: Socket): boolean;
-  /// Resolves when all responses have been sent. Ends the requests that have
-  /// none after `timeout`.
+  /// Adds the response of a request whose header has been received.
+  add(response: ServerResponse): void;
+  /// Returns a signal that aborts with the `RequestError` with which the request
+  /// has to end: its caller has closed the connection, or this VM stops.
+  endSignalOf(response: ServerResponse): AbortSignal;
+  /// Returns the open response to a complete request on a connection, if any.
+  find(connection: Socket): ServerResponse | undefined;
+  /// Resolves when the responses to all complete requests have been sent. Ends
+  /// the requests that have none after `timeout`.
   finish(timeout: Milliseconds): Promise<void>;
 }
 
 /// Creates the record of the responses of one VM.
 export function createOpenResponses(clock: Clock): OpenResponses {
-  const open = new Map<ServerResponse, (reason: RequestError) => void>();
+  const callerGone = () =>
+    new RequestError("caller_gone", { executed: "unknown" });
+  const open = new Map<ServerResponse, AbortController>();
   let waiters: (() => void)[] = [];
 
   const remove = (response: ServerResponse) => {
+    if (!response.writableFinished) open.get(response)?.abort(callerGone());
     open.delete(response);
     if (open.size > 0) return;
     waiters.forEach((resolve) => resolve());
@@ -42,17 +48,25 @@
   };
 
   return {
-    add(response, end) {
-      open.set(response, end);
+    add(response) {
+      open.set(response, new AbortController());
       response.once("close", () => remove(response));
     },
-    hasAny: (connection) =>
-      [...open.keys()].some(({ socket }) => socket === connection),
+    endSignalOf: (response) =>
+      open.get(response)?.signal ??
+        AbortSignal.abort(callerGone()),
+    find: (connection) =>
+      [...open.keys()].find(({ socket, req }) =>
+        socket === connection && req.complete
+      ),
     async finish(timeout) {
+      for (const response of [...open.keys()]) {
+        if (!response.req.complete) remove(response);
+      }
       await whenSent(timeout);
       for (const end of [...open.values()]) {
         const options = { executed: "unknown", retryAfterSeconds: 1 } as const;
-        end(new RequestError("draining", options));
+        end.abort(new RequestError("draining", options));
       }
       await whenSent(LAST_RESPONSE_TIMEOUT_MILLISECONDS);
     },
