Wait for the ledger before a stream is resumed

Callers that resumed a stream at their offset got upstream_lost, "There is no stream to resume", while the key-value service didn't respond, although the engine ran the stream on and kept it for them for 60 s.

Cause: without the ledger a request with a key runs without it. One with an offset can't, and was given up at once.

Such a request now repeats its claim every 0.5 s until its deadline. Each claim takes a later attempt number, so one that takes effect late supersedes nothing.

--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -188,7 +188,7 @@
 
   return {
     async *run(request, context) {
-      const claim = options.resumables.claim(request);
+      const claim = options.resumables.claim(request, context.signal);
       const resumable = await raceAbort(claim, context.signal);
       const state = createProgress(request, context, resumable);
       retryBudget.recordRequest();
--- a/src/requests/resumable_stream.ts
+++ b/src/requests/resumable_stream.ts
@@ -3,7 +3,11 @@
 import type { CompletionRequest } from "./completion_request.ts";
 import { LedgerUnavailableError } from "./ledger_router.ts";
 import { RequestError } from "./request_error.ts";
-import type { StreamLedger, StreamPlacement } from "./stream_ledger.ts";
+import type {
+  StreamClaim,
+  StreamLedger,
+  StreamPlacement,
+} from "./stream_ledger.ts";
 
 /// Long completions with an idempotency key. Their stream continues after the
 /// caller's connection breaks or the VM fails, and a caller that reconnects
@@ -17,6 +21,8 @@
 /// resumption uses one.
 const ATTEMPT_NUMBERS_PER_CLAIM = 1_000;
 
+const CLAIM_RETRY_DELAY_MILLISECONDS: Milliseconds = 500;
+
 /// One claim of a request with a key, on the VM that runs it.
 export interface ResumableRun {
   /// Attempt numbers at engines start above this one.
@@ -36,9 +42,13 @@
 
 export interface ResumableStreams {
   /// Claims the request's key. Resolves to undefined without a key, or when the
-  /// ledger is unavailable; then the request runs but can't be resumed. Throws
-  /// `RequestError` when the key belongs to another request.
-  claim(request: CompletionRequest): Promise<ResumableRun | undefined>;
+  /// ledger is unavailable; then the request runs but can't be resumed. One that
+  /// resumes a stream waits for the ledger. Throws `RequestError` when the key
+  /// belongs to another request, or the signal's reason.
+  claim(
+    request: CompletionRequest,
+    signal: AbortSignal,
+  ): Promise<ResumableRun | undefined>;
 }
 
 export interface ResumableStreamsOptions {
@@ -93,22 +103,31 @@
     };
   };
 
+  const claimOnce = async (
+    { key, fingerprint, streamId }: StreamClaim,
+  ): Promise<ResumableRun> => {
+    const result = await ledger.claim({ key, fingerprint, streamId });
+    if (result.kind === "differentRequest") {
+      throw new RequestError("key_reused");
+    }
+    const earlierPlacement = result.kind === "takenOver"
+      ? result.placement
+      : undefined;
+    return createRun(key, result.attempt, earlierPlacement);
+  };
+
   return {
-    async claim({ resumePoint, fingerprint, id }) {
+    async claim({ resumePoint, fingerprint, id }, signal) {
       if (!resumePoint) return undefined;
-      const { key } = resumePoint;
-      try {
-        const result = await ledger.claim({ key, fingerprint, streamId: id });
-        if (result.kind === "differentRequest") {
-          throw new RequestError("key_reused");
+      const { key, offset } = resumePoint;
+      while (true) {
+        try {
+          return await claimOnce({ key, fingerprint, streamId: id });
+        } catch (error) {
+          if (!(error instanceof LedgerUnavailableError)) throw error;
+          if (offset === 0) return undefined;
         }
-        const earlierPlacement = result.kind === "takenOver"
-          ? result.placement
-          : undefined;
-        return createRun(key, result.attempt, earlierPlacement);
-      } catch (error) {
-        if (error instanceof LedgerUnavailableError) return undefined;
-        throw error;
+        await clock.sleep(CLAIM_RETRY_DELAY_MILLISECONDS, signal);
       }
     },
   };
--- a/test/requests/resume_test.ts
+++ b/test/requests/resume_test.ts
@@ -183,6 +183,19 @@
   t.is(started(fleet), 1);
 });
 
+for (const outage of [1_000, 3_000]) {
+  test(`a caller resumes at its offset after a store outage of ${outage} ms`, async (t) => {
+    const fleet = await startLongFleet();
+    const first = await disconnectByCaller(fleet);
+    fleet.store.setDown(true);
+    fleet.clock.schedule(outage, () => fleet.store.setDown(false));
+    const second = send(fleet, "vm-2", { offset: tokensOf(first.text) });
+    const { text, error } = await fleet.clock.advanceUntil(second);
+    t.is(error, undefined);
+    t.true(first.text + text === ANSWER);
+  });
+}
+
 const ENGINE_FAILURES = [
   { offset: 0, code: undefined },
   { offset: 7, code: "upstream_lost" as const },
