Choose the engines of a long prompt anew for each reservation

Callers with prompts over several engines got deadline_exceeded after one of the engines had ended, although the others could hold the prompt, and prompt_too_long while one of them was suspended for two seconds.

Cause: the reservations were repeated with the engines that could be used when the attempt began. An engine that couldn't be used at that moment counted as missing for good.

The engines are now chosen for each round of reservations. Whether the prompt is too long is decided from all engines that the model has; if too few can be used for 5 s, the request ends with no_upstream.

--- a/src/requests/completion_attempt.ts
+++ b/src/requests/completion_attempt.ts
@@ -79,10 +79,7 @@
     streamId: string,
     runtime: AttemptRuntime,
   ): AsyncIterable<EngineChunk>;
-  runOverSpans(
-    usable: readonly EngineView[],
-    runtime: AttemptRuntime,
-  ): AsyncIterable<EngineChunk>;
+  runOverSpans(runtime: AttemptRuntime): AsyncIterable<EngineChunk>;
 }
 
 export function createAttemptRunner(
@@ -198,15 +195,15 @@
         send.end();
       }
     },
-    async *runOverSpans(usable, runtime) {
+    async *runOverSpans(runtime) {
       const name = attemptNameOf(runtime);
-      const { priority } = runtime.request;
+      const { model, version, priority } = runtime.request;
       const spans = await prefillSpans(runtime.request, {
         clock,
         recordSend: (engine, tokens) =>
           engines.recordSend(engine, tokens, { priority, isLong: true }),
         holdings,
-        engines: usable,
+        engines: () => engines.enginesOf(model, version),
         attemptName: name,
         attempt: runtime.state.attempt,
         onSend: () => void (runtime.state.mayHaveRun = true),
--- a/src/requests/completion_run.ts
+++ b/src/requests/completion_run.ts
@@ -140,7 +140,7 @@
       const upstream = chosen.fitsOneEngine ? engine!.upstream.name : "several";
       context.open.update({ state: "sent", attempt: state.attempt, upstream });
       if (chosen.fitsOneEngine) yield* runOnEngine(engine!, runtime);
-      else yield* attemptRunner.runOverSpans(used, runtime);
+      else yield* attemptRunner.runOverSpans(runtime);
       watchedAttempt.completed();
       state.resumable?.finished();
     } catch (error) {
--- a/src/requests/span_prefill.ts
+++ b/src/requests/span_prefill.ts
@@ -1,5 +1,5 @@
 import { raceAbort } from "../support/abort.ts";
-import type { Clock } from "../support/clock.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
 import {
   type CacheReference,
   EngineLostError,
@@ -21,14 +21,16 @@
 /// Share of an engine's memory that a span and the request's output may take.
 const SPAN_MEMORY_RATIO = 0.9;
 const RESERVATION_RETRY_DELAY_MILLISECONDS = 250;
+/// Time for which a prompt waits while too few engines can be used.
+const LACK_TIMEOUT_MILLISECONDS: Milliseconds = 5_000;
 /// Maximum time for which the end of a request waits until its memory is freed.
 const RELEASE_TIMEOUT_MILLISECONDS = 200;
 
 export interface SpanPrefillOptions {
   readonly clock: Clock;
   readonly holdings: EngineHoldings;
-  /// Usable engines of the model.
-  readonly engines: readonly EngineView[];
+  /// Returns the engines of the model version, usable or not.
+  readonly engines: () => readonly EngineView[];
   /// Name of the attempt, unique on this VM.
   readonly attemptName: string;
   /// Number of the attempt; each resumption of a stream takes a new one.
@@ -106,38 +108,53 @@
     error instanceof EngineLostError;
 }
 
+const memoryTokensOf = (engine: EngineView) => engine.report?.memoryTokens ?? 0;
+
+/// Splits the prompt among the engines. Engines that can't be used now count too,
+/// since an engine that doesn't respond for a moment is soon used again. Throws
+/// `RequestError` when they can't hold the prompt.
+function planSpans(
+  { prompt, maximumTokens }: CompletionRequest,
+  engines: readonly EngineView[],
+): readonly Prompt[] {
+  const known = engines.filter(({ report }) => report !== undefined);
+  const capacity = Math.floor(
+    Math.min(...known.map(memoryTokensOf)) * SPAN_MEMORY_RATIO,
+  );
+  const spans = splitPrompt(prompt, capacity - maximumTokens);
+  if (spans.length > known.length) throw new RequestError("prompt_too_long");
+  return spans;
+}
+
 /// Reserves memory and prefills all spans but the last. Throws `RequestError`
-/// when the engines together can't hold the prompt.
+/// when the engines together can't hold the prompt, or too few can be used for
+/// some time.
 export async function prefillSpans(
   request: CompletionRequest,
   options: SpanPrefillOptions,
 ): Promise<PrefilledSpans> {
-  const memorySizes = options.engines.map((engine) =>
-    engine.report?.memoryTokens ?? 0
-  );
-  const engineCapacity = Math.floor(
-    Math.min(...memorySizes) * SPAN_MEMORY_RATIO,
-  );
-  const spans = splitPrompt(
-    request.prompt,
-    engineCapacity - request.maximumTokens,
-  );
-  if (spans.length > options.engines.length) {
-    throw new RequestError("prompt_too_long");
-  }
+  const { clock, signal } = options;
+  const spans = planSpans(request, options.engines());
   const tokens = Math.max(...spans.map((span) => span.tokens)) +
     request.maximumTokens;
-  let held: EngineReservation[] | undefined;
-  for (let round = 1; !held; round++) {
-    const engines = selectEngines(options.engines, spans.length);
-    held = await reserveAll(engines, { tokens, round }, options);
-    if (held) break;
-    await options.clock.sleep(
-      RESERVATION_RETRY_DELAY_MILLISECONDS,
-      options.signal,
+  let lackingSince: Milliseconds | undefined;
+  for (let round = 1;; round++) {
+    const usable = options.engines().filter((engine) =>
+      engine.usable && memoryTokensOf(engine) >= tokens
     );
+    if (usable.length >= spans.length) {
+      lackingSince = undefined;
+      const engines = selectEngines(usable, spans.length);
+      const held = await reserveAll(engines, { tokens, round }, options);
+      if (held) return await prefillReserved(request, { spans, held }, options);
+    } else {
+      lackingSince ??= clock.now();
+      if (clock.now() - lackingSince >= LACK_TIMEOUT_MILLISECONDS) {
+        throw new RequestError("no_upstream", { retryAfterSeconds: 1 });
+      }
+    }
+    await clock.sleep(RESERVATION_RETRY_DELAY_MILLISECONDS, signal);
   }
-  return await prefillReserved(request, { spans, held }, options);
 }
 
 async function prefillReserved(
--- a/test/requests/silent_upstream_test.ts
+++ b/test/requests/silent_upstream_test.ts
@@ -114,6 +114,26 @@
   }
 }
 
+const LOSSES = {
+  "has just ended": (fleet: Fleet) => fleet.engines.get("engine-1")!.crash(),
+  "was suspended": (fleet: Fleet) =>
+    fleet.entries.get(CALL.vm)!.engines.recordFailure("engine-1"),
+};
+
+for (const [loss, cause] of Object.entries(LOSSES)) {
+  test(`a prompt over several engines, of which one ${loss}, is answered`, async (t) => {
+    const fleet = await start({ memoryTokens: 20_000 });
+    cause(fleet);
+    // Takes all engines, unless one has ended.
+    const tokens = loss === "has just ended" ? 44_000 : 60_000;
+    const prompt = "word".repeat(tokens);
+    const answer = fleet.complete(CALL, { ...COMPLETION, prompt });
+    const { error, end } = await fleet.clock.advanceUntil(answer);
+    t.is(error, undefined);
+    t.is(end?.usage.completionTokens, ANSWER_TOKENS);
+  });
+}
+
 const TARGETS = {
   "an idempotent call": { method: "GET", path: "/orders/status?key=sound" },
   "a one-time call": { method: "POST", path: "/orders" },
