Retry a prompt at the only engine that fits it

Callers got deadline_exceeded after the first attempt of a prompt had failed at the only engine that is large enough for it, also if that engine was sound again.

Cause: engines at which an attempt has failed were left out while others could be used, before it was asked which of them fit the prompt. So no candidate was left, and the search went on until the deadline.

Evidence: "a retry may use the failed engine if no other one fits the prompt" in engine_selector_test.ts; on the code before the search hadn't ended after 20 s.

The engines that fit are now chosen first. The test passes.

--- a/src/requests/engine_selector.ts
+++ b/src/requests/engine_selector.ts
@@ -73,18 +73,16 @@
     { request, state }: AttemptRuntime,
     usable: readonly EngineView[],
   ): ChosenEngines | undefined => {
+    const need = requiredTokensOf(request);
+    const fitting = usable.filter((engine) => memoryTokensOf(engine) >= need);
     const notExcluded = preferred(
-      usable,
+      fitting,
       (engine) => !state.excludedEngines.has(nameOf(engine)),
     );
-    const notExclusive = preferred(
+    const candidates = preferred(
       notExcluded,
       (engine) => !quarantine.isExclusive(nameOf(engine)),
     );
-    const need = requiredTokensOf(request);
-    const candidates = notExclusive.filter((engine) =>
-      memoryTokensOf(engine) >= need
-    );
     const engine = placement.choose({ ...request, candidates });
     return engine && { engines: [engine], fitsOneEngine: true };
   };
