Count the time without a usable engine from the last one

Callers of requests that had waited for an engine for some seconds got no_upstream when the engines were suspended for a quarter of a second, for example after a load report that came late.

Cause: the time that a request waits while its model has no usable engine was counted from the begin of the search, also if engines had been usable since, for example ones that other suspect requests had.

Evidence: "a suspect that has waited for an engine isn't refused when its engine is suspended for a moment" in engine_selector_test.ts failed on the code before with no_upstream.

The time is now counted from when an engine was usable last. The test passes.

--- a/src/requests/engine_selector.ts
+++ b/src/requests/engine_selector.ts
@@ -111,9 +111,10 @@
   return {
     async choose(runtime, watchedAttempt) {
       const { request, context } = runtime;
-      const startedAt = clock.now();
+      let lastUsableAt = clock.now();
       while (true) {
         const usable = usableEngines(runtime);
+        if (usable.length > 0) lastUsableAt = clock.now();
         const fits = usable.some((view) =>
           memoryTokensOf(view) >= requiredTokensOf(request)
         );
@@ -124,8 +125,8 @@
           ? await chooseForSuspect(runtime, usable, watchedAttempt)
           : chooseShared(runtime, usable);
         if (chosen) return chosen;
-        const waited = clock.now() - startedAt;
-        if (usable.length === 0 && waited >= NO_ENGINE_TIMEOUT_MILLISECONDS) {
+        const waited = clock.now() - lastUsableAt;
+        if (waited >= NO_ENGINE_TIMEOUT_MILLISECONDS) {
           throw new RequestError("no_upstream", { retryAfterSeconds: 1 });
         }
         await clock.sleep(POLL_INTERVAL_MILLISECONDS, context.signal);
--- a/test/requests/engine_selector_test.ts
+++ b/test/requests/engine_selector_test.ts
@@ -45,7 +45,7 @@
     const { engines } = await clock.advanceUntil(chosen, 20_000);
     return engines.map(({ upstream }) => upstream.name);
   };
-  return { choose };
+  return { clock, choose };
 }
 
 test("a retry may use the failed engine if no other one fits the prompt", async (t) => {
@@ -54,3 +54,13 @@
   const chosen = await choose(new Set(["large"]), { isSuspect: false });
   t.deepEqual(chosen, ["large"]);
 });
+
+test("a suspect that has waited for an engine isn't refused when its engine is suspended for a moment", async (t) => {
+  const large = engine("large", 100_000);
+  const { clock, choose } = setUp((now) =>
+    now >= 6_000 && now < 6_250 ? [] : [large]
+  );
+  const acquireEngine = () => Promise.resolve(clock.now() > 6_250);
+  const chosen = await choose(new Set(), { isSuspect: true, acquireEngine });
+  t.deepEqual(chosen, ["large"]);
+});
