Read the VM list without the VMs that are listed in an unusable way

Callers would see: requests and sheets that daemons go on handling with the VMs of the last good list, for as long as one entry of the list is odd; a daemon that starts then links to no VM.

Cause: the list was checked as a whole, so a missing field, another type, state or kind in one entry made each read fail. A port out of range passed.

Change: each entry is checked by itself, with its link address unless it is an upstream, and unusable ones are left out.

--- a/src/infrastructure/vm_list.ts
+++ b/src/infrastructure/vm_list.ts
@@ -1,7 +1,8 @@
 import { type Static, Type } from "@sinclair/typebox";
-import { Value } from "@sinclair/typebox/value";
+import { TypeCompiler } from "@sinclair/typebox/compiler";
 import { request } from "undici";
 import type { Clock } from "../support/clock.ts";
+import { parseSocketAddress } from "../support/socket_address.ts";
 
 /// A VM in the platform's list. The list lags behind the VMs' actual states.
 export const ListedVm = Type.Object({
@@ -11,7 +12,7 @@
   linkAddress: Type.String(),
   state: Type.Union([Type.Literal("live"), Type.Literal("leaving")]),
   /// Processor cores of the VM.
-  capacity: Type.Optional(Type.Number()),
+  capacity: Type.Optional(Type.Number({ minimum: 0 })),
   /// What runs on the VM; an entry VM if absent. An upstream has the same name
   /// here as in the sheet.
   kind: Type.Optional(
@@ -20,11 +21,21 @@
 });
 export type ListedVm = Static<typeof ListedVm>;
 
-const VmListDocument = Type.Object({ vms: Type.Array(ListedVm) });
+const vmListDocument = TypeCompiler.Compile(
+  Type.Object({ vms: Type.Array(Type.Unknown()) }),
+);
+const listedVm = TypeCompiler.Compile(ListedVm);
+
+/// Whether a VM is listed with all that is needed to use it.
+function isUsable(vm: unknown): vm is ListedVm {
+  return listedVm.Check(vm) &&
+    (vm.kind === "upstream" ||
+      parseSocketAddress(vm.linkAddress) !== undefined);
+}
 
 /// The platform's list of VMs.
 export interface VmList {
-  /// Returns all listed VMs. Throws `VmListUnavailableError`.
+  /// Returns all VMs that are listed in a usable way. Throws `VmListUnavailableError`.
   read(): Promise<readonly ListedVm[]>;
 }
 
@@ -43,7 +54,8 @@
         const signal = AbortSignal.timeout(READ_TIMEOUT_MILLISECONDS);
         const response = await request(url, { signal });
         const document = await response.body.json();
-        return Value.Parse(VmListDocument, document).vms;
+        if (!vmListDocument.Check(document)) throw new TypeError("no VM list");
+        return document.vms.filter(isUsable);
       } catch (error) {
         throw new VmListUnavailableError("no valid response from the VM list", {
           cause: error,
