Wait for the issuer of a key that falls silent for a few seconds

Callers of one-time calls with an issued key got outcome_unknown, executed "unknown", when the VM that issued the key had lost its link for a moment or didn't respond for three seconds, although the call had not been sent.

Cause: the issuer was called twice, at once if there was no link. Then the claim was given up as lost with its issuer.

Evidence: four new cases in ledger_test.ts, of which three failed on the code before.

The issuer is now called for 5 s, with a delay between two calls. The general limit for a confirmation of 2.5 s no longer applies to issued keys. All four pass.

--- a/src/requests/issued_keys.ts
+++ b/src/requests/issued_keys.ts
@@ -5,7 +5,7 @@
   LinkUnreachableError,
 } from "../links/links.ts";
 import { defineCall } from "../links/message.ts";
-import type { Clock } from "../support/clock.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
 import { formatIssuedKey, type IdempotencyKey } from "./idempotency_key.ts";
 import {
@@ -44,7 +44,10 @@
 
 const KEY_RANDOM_BYTES = 12;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
-const MAXIMUM_CALL_ATTEMPTS = 2;
+/// Time for which an issuer is called that doesn't respond or has no link. Links
+/// also break for a moment.
+const ISSUER_TIMEOUT_MILLISECONDS: Milliseconds = 5_000;
+const CALL_RETRY_DELAY_MILLISECONDS: Milliseconds = 250;
 const RETENTION_LIMITS: RetentionLimits = {
   retentionMilliseconds: 3_600_000,
   minimumRetentionMilliseconds: 900_000,
@@ -78,21 +81,22 @@
     operation: LedgerOperation,
   ): Promise<LedgerReply> => {
     const limits = { timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS };
-    let cause: unknown;
-    for (let attempts = 0; attempts < MAXIMUM_CALL_ATTEMPTS; attempts++) {
+    const endsAt = clock.now() + ISSUER_TIMEOUT_MILLISECONDS;
+    while (true) {
       try {
         const request = { incarnation, operation };
         return await links.call(vm, Submit, request, limits);
-      } catch (error) {
-        const isUnreachable = error instanceof LinkUnreachableError ||
-          error instanceof LinkUnansweredError;
-        if (!isUnreachable) throw error;
-        cause = error;
+      } catch (cause) {
+        const isUnreachable = cause instanceof LinkUnreachableError ||
+          cause instanceof LinkUnansweredError;
+        if (!isUnreachable) throw cause;
+        if (clock.now() >= endsAt) {
+          const reason = `${vm}, which issued the key, did not reply`;
+          throw new IssuerLostError(reason, { cause });
+        }
       }
+      await clock.sleep(CALL_RETRY_DELAY_MILLISECONDS);
     }
-    throw new IssuerLostError(`${vm}, which issued the key, did not reply`, {
-      cause,
-    });
   };
 
   links.onCall(
--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -65,13 +65,16 @@
       ? issuedKeys.submit(parsedKey, operation)
       : router.submit(operation);
 
-  /// Submits an operation whose reply a request waits for.
+  /// Submits an operation whose reply a request waits for. The issuers of keys
+  /// have a time limit of their own.
   const submitWithTimeout = (
     claim: Claim,
     operation: LedgerOperation,
     signal: AbortSignal,
   ): Promise<LedgerReply> => {
-    const bounded = withTimeout(submit(claim, operation), {
+    const submitted = submit(claim, operation);
+    if (claim.parsedKey.kind === "issued") return raceAbort(submitted, signal);
+    const bounded = withTimeout(submitted, {
       clock,
       limit: LEDGER_CONFIRM_TIMEOUT_MILLISECONDS,
       onTimeout: () => new LedgerUnavailableError("confirmation timed out"),
--- a/test/requests/ledger_test.ts
+++ b/test/requests/ledger_test.ts
@@ -17,6 +17,18 @@
 const order = (fleet: Fleet, vm: string, idempotencyKey: string) =>
   fleet.callService({ vm, key: KEY, headers: { idempotencyKey } }, ORDER);
 
+const issueKey = (fleet: Fleet, vm: string) =>
+  fleet.entries.get(vm)!.handler.issueKey({
+    id: "issue",
+    headers: {
+      keyHash: sampleSheet().customers[0]!.keyHashes[0]!,
+      deadline: undefined,
+      priority: undefined,
+      idempotencyKey: undefined,
+    },
+    disconnectSignal: new AbortController().signal,
+  });
+
 const desk = (fleet: Fleet) => fleet.services.get("desk")!;
 
 test("a duplicate waits for the request that runs on another VM", async (t) => {
@@ -78,21 +90,35 @@
   }
 });
 
+const ISSUER_FAULTS = {
+  "doesn't respond": (fleet: Fleet, isSilent: boolean) =>
+    fleet.network.setSilent("vm-1", isSilent),
+  "has no link": (fleet: Fleet, isCut: boolean) => {
+    fleet.network.setCut("vm-1", "vm-2", isCut);
+    fleet.network.setCut("vm-2", "vm-1", isCut);
+  },
+};
+
+for (const [fault, setFault] of Object.entries(ISSUER_FAULTS)) {
+  for (const duration of [1_000, 3_000]) {
+    test(`a call is answered although the issuer of its key ${fault} for ${duration} ms`, async (t) => {
+      const fleet = await start();
+      const key = issueKey(fleet, "vm-1");
+      setFault(fleet, true);
+      fleet.clock.schedule(duration, () => setFault(fleet, false));
+      const sent = order(fleet, "vm-2", key);
+      const { answer, error } = await fleet.clock.advanceUntil(sent);
+      t.is(error, undefined);
+      t.is(answer?.status, 200);
+      t.is(desk(fleet).executionCount(key), 1);
+    });
+  }
+}
+
 test("an issued key works during an outage of the store", async (t) => {
   const fleet = await start();
-  const issue = (vm: string) =>
-    fleet.entries.get(vm)!.handler.issueKey({
-      id: "issue",
-      headers: {
-        keyHash: sampleSheet().customers[0]!.keyHashes[0]!,
-        deadline: undefined,
-        priority: undefined,
-        idempotencyKey: undefined,
-      },
-      disconnectSignal: new AbortController().signal,
-    });
-  const key = issue("vm-1");
-  const unused = issue("vm-1");
+  const key = issueKey(fleet, "vm-1");
+  const unused = issueKey(fleet, "vm-1");
   fleet.store.setDown(true);
   const writes = fleet.store.counters.writes;
   for (const vm of ["vm-2", "vm-3", "vm-1"]) {
