--- a/test/gateway/pipelined_requests_test.ts
+++ b/test/gateway/pipelined_requests_test.ts
@@ -1,13 +1,7 @@
 import test, { type ExecutionContext } from "ava";
-import {
-  formatRequest,
-  openCallerConnection,
-} from "../../stand_ins/platform/caller_connection.ts";
-import {
-  isConnected,
-  startPlatformDeployment,
-  until,
-} from "../../stand_ins/platform/platform_deployment.ts";
+import { formatRequest } from "../../stand_ins/platform/caller_connection.ts";
+import { deployForCaller } from "../../stand_ins/platform/caller_deployment.ts";
+import { until } from "../../stand_ins/platform/platform_deployment.ts";
 import type {
   ReceivedRequest,
   UpstreamAction,
@@ -31,18 +25,10 @@
 }
 
 async function deploy(t: ExecutionContext) {
-  const deployment = await startPlatformDeployment();
-  t.teardown(deployment.close);
-  const desk = await deployment.addUpstream("desk", "d1", act);
-  await until(() => isConnected(deployment, 1));
-  await until(() => deployment.isReady());
-  const connection = openCallerConnection(
-    deployment.gateways[0]!.addresses.callers,
-  );
-  t.teardown(() => connection.socket.destroy());
+  const deployed = await deployForCaller(t, { act });
   const isIdle = async () =>
-    /running_requests 0\n/.test(await deployment.readMetrics());
-  return { desk, connection, isIdle };
+    /running_requests 0\n/.test(await deployed.deployment.readMetrics());
+  return { ...deployed, isIdle };
 }
 
 test("pipelined requests are answered in turn", async (t) => {
--- a/test/gateway/unusual_requests_test.ts
+++ b/test/gateway/unusual_requests_test.ts
@@ -5,13 +5,9 @@
 import {
   type CallerConnection,
   formatRequest,
-  openCallerConnection,
 } from "../../stand_ins/platform/caller_connection.ts";
-import {
-  isConnected,
-  startPlatformDeployment,
-  until,
-} from "../../stand_ins/platform/platform_deployment.ts";
+import { deployForCaller } from "../../stand_ins/platform/caller_deployment.ts";
+import { until } from "../../stand_ins/platform/platform_deployment.ts";
 
 /// Requests in forms that HTTP permits and callers seldom use.
 
@@ -88,24 +84,9 @@
   })),
 ];
 
-async function deploy(t: { teardown(close: () => void): void }) {
-  const deployment = await startPlatformDeployment();
-  t.teardown(deployment.close);
-  const answer = () => ({ kind: "answer", body: "done" }) as const;
-  await deployment.addUpstream("desk", "d1", answer);
-  const stream = () => ({ kind: "stream", to: 3 }) as const;
-  await deployment.addUpstream("engines", "e1", stream);
-  await until(() => isConnected(deployment, 2));
-  await until(() => deployment.isReady());
-  const { callers } = deployment.gateways[0]!.addresses;
-  const connection = openCallerConnection(callers);
-  t.teardown(() => connection.socket.destroy());
-  return { deployment, connection };
-}
-
 for (const { title, send, statuses } of UNUSUAL_REQUESTS) {
   test(`a request with ${title} is answered`, async (t) => {
-    const { connection } = await deploy(t);
+    const { connection } = await deployForCaller(t);
     send(connection);
     await until(() =>
       connection.statuses().length === statuses.length ||
@@ -116,7 +97,7 @@
 }
 
 test("a stream in HTTP/1.0 has no chunks and ends with its connection", async (t) => {
-  const { connection } = await deploy(t);
+  const { connection } = await deployForCaller(t);
   const lines = STREAM;
   connection.send(formatRequest("/ask/2f", { lines, version: "1.0" }));
   await until(connection.isClosed);
