End a request whose attempt could not be recorded

If recording the end of an attempt threw an error, its request had no end: the caller got nothing, also after the deadline, and the request counted as running for good.

Cause: the race didn't handle the rejection, where the handler before rejected and the caller's connection was closed with the log line of a fault. No such error has been seen.

The error now rejects the run, unless another attempt has taken the place of this one.

--- a/src/gateway/attempt_race.ts
+++ b/src/gateway/attempt_race.ts
@@ -45,6 +45,12 @@
   resume(): void;
 }
 
+/// What ends a run.
+interface Run {
+  finish(record: AttemptRecord): void;
+  fail(error: unknown): void;
+}
+
 export function createAttemptRace(options: AttemptRaceOptions): AttemptRace {
   const running = new Set<StartedAttempt>();
   /// Attempts whose upstreams have sent nothing since they fell silent.
@@ -68,12 +74,12 @@
 
   const launch = (
     prepared: PreparedAttempt,
-    finish: (record: AttemptRecord) => void,
+    run: Run,
   ) => {
     const started = options.start(prepared, {
       onSilent() {
         silent.add(started);
-        void replace(finish);
+        void replace(run);
       },
       onProgress() {
         silent.delete(started);
@@ -86,14 +92,18 @@
       if (!running.delete(started)) return;
       if (running.size > 0 && !options.isFinal(record)) {
         options.onFailed(record);
-        return void replace(finish);
+        return void replace(run);
       }
       keepOnly();
-      finish(record);
+      run.finish(record);
+    }, (error: unknown) => {
+      if (!running.has(started)) throw error;
+      keepOnly();
+      run.fail(error);
     });
   };
 
-  const replace = async (finish: (record: AttemptRecord) => void) => {
+  const replace = async (run: Run) => {
     const hasSilentOnly = [...running].every((each) => silent.has(each));
     if (search || !hasSilentOnly || !options.mayReplace()) return;
     const current = new AbortController();
@@ -102,11 +112,12 @@
     if (search === current) search = undefined;
     if (!prepared) return;
     if (current.signal.aborted) return options.discard(prepared);
-    launch(prepared, finish);
+    launch(prepared, run);
   };
 
   return {
-    run: (prepared) => new Promise((resolve) => launch(prepared, resolve)),
+    run: (prepared) =>
+      new Promise((finish, fail) => launch(prepared, { finish, fail })),
     abort() {
       cancelSearch();
       for (const each of running) each.abort();
