Refuse other VMs' tunnels from the beginning of a planned stop

Callers of another VM that has lost its own path to the upstreams saw 502 for requests that must not be repeated ("other side closed"), and their requests were broken off at the upstream: the stopping VM opened tunnels for 2.6 s after the signal and closed them at the end of its grace period. Only the VM that asks for a tunnel knows how long its requests may take.

A stopping VM now refuses tunnels at once, and the VM that asks gets one from the next VM. Tunnels that are open continue, and the stop waits for them as before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -391,11 +391,13 @@
     isDraining = true;
     callerServer.startDraining(startedAt + READINESS_GRACE_MILLISECONDS);
     const running = () => callerServer.running() + tunnelServer.count();
+    // Other VMs open the tunnels from now on: how long their requests take isn't
+    // known here.
+    tunnelServer.startDraining();
     log.info("stopping", { running: running() });
     // The port stays open, so that later requests get a response telling the
     // caller to retry elsewhere.
     await clock.sleep(READINESS_GRACE_MILLISECONDS);
-    tunnelServer.startDraining();
     while (running() > 0 && clock.now() < endsAt) {
       await clock.sleep(DRAIN_CHECK_INTERVAL_MILLISECONDS);
     }
--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -136,6 +136,7 @@
   readonly retryAllowance?: number;
   /// Replaces parts of the platform's dialect.
   readonly dialect?: Partial<GatewayDialect>;
+  readonly stopSeconds?: number;
 }
 
 /// A loopback address with a port that the operating system chooses.
@@ -196,9 +197,8 @@
   const upstreamNetworks: UpstreamNetwork[] = [];
   const clients: StoreClient[] = [];
   for (let index = 0; index < (options.gateways ?? 1); index++) {
-    const endpoint = await store.openEndpoint();
-    storeEndpoints.push(endpoint);
-    const client = createStoreClient(endpoint.address);
+    storeEndpoints.push(await store.openEndpoint());
+    const client = createStoreClient(storeEndpoints[index]!.address);
     clients.push(client);
     const network = createUpstreamNetwork();
     upstreamNetworks.push(network);
@@ -211,8 +211,8 @@
           readinessAddress: ANY_PORT,
           linkAddress: ANY_PORT,
           metricsAddress: ANY_PORT,
-          storeAddress: endpoint.address,
-          stopSeconds: 4,
+          storeAddress: storeEndpoints[index]!.address,
+          stopSeconds: options.stopSeconds ?? 4,
           repeatRatio: 0.2,
           repeatAllowance: options.retryAllowance ?? 100,
           repeatWindowSeconds: 10,
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -29,6 +29,8 @@
     readonly kind: "answer";
     readonly status?: number;
     readonly body: string;
+    /// Time that the request runs.
+    readonly workMilliseconds?: number;
     /// Bytes that it writes before this response.
     readonly strayBytes?: string | undefined;
   }
@@ -187,7 +189,10 @@
     switch (action.kind) {
       case "answer":
       case "foreign": {
-        const status = action.kind === "answer" ? action.status : 200;
+        const { status, workMilliseconds: work } = action.kind === "answer"
+          ? action
+          : {};
+        if (work) await new Promise((resolve) => setTimeout(resolve, work));
         return response.writeHead(status ?? 200).end(action.body);
       }
       case "stream":
