Answer every request before a planned stop closes its connection

Callers of a stopping VM saw connections closed without an answer, among them those of requests that must not be repeated. With a grace period of two seconds or less, the process was killed while it still accepted requests.

A stop accepted every request for 2.6 s, whatever the grace period was, and whether or not it could end in it. It passed on the caller's deadline, although that was after the stop, and passed on requests that had waited for a slot, a reservation or a retry when the stop began. At 0.93 of the grace period it closed all connections, also those with a request that had no answer yet.

All times now follow from the grace period (stop_schedule.ts). A request is sent to an upstream only if it can end in time: by its deadline if it must not be repeated, by an estimate otherwise. Others are refused with 503 and Retry-After, also those that have waited. The deadline for upstreams is at most the end of the requests' time. At that end every open request is answered: 503 if it wasn't sent, 502 or 504 otherwise; streams are broken off. A response to a request that is still being sent ends after the request, since a close with unread bytes resets the connection; for that, the rest of a refused body is read and dropped, within twice the limit.

--- a/src/gateway/attempt_preparation.ts
+++ b/src/gateway/attempt_preparation.ts
@@ -70,6 +70,17 @@
 
   const crashRefusal = () => findCrashRefusal(context.crashRecords, suspects);
 
+  /// Whether the request may be sent: not if this VM is stopping and another one
+  /// has to take the request.
+  const mayStart = () => {
+    if (isResumed() || request.stop.mayStart()) return true;
+    const { mayHaveExecuted, mayHaveExecutedAt } = progress;
+    if (!mayHaveExecuted && mayHaveExecutedAt.size === 0) {
+      progress.lastReason = "this VM is stopping";
+    }
+    return false;
+  };
+
   /// Waits until a limit allows another request. Resolves to false at once if the
   /// request would miss its objective by then, or the caller of a stream would
   /// have disconnected.
@@ -86,7 +97,8 @@
 
   /// Decides on upstreams that are still listed.
   const place = async (signal: AbortSignal): Promise<Placement | undefined> => {
-    while (!signal.aborted && remaining() >= MINIMUM_ATTEMPT_MILLISECONDS) {
+    while (!signal.aborted && mayStart()) {
+      if (remaining() < MINIMUM_ATTEMPT_MILLISECONDS) return undefined;
       const refusal = crashRefusal();
       if (refusal) {
         progress.lastReason = refusal.reason;
@@ -112,7 +124,7 @@
         return undefined;
       }
       const placement = placer.resolve(decision);
-      if (placement && !signal.aborted) return placement;
+      if (placement && !signal.aborted && mayStart()) return placement;
       placements.abandon(decision);
       if (!placement) progress.avoided.add(decision.upstream);
     }
@@ -196,7 +208,7 @@
           clock.now() - decidedAt >= MAXIMUM_DECISION_AGE_MILLISECONDS;
         const isHeld = upstreamHolds.delayOf(decision.upstream) > 0;
         const isUsable = !signal.aborted && !isOutdated && !isHeld &&
-          !crashRefusal();
+          mayStart() && !crashRefusal();
         if (isUsable) return prepared;
         await discard(prepared);
         if (isOutdated) progress.lastReason = "the decision was outdated";
--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -26,11 +26,13 @@
   endStream(): void;
   /// Closes the connection, so that the partial response doesn't appear
   /// complete. A response without a length ends with a plain close, so its
-  /// connection is reset.
+  /// connection is reset. A response that has ended is left alone.
   abort(): void;
   onDrain(listener: () => void): void;
   /// Calls `listener` if the caller disconnects before the response has ended.
   onDisconnect(listener: () => void): void;
+  /// Calls `listener` when the response has been sent or its connection closed.
+  onClose(listener: () => void): void;
 }
 
 export interface CallerResponseOptions {
@@ -43,6 +45,8 @@
   { closesConnection }: CallerResponseOptions,
 ): CallerResponse {
   let isDisconnected = false;
+  /// Whether the whole response has been written before the request was read.
+  let isWritten = false;
   const disconnectListeners: (() => void)[] = [];
   response.on("close", () => {
     if (response.writableFinished) return;
@@ -63,6 +67,16 @@
   const setFraming = (isFramed: boolean) => {
     response.useChunkedEncodingByDefault &&= isFramed;
   };
+  /// Ends the response once the caller has sent the rest of its request: a
+  /// connection that is closed with unread bytes is reset, and what it has not
+  /// delivered is lost.
+  const endAfterRequest = (text: string) => {
+    if (response.req.complete) return void response.end(text);
+    isWritten = true;
+    response.write(text);
+    response.req.once("end", () => response.end());
+    response.req.resume();
+  };
   return {
     isClosed: () => isDisconnected,
     isStarted: () => response.headersSent,
@@ -88,7 +102,7 @@
         headers.push(["Retry-After", retryAfterSeconds.toFixed(2)]);
       }
       writeHead(status, headers);
-      response.end(text);
+      endAfterRequest(text);
     },
     startStream({ status, headers, isFramed }) {
       if (isDisconnected || response.headersSent) return;
@@ -98,6 +112,7 @@
     write: (bytes) => isDisconnected || response.write(bytes),
     endStream: () => void response.end(),
     abort() {
+      if (response.writableEnded || isWritten) return;
       const isFramed = response.chunkedEncoding ||
         response.hasHeader("Content-Length");
       if (response.headersSent && !isFramed) {
@@ -107,5 +122,6 @@
     },
     onDrain: (listener) => void response.on("drain", listener),
     onDisconnect: (listener) => void disconnectListeners.push(listener),
+    onClose: (listener) => void response.on("close", listener),
   };
 }
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -13,11 +13,13 @@
 } from "./caller_response.ts";
 import type { CallerLimits, Route } from "./configuration.ts";
 import { startIdleConnections } from "./idle_connections.ts";
+import type { PlannedStop } from "./planned_stop.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { handleRequest } from "./request_handler.ts";
 import { findRequestFault } from "./request_check.ts";
 import { createRequestSequence } from "./request_sequence.ts";
 import type { RouteTable } from "./route_table.ts";
+import { timingOf } from "./stop_schedule.ts";
 
 /// Accepts requests from callers: reads them, finds their route, checks their
 /// key and passes them to the request handler.
@@ -35,21 +37,23 @@
 /// memory of this process.
 const MAXIMUM_BUFFERED_BODY_BYTES = 67_108_864;
 const BODY_MEMORY_RETRY_AFTER_SECONDS = 0.5;
-/// Retry-After of a stopping VM: another VM can take the request at once, but
-/// callers must not retry in a tight loop.
-const STOPPING_RETRY_AFTER_SECONDS = 0.1;
 
 export interface CallerServer {
   readonly server: Server;
-  /// Prepares for the stop: responses announce that their connection closes,
-  /// and requests that arrive after `until` are refused.
-  startDraining(until: Milliseconds): void;
   applyLimits(limits: CallerLimits): void;
   /// Number of requests whose response hasn't been sent in full, including those
   /// whose body is still being read.
   running(): number;
 }
 
+/// How a request was refused, for the log.
+interface Refusal {
+  readonly status: number;
+  readonly reason: string;
+  readonly request: string | undefined;
+  readonly path?: string;
+}
+
 function hostOf(value: string | undefined): string {
   return (value ?? "").replace(/:\d+$/, "");
 }
@@ -59,9 +63,11 @@
   return end < 0 ? target : target.slice(0, end);
 }
 
-export function createCallerServer(context: RequestContext): CallerServer {
+export function createCallerServer(
+  context: RequestContext,
+  plannedStop: PlannedStop,
+): CallerServer {
   const { clock, random, log, metrics, dialect, view } = context;
-  let acceptsUntil = Infinity;
   let running = 0;
   const bodies = createBodyReader(MAXIMUM_BUFFERED_BODY_BYTES);
 
@@ -106,12 +112,7 @@
 
   const refuse = (
     callerResponse: CallerResponse,
-    fields: {
-      status: number;
-      reason: string;
-      request: string | undefined;
-      path?: string;
-    },
+    fields: Refusal,
     retryAfterSeconds?: number,
   ) => {
     callerResponse.sendText(
@@ -119,6 +120,10 @@
       `${fields.reason}\n`,
       retryAfterSeconds,
     );
+    recordRefusal(fields);
+  };
+
+  const recordRefusal = (fields: Refusal) => {
     metrics.ended.inc({ route_kind: "none", outcome: "refused" });
     log.warn("request refused", {
       ...fields,
@@ -132,8 +137,9 @@
     arrivedAt: Milliseconds,
   ) => {
     const callerResponse = createCallerResponse(response, {
-      closesConnection: () => acceptsUntil < Infinity,
+      closesConnection: plannedStop.isStopping,
     });
+    const open = plannedStop.open(callerResponse);
     const table = view.routeTable();
     const metadata = dialect.parseCallerHeaders(message.headers);
     const request = metadata.attemptId;
@@ -178,26 +184,30 @@
       const reason = "the route's service is not configured";
       return refuse(callerResponse, { status: 503, reason, request, path });
     }
-    if (clock.now() > acceptsUntil) {
-      const reason = "this VM is stopping";
-      const fields = { status: 503, reason, request, path };
-      return refuse(callerResponse, fields, STOPPING_RETRY_AFTER_SECONDS);
+    const timed = { route, service, metadata, arrivedAt };
+    const stop = open.accept(timingOf(timed));
+    if (!stop) {
+      open.refuse();
+      return recordRefusal({
+        status: 503,
+        reason: "this VM is stopping",
+        request,
+        path,
+      });
     }
     const fingerprint = createHash("sha1")
       .update(`${path}\0${metadata.key ?? ""}\0`)
       .update(body)
       .digest("base64");
     await run({
-      metadata,
-      route,
-      service,
+      ...timed,
+      stop,
       customer: customer?.name,
       removesCallerKey: hasCustomers,
       method: message.method ?? "GET",
       target,
       headers: message.rawHeaders,
       body,
-      arrivedAt,
       fingerprint,
       configurationVersion: table.configuration.version,
     }, callerResponse);
@@ -277,7 +287,6 @@
 
   return {
     server,
-    startDraining: (until) => void (acceptsUntil = until),
     applyLimits(limits) {
       server.headersTimeout = limits.headerMilliseconds;
       server.keepAliveTimeout = limits.idleMilliseconds;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { createLeavingUpstreams } from "./leaving_upstreams.ts";
+import { createPlannedStop } from "./planned_stop.ts";
 import { createPlacementParts } from "./placement_parts.ts";
 import { startLinkTraffic } from "./link_traffic.ts";
 import { createRetryBudget } from "./retry_budget.ts";
@@ -45,16 +46,6 @@
 /// links show the actual number. It is conservative: a share that is too small
 /// only permits fewer retries.
 const ASSUMED_VMS = 8;
-/// Time for which this VM continues to accept requests after the stop signal.
-/// The platform's entry checks readiness once a second and removes a VM after
-/// two failures.
-const READINESS_GRACE_MILLISECONDS: Milliseconds = 2_600;
-/// Part of the stop time in which running requests may end. The rest, half a
-/// second of the platform's eight, is for closing.
-const DRAIN_TIME_RATIO = 0.93;
-const DRAIN_CHECK_INTERVAL_MILLISECONDS: Milliseconds = 50;
-/// Timeout for the removal of this VM's entry from the store.
-const DEREGISTRATION_TIMEOUT_MILLISECONDS: Milliseconds = 200;
 /// Interval at which idle connections to removed upstreams are closed.
 const PRUNE_INTERVAL_MILLISECONDS: Milliseconds = 5_000;
 /// Limit for all responses in memory at the same time, which bounds the memory
@@ -94,9 +85,10 @@
 
 export interface Gateway {
   readonly addresses: GatewayAddresses;
-  /// Stops accepting requests, waits for running ones to end or for the stop
-  /// time to pass, and closes the gateway. Further calls have no effect.
-  drain(): Promise<void>;
+  /// Stops within the grace period after the signal, which comes now unless
+  /// `signalledAt` is given: refuses requests that would end too late, answers
+  /// all others and closes the gateway. Further calls have no effect.
+  drain(signalledAt?: Milliseconds): Promise<void>;
   /// Closes all servers and connections at once.
   close(): void;
   /// Counts an error that nothing caught.
@@ -192,6 +184,11 @@
     upstreamLimits,
     vmCount: estimateVmCount,
   });
+  const plannedStop = createPlannedStop({
+    clock,
+    log,
+    grace: settings.stopSeconds * 1_000,
+  });
   const callerServer = createCallerServer({
     clock,
     random,
@@ -230,7 +227,7 @@
     responseBytes: createByteBudget(MAXIMUM_RESPONSE_BYTES),
     reservationPrefix: `${settings.vm}-${incarnation}`,
     maximumReservationLifetime: settings.longestHoldMilliseconds,
-  });
+  }, plannedStop);
 
   /// Upstreams listed after the last change. The health of a removed upstream
   /// is discarded, since a later process may use its ID.
@@ -295,12 +292,12 @@
     onRelisting: view.recordStoreReconnected,
   });
 
-  let isDraining = false;
   const respondReadiness = (
     _message: IncomingMessage,
     response: ServerResponse,
   ) => {
-    const isReady = !isDraining && view.routeTable() !== undefined;
+    const isReady = !plannedStop.isStopping() &&
+      view.routeTable() !== undefined;
     response.writeHead(isReady ? 200 : 503, { "Content-Length": 0 }).end();
   };
   const respondMetrics = async (
@@ -384,28 +381,15 @@
     }
   };
 
-  const drainOnce = async () => {
-    const startedAt = clock.now();
-    const endsAt = startedAt +
-      settings.stopSeconds * 1_000 * DRAIN_TIME_RATIO;
-    isDraining = true;
-    callerServer.startDraining(startedAt + READINESS_GRACE_MILLISECONDS);
-    const running = () => callerServer.running() + tunnelServer.count();
-    // Other VMs open the tunnels from now on: how long their requests take isn't
-    // known here.
+  const drainOnce = async (signalledAt: Milliseconds) => {
+    // Another VM opens the tunnels from now on: how long their requests take
+    // isn't known here.
     tunnelServer.startDraining();
-    log.info("stopping", { running: running() });
-    // The port stays open, so that later requests get a response telling the
-    // caller to retry elsewhere.
-    await clock.sleep(READINESS_GRACE_MILLISECONDS);
-    while (running() > 0 && clock.now() < endsAt) {
-      await clock.sleep(DRAIN_CHECK_INTERVAL_MILLISECONDS);
-    }
-    log.info("stopped", { unfinished: running() });
-    await Promise.race([
-      registration.close(),
-      clock.sleep(DEREGISTRATION_TIMEOUT_MILLISECONDS),
-    ]);
+    await plannedStop.run({
+      signalledAt,
+      running: () => callerServer.running() + tunnelServer.count(),
+      deregister: registration.close,
+    });
     close();
   };
   let drained: Promise<void> | undefined;
@@ -413,8 +397,8 @@
   return {
     addresses,
     close,
-    drain: () =>
-      drained ??= drainOnce().catch((error: Error) =>
+    drain: (signalledAt = clock.now()) =>
+      drained ??= drainOnce(signalledAt).catch((error: Error) =>
         log.warn("stop failed", { reason: error.message })
       ),
     countUnexpectedError: () => metrics.unexpectedErrors.inc(),
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -15,6 +15,7 @@
 import type { InFlightWork } from "./in_flight_work.ts";
 import type { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { PlacementService } from "./placement_service.ts";
+import type { RequestStop } from "./planned_stop.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { UpstreamConnections } from "./upstream_connections.ts";
 import type { UpstreamHealth } from "./upstream_health.ts";
@@ -64,4 +65,5 @@
   /// Equal for requests with the same path, caller and body.
   readonly fingerprint: string;
   readonly configurationVersion: number;
+  readonly stop: RequestStop;
 }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -47,7 +47,8 @@
     route.timeoutMilliseconds,
   );
   const deadline = request.arrivedAt + allowed;
-  const remaining = () => deadline - clock.now();
+  const remaining = () =>
+    Math.min(deadline, request.stop.endsAt()) - clock.now();
   const mayResume = route.kind === "stream" && route.isResumable;
   const isRetryable = route.kind === "safe" || mayResume;
   const placer = createRequestPlacer(context, request);
@@ -234,11 +235,13 @@
     onFailed: recordFailure,
   });
 
-  const timer = clock.schedule(Math.max(0, remaining()), () => {
+  const expire = () => {
     isTimedOut = true;
     stopped.abort();
     race.abort();
-  });
+  };
+  const timer = clock.schedule(Math.max(0, remaining()), expire);
+  request.stop.onEnd(expire);
   response.onDisconnect(() => {
     stopped.abort();
     race.abort();
