Count the grace period from the signal, also during the start

A signal that arrived while the process started took effect when the start was complete, and the whole grace period was counted from then, so that the process would have been killed before it had answered its callers. The program now passes the time of the signal to the stop.

The test failed before, since a stop couldn't be told when its signal came: a request that never ends was still open after the rest of the grace period. It passes now: with two of three seconds gone, the stop ends within the third.

--- a/src/bin/gateway.ts
+++ b/src/bin/gateway.ts
@@ -71,11 +71,14 @@
     log,
     sink,
   });
-  // A signal during the start takes effect once the start is complete.
-  const stop = () =>
-    void started.then((gateway) => gateway.drain()).finally(() =>
+  // A signal during the start takes effect once the start is complete, and the
+  // grace period has begun by then.
+  const stop = () => {
+    const signalledAt = clock.now();
+    void started.then((gateway) => gateway.drain(signalledAt)).finally(() =>
       process.exit(0)
     );
+  };
   process.on("SIGTERM", stop);
   const handleError = createUnexpectedErrorHandler({
     clock,
--- a/test/gateway/planned_stop_waiting_test.ts
+++ b/test/gateway/planned_stop_waiting_test.ts
@@ -165,3 +165,13 @@
   await closed;
   t.regex(text, /^HTTP\/1.1 503 .*not run: this VM is stopping/s);
 });
+
+test("the grace period begins with the signal, not with the end of the start", async (t) => {
+  const { deployment } = await deploy(t, {});
+  const sent = deployment.send({ path: "/once/1", headers });
+  await wait(100);
+  const now = performance.now();
+  await deployment.gateways[0]!.drain(now - 2_000);
+  t.true(performance.now() - now < 1_000);
+  t.is((await sent).status, 504);
+});
