Accept requests by estimate only while callers still come to a stopping VM

A stopping VM accepted streams until shortly before its end if their estimated duration fitted. An estimate may be wrong, and the platform sends no more callers to the VM once it isn't ready; those on open connections get 503 and are served by another VM at once. After the time in which readiness is noticed only a deadline in time counts.

--- a/src/gateway/planned_stop.ts
+++ b/src/gateway/planned_stop.ts
@@ -73,7 +73,11 @@
 
   const endsAt = () => schedule?.requestsEndAt ?? Infinity;
   const mayStart = (timing: RequestTiming) =>
-    !hasEnded && endsInTime(timing, { now: clock.now(), endsAt: endsAt() });
+    !hasEnded && endsInTime(timing, {
+      now: clock.now(),
+      endsAt: endsAt(),
+      estimatesUntil: schedule?.listensUntil ?? Infinity,
+    });
 
   const waitUntil = async (
     time: Milliseconds,
--- a/src/gateway/stop_schedule.ts
+++ b/src/gateway/stop_schedule.ts
@@ -94,14 +94,18 @@
 }
 
 /// Whether a request that is sent to an upstream at `now` ends by `endsAt`. For
-/// one that can't be repeated, the longest time that it may take counts.
+/// one that can't be repeated, the longest time that it may take counts, and for
+/// all others too after `estimatesUntil`: by then few callers come, and another
+/// VM takes them without the risk of an estimate.
 export function endsInTime(
   { deadline, isRepeatable, expectedDuration }: RequestTiming,
-  { now, endsAt }: {
+  { now, endsAt, estimatesUntil }: {
     readonly now: Milliseconds;
     readonly endsAt: Milliseconds;
+    readonly estimatesUntil: Milliseconds;
   },
 ): boolean {
   if (deadline <= endsAt) return true;
-  return isRepeatable && now + expectedDuration <= endsAt;
+  return isRepeatable && now <= estimatesUntil &&
+    now + expectedDuration <= endsAt;
 }
