Wait for the rest of requests that arrive while a daemon drains

Callers whose request body was still arriving when a daemon had nothing else to do saw their connection closed without an answer. Responses to incomplete requests were left out at the end of a drain, so that a stalled upload doesn't delay it.

A drain now waits up to a second for the rest of such requests, which are then refused with 503, executed 'no'.

--- a/src/requests/open_responses.ts
+++ b/src/requests/open_responses.ts
@@ -5,6 +5,8 @@
 
 /// The responses that callers have not received completely.
 
+/// Time for which a stop waits for the rest of requests that are being received.
+const INCOMPLETE_REQUEST_TIMEOUT_MILLISECONDS: Milliseconds = 1_000;
 /// Time for which the responses of requests that were ended are still sent.
 const LAST_RESPONSE_TIMEOUT_MILLISECONDS: Milliseconds = 1_000;
 
@@ -16,8 +18,9 @@
   endSignalOf(response: ServerResponse): AbortSignal;
   /// Returns the open response to a complete request on a connection, if any.
   find(connection: Socket): ServerResponse | undefined;
-  /// Resolves when the responses to all complete requests have been sent. Ends
-  /// the requests that have none after `timeout`.
+  /// Resolves when the responses to all requests have been sent, except those
+  /// that aren't received completely within a second. Ends the requests that have
+  /// no response after `timeout`.
   finish(timeout: Milliseconds): Promise<void>;
 }
 
@@ -60,10 +63,15 @@
         socket === connection && req.complete
       ),
     async finish(timeout) {
+      const forRequests = Math.min(
+        timeout,
+        INCOMPLETE_REQUEST_TIMEOUT_MILLISECONDS,
+      );
+      await whenSent(forRequests);
       for (const response of [...open.keys()]) {
         if (!response.req.complete) remove(response);
       }
-      await whenSent(timeout);
+      await whenSent(timeout - forRequests);
       for (const end of [...open.values()]) {
         const options = { executed: "unknown", retryAfterSeconds: 1 } as const;
         end.abort(new RequestError("draining", options));
--- a/test/requests/drained_daemon_test.ts
+++ b/test/requests/drained_daemon_test.ts
@@ -101,3 +101,28 @@
   await drained;
   t.true(response.length > LARGE_BYTES, `${response.length} bytes`);
 });
+
+test("a request whose body arrives while a daemon drains is refused", async (t) => {
+  const deployment = await start(t, 1_500);
+  await deployment.applySheet();
+  const [daemon] = deployment.daemons;
+  const [host, port] = daemon!.callerAddress.split(":");
+  const connection = connect(Number(port), host);
+  await once(connection, "connect");
+  const text = JSON.stringify(COMPLETION);
+  connection.write(
+    "POST /v1/completions HTTP/1.1\r\nhost: a\r\n" +
+      "authorization: Bearer caller-key\r\n" +
+      "content-type: application/json\r\n" +
+      `content-length: ${text.length}\r\n\r\n${text.slice(0, 5)}`,
+  );
+  const response = readAll(connection);
+  await sleep(100);
+  const drained = daemon!.drain();
+  await sleep(300);
+  connection.write(text.slice(5));
+  const received = (await response).toString();
+  await drained;
+  t.regex(received, /^HTTP\/1.1 503/);
+  t.regex(received, /"code":"draining","executed":"no"/);
+});
