Keep looking for replacements after a fault in one search

An error in the preparation of a replacement was an unhandled rejection, of which more than ten in ten seconds stop the process, and the request looked for no further replacement. Found by review; no trigger is known. The error is logged, the silent attempt goes on, and the next silence begins a new search.

--- a/src/gateway/attempt_race.ts
+++ b/src/gateway/attempt_race.ts
@@ -26,6 +26,8 @@
   /// Prepares an attempt at another upstream; resolves to undefined if there is
   /// none, or if `signal` is aborted first.
   prepareReplacement(signal: AbortSignal): Promise<PreparedAttempt | undefined>;
+  /// Receives an error of `prepareReplacement`.
+  onFault(error: Error): void;
   /// Gives up an attempt that was prepared and isn't started.
   discard(prepared: PreparedAttempt): void;
   /// Whether silent attempts may have a further replacement.
@@ -103,12 +105,22 @@
     });
   };
 
+  const prepareReplacement = async (signal: AbortSignal) => {
+    try {
+      return await options.prepareReplacement(signal);
+    } catch (error) {
+      // The silent attempts go on.
+      options.onFault(error as Error);
+      return undefined;
+    }
+  };
+
   const replace = async (run: Run) => {
     const hasSilentOnly = [...running].every((each) => silent.has(each));
     if (search || !hasSilentOnly || !options.mayReplace()) return;
     const current = new AbortController();
     search = current;
-    const prepared = await options.prepareReplacement(current.signal);
+    const prepared = await prepareReplacement(current.signal);
     if (search === current) search = undefined;
     if (!prepared) return;
     if (current.signal.aborted) return options.discard(prepared);
--- a/src/gateway/gateway_events.ts
+++ b/src/gateway/gateway_events.ts
@@ -51,6 +51,8 @@
     "an attempt failed; upstream, result, reason, time, budget and view then",
   "try silent":
     "an upstream sent nothing for longer than expected; the attempt goes on",
+  "replacement not prepared":
+    "a fault of the gateway; a silent attempt goes on alone; reason",
   "request ended":
     "a request ended that failed, was late or needed several attempts; " +
     "outcome, times, the last placement and its inputs",
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -227,6 +227,11 @@
       const either = AbortSignal.any([signal, stopped.signal]);
       return preparation.prepare(either);
     },
+    onFault: ({ stack }) =>
+      context.log.warn("replacement not prepared", {
+        request: metadata.attemptId,
+        reason: stack,
+      }),
     discard: (prepared) => void preparation.discard(prepared),
     mayReplace: () =>
       mayRunElsewhere() && canContinue() &&
