Decide on further attempts in a file of its own

Whether a further attempt may follow, and what a failure means for it, moves to retry_rules.ts without a change of the logic. 69 tests of the gateway that concern it pass.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -188,12 +188,8 @@
     const stop = open.accept(timingOf(timed));
     if (!stop) {
       open.refuse();
-      return recordRefusal({
-        status: 503,
-        reason: "this VM is stopping",
-        request,
-        path,
-      });
+      const reason = "this VM is stopping";
+      return recordRefusal({ status: 503, reason, request, path });
     }
     const fingerprint = createHash("sha1")
       .update(`${path}\0${metadata.key ?? ""}\0`)
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -7,7 +7,6 @@
 } from "./attempt_race.ts";
 import {
   createAttemptPreparation,
-  MAXIMUM_REFUSALS,
   type PreparedAttempt,
   RETRY_DELAY_MILLISECONDS,
 } from "./attempt_preparation.ts";
@@ -16,11 +15,11 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { RequestOutcome } from "./request_outcome.ts";
-import { createRequestPlacer, type Placement } from "./request_placer.ts";
+import { createRequestPlacer } from "./request_placer.ts";
 import { createRequestProgress } from "./request_progress.ts";
 import { createResponseWriter } from "./response_writer.ts";
 import { retryAfterSeconds } from "./retry_after.ts";
-import type { Upstream } from "./upstream.ts";
+import { createRetryRules } from "./retry_rules.ts";
 
 /// Handles one request: makes attempts at upstreams until one responds, the
 /// deadline passes or no further attempt is allowed. Every request ends exactly
@@ -30,9 +29,6 @@
 /// of the route's maximum event gap.
 const IDLE_TIMEOUT_FACTOR = 2.5;
 const MINIMUM_IDLE_TIMEOUT_MILLISECONDS: Milliseconds = 900;
-/// Work that depends on a failed engine stalls for 1.5 s on the platform before
-/// it is refused; a full engine refuses within a round trip.
-const STALL_MILLISECONDS: Milliseconds = 700;
 
 /// Handles a request to its end and resolves to the outcome.
 export async function handleRequest(
@@ -49,8 +45,6 @@
   const deadline = request.arrivedAt + allowed;
   const remaining = () =>
     Math.min(deadline, request.stop.endsAt()) - clock.now();
-  const mayResume = route.kind === "stream" && route.isResumable;
-  const isRetryable = route.kind === "safe" || mayResume;
   const placer = createRequestPlacer(context, request);
   const progress = createRequestProgress();
   const records = createAttemptRecords(context, request, {
@@ -64,48 +58,17 @@
     isResumed: response.isStarted,
   });
   const writer = createResponseWriter(context, request, { response, progress });
+  const retries = createRetryRules(context, request, { response, progress });
   let isTimedOut = false;
   /// Ends whatever the request waits for.
   const stopped = new AbortController();
 
-  const isStillListed = (upstream: Upstream) => {
-    const listed = view.upstream(upstream.id);
-    return listed !== undefined && listed.startedAt === upstream.startedAt;
-  };
-
-  const hasUntriedUpstream = () =>
-    view.available(service.name).some(({ id }) =>
-      !progress.avoided.has(id) && !health.isSuspended(id)
-    );
-
-  /// Whether the request may have a further attempt, beside those that may have
-  /// run and `current`. Each one counts, also at the same upstream.
-  const mayRunElsewhere = (current?: Placement) => {
-    const used = new Set(
-      [...progress.mayHaveExecutedAt]
-        .filter(({ upstream }) => isStillListed(upstream)),
-    );
-    if (current) used.add(current);
-    return isRetryable && used.size < route.maxUpstreams;
-  };
-
-  /// Without the id of an event, a stream that has begun can't be resumed.
-  const canContinue = () =>
-    !response.isStarted() || progress.lastId !== undefined;
-
-  const recordPossibleExecution = (placement: Placement, reason: string) => {
-    progress.lastReason = reason;
-    progress.mayHaveExecutedAt.add(placement);
-    progress.deliveredAttempts += 1;
-    progress.avoided.add(placement.upstream.id);
-  };
-
   const onSilence = (record: AttemptRecord) => {
     const { placement, result } = record;
     metrics.silences.inc({ route_kind: route.kind });
     records.silent(record);
     if (result.kind !== "failed") return;
-    recordPossibleExecution(placement, result.reason);
+    retries.recordPossibleExecution(placement, result.reason);
   };
 
   const start = (
@@ -141,7 +104,7 @@
         IDLE_TIMEOUT_FACTOR * route.pauseMilliseconds,
       ),
       extendsTimeout: placer.isLong,
-      mayRetry: () => mayRunElsewhere(placement),
+      mayRetry: () => retries.mayRunElsewhere(placement),
       remainingPrefill: () => placements.remainingPrefill(upstream.id),
       onResponse: (head, tunnelVm) => {
         const { requestLimit: limit, isAuthentic, retryAfter } = head;
@@ -176,45 +139,6 @@
     return { abort, resume, ended: attempt.result.then(end) };
   };
 
-  /// Takes a result into account that doesn't end the request by itself. Returns
-  /// whether a further attempt may follow.
-  const recordFailure = (
-    { placement, result, took }: AttemptRecord,
-  ): boolean => {
-    if (result.kind === "answered" || result.kind === "failed") {
-      const reason = result.kind === "failed"
-        ? result.reason
-        : `the upstream answered ${result.status}`;
-      if (result.kind === "answered") progress.lastResponse = result;
-      progress.mayHaveExecuted = true;
-      recordPossibleExecution(placement, reason);
-      return mayRunElsewhere() &&
-        (result.kind === "answered" || canContinue());
-    }
-    if (result.kind !== "not_run") return false;
-    progress.lastReason = result.reason;
-    progress.avoided.add(placement.upstream.id);
-    // It may have been silent before.
-    progress.mayHaveExecutedAt.delete(placement);
-    if (!result.isUnreachable) progress.deliveredAttempts += 1;
-    const faulty = result.faultAddress === undefined
-      ? undefined
-      : view.available(service.name).find(({ address }) =>
-        address === result.faultAddress
-      );
-    if (faulty) {
-      progress.avoided.add(faulty.id);
-      // A full engine refuses at once; a failed one stalls the others.
-      if (took > STALL_MILLISECONDS) health.recordUnreachable(faulty.id);
-    }
-    const isLast = !hasUntriedUpstream();
-    // An upstream that is gone says nothing about the capacity of the others.
-    if (isLast || !result.isUnreachable) progress.refusals += 1;
-    const isGone = isLast && result.isUnreachable &&
-      progress.attempts >= MAXIMUM_REFUSALS;
-    return !isGone && progress.refusals < MAXIMUM_REFUSALS;
-  };
-
   const isFinal = ({ result }: AttemptRecord) =>
     result.kind === "streamed" || result.kind === "aborted" ||
     (result.kind === "answered" && result.status < 500 &&
@@ -223,7 +147,9 @@
   const race = createAttemptRace({
     start,
     async prepareReplacement(signal) {
-      if (!hasUntriedUpstream()) await clock.sleep(RETRY_DELAY_MILLISECONDS);
+      if (!retries.hasUntriedUpstream()) {
+        await clock.sleep(RETRY_DELAY_MILLISECONDS);
+      }
       const either = AbortSignal.any([signal, stopped.signal]);
       return preparation.prepare(either);
     },
@@ -233,11 +159,9 @@
         reason: stack,
       }),
     discard: (prepared) => void preparation.discard(prepared),
-    mayReplace: () =>
-      mayRunElsewhere() && canContinue() &&
-      progress.refusals < MAXIMUM_REFUSALS,
+    mayReplace: retries.mayReplace,
     isFinal,
-    onFailed: recordFailure,
+    onFailed: retries.recordFailure,
   });
 
   const expire = () => {
@@ -322,8 +246,8 @@
     const record = await race.run(prepared);
     const { result } = record;
     if (isFinal(record)) return complete(result);
-    if (!recordFailure(record)) return giveUp();
-    if (result.kind === "not_run" && !hasUntriedUpstream()) {
+    if (!retries.recordFailure(record)) return giveUp();
+    if (result.kind === "not_run" && !retries.hasUntriedUpstream()) {
       await clock.sleep(RETRY_DELAY_MILLISECONDS);
     }
   }
