--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -36,8 +36,8 @@
   request: GatewayRequest,
   response: CallerResponse,
 ): Promise<RequestOutcome> {
-  const { clock, view, health, placements, dialect, metrics } = context;
-  const { route, service, metadata } = request;
+  const { clock, health, placements, dialect, metrics } = context;
+  const { route, metadata } = request;
   const allowed = Math.min(
     metadata.callerTimeout ?? Infinity,
     route.timeoutMilliseconds,
