Give gateways as processes ports of their own in each test file

Test files run in threads of one process, so all three files tried the same sequence of ports; another file's gateway had not yet listened when its port was found to be free. The start of the sequence now depends on the thread.

--- a/stand_ins/soak/gateway_process.ts
+++ b/stand_ins/soak/gateway_process.ts
@@ -4,6 +4,7 @@
 import { createServer } from "node:net";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
+import { threadId } from "node:worker_threads";
 import type { GatewaySettings } from "../../src/gateway/gateway_settings.ts";
 
 /// A gateway in a separate process. It keeps its addresses across restarts.
@@ -35,7 +36,9 @@
 /// otherwise take the port of a gateway while the gateway restarts.
 const FIRST_PORT = 20_000;
 const PORT_COUNT = 10_000;
-let nextPort = process.pid * 97 % PORT_COUNT;
+/// Test files run in threads of one process, and each has ports of its own.
+const PORTS_PER_THREAD = 500;
+let nextPort = (process.pid * 97 + threadId * PORTS_PER_THREAD) % PORT_COUNT;
 
 async function findFreePort(): Promise<number> {
   while (true) {
