--- a/stand_ins/soak/soak.ts
+++ b/stand_ins/soak/soak.ts
@@ -368,22 +368,41 @@
     agent.destroy();
   };
 
-  store.put("op/config", sampleConfiguration(version));
-  for (const service of ["engines", "engines", "engines", "desk", "desk"]) {
-    await addUpstream(service);
-  }
-  await startGateways();
-  const callers = Array.from({ length: CALLER_COUNT }, runCaller);
-  await injectFaults(performance.now() + options.faultMilliseconds);
-  areFaultsOn = false;
-  await Promise.all(gateways.map((gateway) => gateway.start()));
-  await sleep(RECOVERY_MILLISECONDS);
-  const firstAfter = records.length;
-  await sleep(FAULT_FREE_MILLISECONDS);
-  const after = records.slice(firstAfter).filter(({ hasRoute }) => hasRoute);
-  hasEnded = true;
-  await Promise.all(callers);
+  const close = async () => {
+    hasEnded = true;
+    for (const gateway of gateways) {
+      gateway.signal("SIGKILL");
+      await gateway.waitForExit();
+    }
+    for (const { proxy, upstream } of upstreams) {
+      proxy.close();
+      upstream.close();
+    }
+    for (const proxy of storeProxies) proxy.close();
+    store.close();
+  };
 
+  /// Plays the faults. Returns the requests after them.
+  const play = async (): Promise<readonly RequestRecord[]> => {
+    store.put("op/config", sampleConfiguration(version));
+    for (const service of ["engines", "engines", "engines", "desk", "desk"]) {
+      await addUpstream(service);
+    }
+    await startGateways();
+    const callers = Array.from({ length: CALLER_COUNT }, runCaller);
+    await injectFaults(performance.now() + options.faultMilliseconds);
+    areFaultsOn = false;
+    await Promise.all(gateways.map((gateway) => gateway.start()));
+    await sleep(RECOVERY_MILLISECONDS);
+    const firstAfter = records.length;
+    await sleep(FAULT_FREE_MILLISECONDS);
+    const after = records.slice(firstAfter).filter(({ hasRoute }) => hasRoute);
+    hasEnded = true;
+    await Promise.all(callers);
+    return after;
+  };
+
+  const after = await play().finally(close);
   for (const record of records) {
     broken.push(...findViolations(record, executions.get(record.id) ?? []));
   }
@@ -394,19 +413,11 @@
   if (servedAfter < MINIMUM_SERVED_AFTER_RATIO) {
     broken.push(`only ${servedAfter.toFixed(2)} were served after the faults`);
   }
-  for (const gateway of gateways) {
-    if (broken.length > 0) {
-      writeFileSync(`${folder}/${gateway.vm}.log`, gateway.log().join("\n"));
+  if (broken.length > 0) {
+    for (const { vm, log } of gateways) {
+      writeFileSync(`${folder}/${vm}.log`, log().join("\n"));
     }
-    gateway.signal("SIGKILL");
-    await gateway.waitForExit();
-  }
-  for (const { proxy, upstream } of upstreams) {
-    proxy.close();
-    upstream.close();
   }
-  for (const proxy of storeProxies) proxy.close();
-  store.close();
   if (broken.length === 0) rmSync(folder, { recursive: true });
   return {
     seed: options.seed,
