Show that gateways killed at once forget a deadly request

A request that crashes its runners is refused after three crashes, until all gateways are killed at the same moment: then it crashes three more, from machines that are in touch again (rule BUDGET).

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/run.mjs"
