--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -39,6 +39,7 @@
       const lastEvent = /^last-event-id: (\d+)/im.exec(text)?.[1];
       const isStream = text.startsWith("POST /caption/");
       answers += 1;
+      record.add(`${attempt} run at ${id}`);
       const isBroken = hasTrouble && isFaulty && answers % BROKEN_EVERY === 0;
       const head = "HTTP/1.1 200 OK\r\n" +
         `X-Attempt-Id: ${attempt}\r\n` +
@@ -109,10 +110,11 @@
       const end = isComplete ? (isWhole ? "whole" : "short") : "incomplete";
       const name = `${status ?? how} ${end}`;
       counts[name] = (counts[name] ?? 0) + 1;
-      if (status !== 200 || !isComplete || isWhole) return;
-      broken += 1;
+      const isBroken = status === 200 && isComplete && !isWhole;
+      if (isBroken) broken += 1;
       record.add(
-        `${attempt}: 200 ended as complete (framing: ${framing}), ${detail}`,
+        `${attempt} answered: ${name} (framing ${framing}, ${how}), ${detail}` +
+          (isBroken ? " BROKEN" : ""),
       );
     };
 
@@ -152,6 +154,7 @@
     while (performance.now() - start < LENGTH_MILLISECONDS) {
       const gateway = gateways[next % gateways.length];
       const attempt = (0x1000_0000 + next++).toString(16);
+      record.add(`${attempt} sent to ${gateway.name}`);
       pending.push(
         next % 5 === 0
           ? sendOrder(gateway, attempt)
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -31,6 +31,7 @@
     const attempt = message.headers["x-attempt-id"];
     const from = Number(message.headers["last-event-id"] ?? 0) + 1;
     answers += 1;
+    record.add(`${attempt} run at ${id}`);
     const hasLength = !isUnframed || answers % UNFRAMED_EVERY > 0;
     response.setHeader("X-Attempt-Id", attempt);
     response.setHeader("X-Response-Signature", `signed by ${id}`);
@@ -90,6 +91,7 @@
       const gateway = gateways[next++ % gateways.length];
       if (!gateway.isRunning()) return;
       const attempt = (0x1000_0000 + next).toString(16);
+      record.add(`${attempt} sent to ${gateway.name}`);
       const answer = await sendStream(gateway, attempt);
       const { status, body, isComplete, framing, how } = answer;
       const ids = eventIds(body);
@@ -98,11 +100,11 @@
       const end = isComplete ? (isWhole ? "whole" : "short") : "incomplete";
       const name = `${status ?? how} ${end}`;
       counts[name] = (counts[name] ?? 0) + 1;
-      if (status !== 200 || !isComplete || isWhole) return;
-      broken += 1;
+      const isBroken = status === 200 && isComplete && !isWhole;
+      if (isBroken) broken += 1;
       record.add(
-        `${attempt} at ${gateway.name}: 200 ended as complete after event ` +
-          `${ids.at(-1)} of ${EVENTS} (framing: ${framing}, ${how})`,
+        `${attempt} answered: ${name} (framing ${framing}, ${how}), ` +
+          `${ids.length} of ${EVENTS} events${isBroken ? " BROKEN" : ""}`,
       );
     };
 
