Read TROUBLE in the folder of each case

The shared parts read it before, so that a case alone didn't show whether it has a run without its disruption. What is done and judged is unchanged.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,15 +1,13 @@
 // Answers without a length whose channel the runner resets on the way.
 
 import { dirname } from "node:path";
+import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { eventIds, sendRequest } from "../lib/client.mjs";
-import {
-  hasTrouble,
-  listenTcp,
-  runCase,
-  runnerEntry,
-  wait,
-} from "../lib/deployment.mjs";
+import { listenTcp, runCase, runnerEntry, wait } from "../lib/deployment.mjs";
+
+/// With TROUBLE=0, everything but the disruption is done.
+const hasTrouble = process.env["TROUBLE"] !== "0";
 
 const GATEWAYS = 3;
 const SCRIBES = 6;
@@ -79,6 +77,7 @@
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), {
+  hasTrouble,
   gateways: GATEWAYS,
   async prepare({ store, record }) {
     const add = async (service, id, isFaulty) => {
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,15 +1,13 @@
 // Streams whose runner states no length, while gateways are killed.
 
 import { dirname } from "node:path";
+import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { eventIds, sendRequest } from "../lib/client.mjs";
-import {
-  hasTrouble,
-  listenHttp,
-  runCase,
-  runnerEntry,
-  wait,
-} from "../lib/deployment.mjs";
+import { listenHttp, runCase, runnerEntry, wait } from "../lib/deployment.mjs";
+
+/// With TROUBLE=0, everything but the disruption is done.
+const hasTrouble = process.env["TROUBLE"] !== "0";
 
 const GATEWAYS = 3;
 const RUNNERS = 8;
@@ -69,6 +67,7 @@
   });
 
 await runCase(dirname(fileURLToPath(import.meta.url)), {
+  hasTrouble,
   gateways: GATEWAYS,
   async prepare({ store, record }) {
     for (let index = 0; index < RUNNERS; index++) {
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -3,10 +3,10 @@
 
 import { createServer } from "node:http";
 import { dirname } from "node:path";
+import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { sendRequest } from "../lib/client.mjs";
 import {
-  hasTrouble,
   newHost,
   runCase,
   runnerEntry,
@@ -14,6 +14,9 @@
   wait,
 } from "../lib/deployment.mjs";
 
+/// With TROUBLE=0, everything but the disruption is done.
+const hasTrouble = process.env["TROUBLE"] !== "0";
+
 const GATEWAYS = 3;
 const DESKS = 3;
 const CRASH_AFTER_MILLISECONDS = 20;
@@ -81,6 +84,7 @@
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), {
+  hasTrouble,
   gateways: GATEWAYS,
   async prepare({ store, record }) {
     const state = { crashes: 0, thirdAt: Infinity, inTouchAt: 0 };
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -14,7 +14,6 @@
 
 const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
 
-export const hasTrouble = process.env["TROUBLE"] !== "0";
 export const HOST = "callers.example";
 export const API_KEY = "key-of-north-press";
 
@@ -393,7 +392,10 @@
  * of times that the rule was broken. Exits with 1 if there were any, with 0 if
  * there were none, and with 2 if the case couldn't run.
  */
-export async function runCase(folder, { gateways: count, prepare, play }) {
+export async function runCase(
+  folder,
+  { hasTrouble, gateways: count, prepare, play },
+) {
   const record = createRecord(folder);
   const settings = mkdtempSync(join(tmpdir(), "review-"));
   const gateways = [];
