Fail responses without a length whose connection is reset

Callers got status 200, a part of an upstream's response and a normal end: 17 of 33 events of a stream, or half of an order's 800 bytes.

Cause: where a reset arrives together with the last bytes, Node.js reports an end and no error, and the exchange took it for the close that ends a response without a length.

The connection now asks the socket for its peer at its end, and only a close with a peer completes such a response. Streams are resumed.

Test: 3 of the 6 tests in unframed_responses_test.ts failed before, those of a reset; the three of a close passed before and after.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -144,8 +144,9 @@
       onResponseEnd() {
         if (hasEnded) return;
         // undici treats a reset as the end of a response without a length.
-        const error = connection.socketError();
-        if (!isFramed && error) return fail(error.message, true);
+        if (!isFramed && !connection.wasClosedByUpstream()) {
+          return fail("reset at the end of a response without a length", true);
+        }
         hasEnded = true;
         if (isFramed) connection.release();
         else connection.discard();
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -6,6 +6,7 @@
   REACHABILITY_OF_FAILURES,
   type UpstreamDialler,
 } from "../tunnels/upstream_dialler.ts";
+import { hasPeer } from "../tunnels/socket_peer.ts";
 import type { UpstreamPaths } from "../tunnels/upstream_paths.ts";
 
 /// Connections to upstreams, which are kept for reuse. Each carries one request
@@ -26,9 +27,10 @@
 /// A connection in use by one request.
 export interface UpstreamConnection {
   readonly client: Client;
-  /// The error of the underlying socket, which distinguishes a reset from a
-  /// close.
-  socketError(): Error | undefined;
+  /// Whether the upstream has closed it in order, which ends a response without a
+  /// length. A reset may arrive together with the last bytes, and then Node.js
+  /// reports the same end as for a close.
+  wasClosedByUpstream(): boolean;
   /// Number of bytes received on it so far.
   bytesReceived(): number;
   /// Whether it has carried a request before.
@@ -84,7 +86,8 @@
   const checks = new Map<string, Promise<Reachability>>();
 
   const open = (address: string): UpstreamConnection => {
-    let error: Error | undefined;
+    let hasError = false;
+    let wasClosed = false;
     let wasReleased = false;
     let wasDiscarded = false;
     let tunnelVm: string | undefined;
@@ -103,14 +106,15 @@
           error: Error | null,
           socket: Socket | null,
         ) => void;
-        error = undefined;
         dialler.dial(address, (result) => {
           if (result.kind === "failed") {
             openingFailure = REACHABILITY_OF_FAILURES[result.failure];
             return settle(new Error(result.reason), null);
           }
           ({ socket, tunnelVm } = result);
-          socket.on("error", (socketError) => void (error = socketError));
+          const opened = result.socket;
+          opened.on("error", () => void (hasError = true));
+          opened.once("end", () => void (wasClosed = hasPeer(opened)));
           if (wasDiscarded) socket.destroy();
           settle(null, socket);
         });
@@ -124,7 +128,7 @@
     });
     const connection: UpstreamConnection = {
       client,
-      socketError: () => error,
+      wasClosedByUpstream: () => wasClosed && !hasError,
       bytesReceived: () => socket?.bytesRead ?? 0,
       isReused: () => wasReleased,
       tunnelVm: () => tunnelVm,
--- /dev/null
+++ b/test/gateway/unframed_responses_test.ts
@@ -0,0 +1,106 @@
+import test, { type ExecutionContext } from "ava";
+import {
+  type CallerRequest,
+  isConnected,
+  startPlatformDeployment,
+  until,
+} from "../../stand_ins/platform/platform_deployment.ts";
+import type { UpstreamAction } from "../../stand_ins/platform/scripted_upstream.ts";
+
+/// Responses without a length, which end when their connection closes.
+
+const STREAM: CallerRequest = {
+  path: "/ask/2f",
+  headers: { "X-Token-Counts": "1460,80" },
+  body: "a prompt",
+};
+const SAFE: CallerRequest = { path: "/look/2f", method: "GET" };
+const ONCE: CallerRequest = { path: "/once/2f", body: "an order" };
+
+const EVENTS = 4;
+const event = (id: number) => `id: ${id}\ndata: piece ${id}\n\n`;
+const events = (from: number, to: number) =>
+  Array.from({ length: to - from + 1 }, (_, index) => event(from + index))
+    .join("");
+
+/// A response without a length whose connection ends as soon as it is written.
+const respond = (
+  request: CallerRequest,
+  { text, isReset }: { text: string; isReset: boolean },
+): UpstreamAction => ({
+  kind: "raw",
+  write(socket, head) {
+    const fields = request === STREAM
+      ? ["Content-Type: text/event-stream", "Connection: close"]
+      : ["Connection: close"];
+    socket.write(`${head(fields)}\r\n${text}`);
+    if (isReset) socket.resetAndDestroy();
+    else socket.end();
+  },
+});
+
+async function deploy(
+  t: ExecutionContext,
+  request: CallerRequest,
+  act: (count: number, lastId: number) => UpstreamAction,
+) {
+  const deployment = await startPlatformDeployment();
+  t.teardown(deployment.close);
+  let count = 0;
+  const service = request === STREAM ? "engines" : "desk";
+  for (const id of ["u1", "u2"]) {
+    await deployment.addUpstream(service, id, ({ headers }) => {
+      count += 1;
+      return act(count, Number(headers["last-event-id"] ?? 0));
+    });
+  }
+  await until(() => isConnected(deployment, 2));
+  return { deployment, runs: () => count };
+}
+
+const wholeOf = (request: CallerRequest) =>
+  request === STREAM ? events(1, EVENTS) : "a whole response";
+
+// Guards against a reset that arrives with the last bytes and counts as the end.
+for (const request of [STREAM, SAFE]) {
+  test(`a response to ${request.path} without a length that is reset with its last bytes is replaced`, async (t) => {
+    const { deployment, runs } = await deploy(t, request, (count, lastId) => {
+      if (request !== STREAM) {
+        return count === 1
+          ? respond(request, { text: "a whole", isReset: true })
+          : { kind: "answer", body: wholeOf(request) };
+      }
+      return count === 1
+        ? respond(request, { text: events(1, 2), isReset: true })
+        : { kind: "stream", from: lastId + 1, to: EVENTS };
+    });
+    const { status, body, isWhole } = await deployment.send(request);
+    t.deepEqual([status, body, isWhole], [200, wholeOf(request), true]);
+    t.is(runs(), 2);
+  });
+}
+
+test("an at-most-once response without a length that is reset with its last bytes fails", async (t) => {
+  const { deployment, runs } = await deploy(
+    t,
+    ONCE,
+    () => respond(ONCE, { text: "a whole", isReset: true }),
+  );
+  const { status } = await deployment.send(ONCE);
+  t.true(status === 502 || status === 504, `${status}`);
+  t.is(runs(), 1);
+});
+
+for (const request of [STREAM, SAFE, ONCE]) {
+  test(`a response to ${request.path} without a length that ends with a close is whole`, async (t) => {
+    const text = wholeOf(request);
+    const { deployment, runs } = await deploy(
+      t,
+      request,
+      () => respond(request, { text, isReset: false }),
+    );
+    const { status, body, isWhole } = await deployment.send(request);
+    t.deepEqual([status, body, isWhole], [200, text, true]);
+    t.is(runs(), 1);
+  });
+}
