Fail a service's responses that are reset at their end in the daemon too

A client of undici that checks how its connection ended is used for the pools of services and engines, and both request paths share the watch of a socket's end.

Test: of the two in test/upstreams/unframed_responses_test.ts, that of a reset failed before; that of a close passed before and after.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,3 +1,4 @@
+import { isFramedResponse } from "../upstreams/response_framing.ts";
 import type {
   ReuseOptions,
   UpstreamConnection,
@@ -79,11 +80,6 @@
   "EPIPE",
 ]);
 
-function hasFraming(headers: HeaderFields): boolean {
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
-}
-
 /// Sends a request. The connection is kept for other requests when the response
 /// is complete and framed.
 export function startExchange(
@@ -135,7 +131,7 @@
           }
           return;
         }
-        isFramed = hasFraming(headers) || status === 204 || status === 304;
+        isFramed = isFramedResponse(status, headers);
         handler.onHead(status, headers, isFramed);
       },
       onResponseData(_controller, chunk) {
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -6,7 +6,7 @@
   REACHABILITY_OF_FAILURES,
   type UpstreamDialler,
 } from "../tunnels/upstream_dialler.ts";
-import { hasPeer } from "../tunnels/socket_peer.ts";
+import { watchClose } from "../tunnels/socket_peer.ts";
 import type { UpstreamPaths } from "../tunnels/upstream_paths.ts";
 
 /// Connections to upstreams, which are kept for reuse. Each carries one request
@@ -28,8 +28,7 @@
 export interface UpstreamConnection {
   readonly client: Client;
   /// Whether the upstream has closed it in order, which ends a response without a
-  /// length. A reset may arrive together with the last bytes, and then Node.js
-  /// reports the same end as for a close.
+  /// length.
   wasClosedByUpstream(): boolean;
   /// Number of bytes received on it so far.
   bytesReceived(): number;
@@ -86,8 +85,7 @@
   const checks = new Map<string, Promise<Reachability>>();
 
   const open = (address: string): UpstreamConnection => {
-    let hasError = false;
-    let wasClosed = false;
+    let wasClosed = () => false;
     let wasReleased = false;
     let wasDiscarded = false;
     let tunnelVm: string | undefined;
@@ -112,9 +110,7 @@
             return settle(new Error(result.reason), null);
           }
           ({ socket, tunnelVm } = result);
-          const opened = result.socket;
-          opened.on("error", () => void (hasError = true));
-          opened.once("end", () => void (wasClosed = hasPeer(opened)));
+          wasClosed = watchClose(socket);
           if (wasDiscarded) socket.destroy();
           settle(null, socket);
         });
@@ -128,7 +124,7 @@
     });
     const connection: UpstreamConnection = {
       client,
-      wasClosedByUpstream: () => wasClosed && !hasError,
+      wasClosedByUpstream: () => wasClosed(),
       bytesReceived: () => socket?.bytesRead ?? 0,
       isReused: () => wasReleased,
       tunnelVm: () => tunnelVm,
--- a/src/upstreams/http_engine_client.ts
+++ b/src/upstreams/http_engine_client.ts
@@ -1,5 +1,6 @@
 import { createConnector, NotConnectedError } from "../tunnels/connector.ts";
 import type { UpstreamDialler } from "../tunnels/upstream_dialler.ts";
+import { createCheckedClient } from "./checked_client.ts";
 import { toJsonBody } from "./json_body.ts";
 import {
   type CacheEvent,
@@ -136,6 +137,7 @@
     connections: MAXIMUM_CONNECTIONS,
     pipelining: 1,
     connect: createConnector(dialler, address),
+    factory: createCheckedClient,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
--- a/src/upstreams/service_client.ts
+++ b/src/upstreams/service_client.ts
@@ -1,6 +1,7 @@
 import { Pool } from "undici";
 import { createConnector, NotConnectedError } from "../tunnels/connector.ts";
 import type { UpstreamDialler } from "../tunnels/upstream_dialler.ts";
+import { createCheckedClient } from "./checked_client.ts";
 
 /// Client of services that are not engines.
 
@@ -71,6 +72,7 @@
     connections: MAXIMUM_CONNECTIONS,
     pipelining: 1,
     connect: createConnector(dialler, address),
+    factory: createCheckedClient,
   });
   return {
     async send(call, signal) {
