Forward responses without a length with one, or in chunks

Callers whose gateway was killed within a stream that its upstream sent without a length got status 200, some events and a normal end, and didn't resume it.

Cause: the gateway forwarded such a response without a length, so that its end was the close of the caller's connection, which a killed process causes as well.

Buffered responses now get their length, streams are sent in chunks.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -158,7 +158,8 @@
     }
     if (!isStream) {
       const body = Buffer.concat(chunks);
-      return settle({ kind: "answered", ...head, body });
+      const { status, headers } = head;
+      return settle({ kind: "answered", status, headers, body });
     }
     if (splitter.remainder().length > 0) return fail("ended within an event");
     // The head is forwarded even if the stream has no event.
--- a/src/gateway/attempt_result.ts
+++ b/src/gateway/attempt_result.ts
@@ -8,7 +8,6 @@
     readonly kind: "answered";
     readonly status: number;
     readonly headers: HeaderFields;
-    readonly isFramed: boolean;
     readonly body: Buffer;
   }
   /// Every event was forwarded.
--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -4,29 +4,31 @@
 
 type ResponseHeaders = readonly [string, string | string[]][];
 
+interface ResponseStart {
+  readonly status: number;
+  readonly headers: ResponseHeaders;
+}
+
 export interface CallerResponse {
   /// Whether the caller has closed its connection.
   isClosed(): boolean;
   /// Whether bytes of the response have been sent.
   isStarted(): boolean;
-  /// Forwards an upstream's response with its complete body. A response without
-  /// a length (`isFramed` false) is forwarded without one, since only its
-  /// sender can determine whether the closed connection was its intended end.
-  forward(
-    head: { status: number; headers: ResponseHeaders; isFramed: boolean },
-    body: Buffer,
-  ): void;
+  /// Forwards an upstream's response with its complete body, and with its length
+  /// also if the upstream stated none.
+  forward(head: ResponseStart, body: Buffer): void;
   /// Sends a response that the gateway itself produced.
   sendText(status: number, text: string, retryAfterSeconds?: number): void;
-  startStream(
-    head: { status: number; headers: ResponseHeaders; isFramed: boolean },
-  ): void;
+  /// Starts a response of unknown length. It is sent in chunks, so that the end of
+  /// this process doesn't look like its end; without them to callers that don't
+  /// know chunks.
+  startStream(head: ResponseStart): void;
   /// Returns false if the caller reads more slowly than the gateway writes.
   write(bytes: Buffer): boolean;
   endStream(): void;
   /// Closes the connection, so that the partial response doesn't appear
-  /// complete. A response without a length ends with a plain close, so its
-  /// connection is reset. A response that has ended is left alone.
+  /// complete. One that isn't framed ends with a plain close, so its connection is
+  /// reset. A response that has ended is left alone.
   abort(): void;
   onDrain(listener: () => void): void;
   /// Calls `listener` if the caller disconnects before the response has ended.
@@ -63,10 +65,6 @@
     for (const [name, value] of headers) response.setHeader(name, value);
     response.writeHead(status);
   };
-  /// The default is false for callers that don't know chunks.
-  const setFraming = (isFramed: boolean) => {
-    response.useChunkedEncodingByDefault &&= isFramed;
-  };
   /// Ends the response once the caller has sent the rest of its request: a
   /// connection that is closed with unread bytes is reset, and what it has not
   /// delivered is lost.
@@ -80,14 +78,9 @@
   return {
     isClosed: () => isDisconnected,
     isStarted: () => response.headersSent,
-    forward({ status, headers, isFramed }, body) {
+    forward({ status, headers }, body) {
       if (isDisconnected || response.headersSent) return;
-      const length = String(body.length);
-      setFraming(isFramed);
-      writeHead(
-        status,
-        isFramed ? [...headers, ["Content-Length", length]] : headers,
-      );
+      writeHead(status, [...headers, ["Content-Length", String(body.length)]]);
       // Node.js adds no Content-Length to a body that is written before end().
       response.write(body);
       response.end();
@@ -104,9 +97,8 @@
       writeHead(status, headers);
       endAfterRequest(text);
     },
-    startStream({ status, headers, isFramed }) {
+    startStream({ status, headers }) {
       if (isDisconnected || response.headersSent) return;
-      setFraming(isFramed);
       writeHead(status, headers);
     },
     write: (bytes) => isDisconnected || response.write(bytes),
