Keep the crashes of what is refused in the store

After all gateways were killed at the same moment, a request that crashes upstreams reached them in three more retries, six in all where three are allowed. Callers beside it lost what ran on three more upstreams.

Cause: the records of crashes were in the memory of the processes alone.

The crashes of a refused request or part are written to the store with a lease of as long as they count, and read with everything that a VM replicates; the daemon follows the same entries. The times between the crashes are kept, their age isn't, since VMs' clocks differ. It costs a lease and a write for each further crash of something that is refused.

Tests: with the entries not written, the request crashed on in killed_gateway_test.ts (the wait for its entry timed out). stored_crashes_test.ts: requests and parts, completed requests, a store that is away, and the number of writes. quarantine_test.ts: daemons.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -205,6 +205,7 @@
     clock,
     links,
     log: logFor("requests"),
+    store,
   });
   const services = createServiceDirectory({
     book,
--- a/src/gateway/attempt_preparation.ts
+++ b/src/gateway/attempt_preparation.ts
@@ -101,6 +101,8 @@
       if (remaining() < MINIMUM_ATTEMPT_MILLISECONDS) return undefined;
       const refusal = crashRefusal();
       if (refusal) {
+        // Other VMs' records may have led to the refusal.
+        context.storedCrashes.save(refusal.key);
         progress.lastReason = refusal.reason;
         progress.retryEstimate = refusal.retryAfter;
         return undefined;
--- a/src/gateway/attempt_records.ts
+++ b/src/gateway/attempt_records.ts
@@ -1,3 +1,4 @@
+import { findCrashRefusal } from "../requests/crash_attribution.ts";
 import { abbreviateFingerprint } from "../requests/crash_records.ts";
 import type { Milliseconds } from "../support/clock.ts";
 import type { AttemptResult } from "./attempt_result.ts";
@@ -81,14 +82,19 @@
   const recordCrash = ({ placement, result, took }: AttemptRecord) => {
     if (result.kind !== "failed" || !result.hasCrashed) return;
     const { upstream } = placement;
-    void context.crashRecords.record({
-      fingerprint: request.fingerprint,
-      parts: metadata.sharedParts,
+    const { crashRecords, storedCrashes } = context;
+    const { fingerprint } = request;
+    const parts = metadata.sharedParts;
+    void crashRecords.record({
+      fingerprint,
+      parts,
       process: `${upstream.id} ${upstream.startedAt}`,
       ran: took,
       isRetry: progress.hasCrashedUpstream,
     });
     progress.hasCrashedUpstream = true;
+    const refusal = findCrashRefusal(crashRecords, { fingerprint, parts });
+    if (refusal) storedCrashes.save(refusal.key);
   };
 
   const fieldsOf = ({ placement, result, took }: AttemptRecord) => ({
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,7 +8,6 @@
 import type { LongPollingStore } from "../infrastructure/key_value_store.ts";
 import { HubTopology } from "../links/hub_topology.ts";
 import { createLinkMesh } from "../links/link_mesh.ts";
-import { createCrashRecords } from "../requests/crash_records.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { LineSink, Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
@@ -17,6 +16,7 @@
 import { createUpstreamLimits } from "../upstreams/upstream_limits.ts";
 import { createByteBudget } from "./byte_budget.ts";
 import { createCallerServer } from "./caller_server.ts";
+import { createCrashParts } from "./crash_parts.ts";
 import type {
   FleetDocuments,
   GatewayDialect,
@@ -189,6 +189,13 @@
     log,
     grace: settings.stopSeconds * 1_000,
   });
+  const { crashRecords, storedCrashes } = createCrashParts({
+    clock,
+    links,
+    log,
+    store,
+    metrics,
+  });
   const callerServer = createCallerServer({
     clock,
     random,
@@ -215,15 +222,8 @@
     upstreamHolds,
     leavingUpstreams: createLeavingUpstreams({ links, view }),
     connections,
-    crashRecords: createCrashRecords({
-      clock,
-      links,
-      log,
-      onRecorded: (vm) =>
-        metrics.crashesRecorded.inc({
-          source: vm === settings.vm ? "this VM" : "other VM",
-        }),
-    }),
+    crashRecords,
+    storedCrashes,
     responseBytes: createByteBudget(MAXIMUM_RESPONSE_BYTES),
     reservationPrefix: `${settings.vm}-${incarnation}`,
     maximumReservationLifetime: settings.longestHoldMilliseconds,
@@ -259,7 +259,14 @@
   });
 
   const replica = createStoreReplica();
-  startViewBuilder({ log, documents: platform.documents, replica, view, vms });
+  startViewBuilder({
+    log,
+    documents: platform.documents,
+    replica,
+    view,
+    vms,
+    storedCrashes,
+  });
   const storeWatcher = startStoreWatcher({
     clock,
     log,
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -1,4 +1,5 @@
 import type { CrashRecords } from "../requests/crash_records.ts";
+import type { StoredCrashes } from "../requests/stored_crashes.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
@@ -39,6 +40,7 @@
   readonly leavingUpstreams: LeavingUpstreams;
   readonly connections: UpstreamConnections;
   readonly crashRecords: CrashRecords;
+  readonly storedCrashes: StoredCrashes;
   /// Bytes of responses that are buffered before they are forwarded.
   readonly responseBytes: ByteBudget;
   /// Prefix of the ids of this process's memory reservations.
--- a/src/gateway/view_builder.ts
+++ b/src/gateway/view_builder.ts
@@ -1,3 +1,4 @@
+import type { StoredCrashes } from "../requests/stored_crashes.ts";
 import type { WatchEvent } from "../infrastructure/key_value_store.ts";
 import type { Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
@@ -7,7 +8,7 @@
 import type { VmDirectory } from "./vm_directory.ts";
 
 /// Parses the changes of the store replica and applies them to the view of the
-/// fleet and the list of VMs.
+/// fleet, the list of VMs and the records of crashes.
 
 /// Time in which VMs list themselves again after an outage or a restore of the
 /// store. Until then they stay known, since which links there are and which VM
@@ -20,10 +21,11 @@
   readonly replica: StoreReplica;
   readonly view: FleetView;
   readonly vms: VmDirectory;
+  readonly storedCrashes: StoredCrashes;
 }
 
 export function startViewBuilder(options: ViewBuilderOptions): void {
-  const { log, documents, replica, view, vms } = options;
+  const { log, documents, replica, view, vms, storedCrashes } = options;
 
   const applyConfiguration = (value: Uint8Array, source: ViewSource) => {
     try {
@@ -41,6 +43,7 @@
       return applyConfiguration(value, source);
     }
     if (vms.applyEntry(key, value)) return;
+    if (storedCrashes.applyEntry(key, value)) return;
     if (!key.startsWith(documents.upstreamPrefix)) return;
     const upstream = documents.parseUpstream(key, value);
     if (upstream) {
@@ -55,6 +58,7 @@
 
   const applyDelete = (key: string, source: ViewSource) => {
     const isRelisting = view.relistingTimeLeft() > 0;
+    storedCrashes.removeEntry(key);
     vms.removeEntry(key, isRelisting ? VM_RELISTING_MILLISECONDS : 0);
     if (!key.startsWith(documents.upstreamPrefix)) return;
     view.removeUpstream(key.slice(documents.upstreamPrefix.length), source);
--- a/src/requests/crash_attribution.ts
+++ b/src/requests/crash_attribution.ts
@@ -31,6 +31,8 @@
 
 /// Why a request is refused.
 export interface CrashRefusal {
+  /// The fingerprint of the request, or the key of a part of its prompt.
+  readonly key: string;
   readonly reason: string;
   /// Time until it is tried again.
   readonly retryAfter: Milliseconds;
@@ -70,7 +72,7 @@
       (request) => request.parts.includes(part),
     );
     const retryAfter = timeUntilTrial(known, { key, count });
-    if (retryAfter > 0) return { reason, retryAfter };
+    if (retryAfter > 0) return { key, reason, retryAfter };
   }
   const crashes = known.crashesOf(fingerprint);
   const threshold = known.hasCompleted(fingerprint)
@@ -91,7 +93,7 @@
   if (count < threshold) return undefined;
   const retryAfter = timeUntilTrial(known, { key: fingerprint, count });
   const reason = "upstreams crashed with this request";
-  return retryAfter > 0 ? { reason, retryAfter } : undefined;
+  return retryAfter > 0 ? { key: fingerprint, reason, retryAfter } : undefined;
 }
 
 /// Time until this VM tries a cause of `count` crashes again.
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -1,10 +1,14 @@
-import { type Static, Type } from "@sinclair/typebox";
 import type { Links } from "../links/links.ts";
-import { defineCall, defineMessage } from "../links/message.ts";
 import { createNewPeers } from "../links/new_peers.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import { rankByRendezvous } from "../vms/rendezvous.ts";
+import {
+  clearMessage,
+  type CrashRecord,
+  marksMessage,
+  reportCall,
+} from "./crash_record.ts";
 import {
   type CrashedRequest,
   createCrashTable,
@@ -19,45 +23,6 @@
 /// that shows a crash takes up to two seconds.
 const SAME_CRASH_MILLISECONDS: Milliseconds = 3_000;
 
-const CrashRecord = Type.Object({
-  fingerprint: Type.String(),
-  /// Identifies the crash, so that a crash reported twice counts once.
-  id: Type.String(),
-  age: Type.Number({ minimum: 0 }),
-  /// Time for which the request had been on the upstream.
-  ran: Type.Optional(Type.Number({ minimum: 0 })),
-  /// Whether it was sent there after an earlier upstream had crashed with it.
-  isRetry: Type.Optional(Type.Boolean()),
-  /// IDs of the parts of the prompt that other requests may share.
-  parts: Type.Optional(Type.Array(Type.String())),
-  /// The upstream, if VMs number its crashes, and the number of this one.
-  numbered: Type.Optional(
-    Type.Object({ upstream: Type.String(), number: Type.Number() }),
-  ),
-});
-type CrashRecord = Static<typeof CrashRecord>;
-
-const reportCall = defineCall("quarantine.mark", {
-  request: Type.Object({ marks: Type.Array(CrashRecord) }),
-  reply: Type.Object({}),
-});
-
-/// Reports crashes without confirmation. Used with hubs, over which a call to
-/// each VM would take as many messages as there are VMs.
-const marksMessage = defineMessage(
-  "quarantine.marks",
-  Type.Object({ marks: Type.Array(CrashRecord) }),
-);
-
-const clearMessage = defineMessage(
-  "quarantine.clear",
-  Type.Object({
-    /// The fingerprint or the key of a part.
-    fingerprint: Type.String(),
-    ids: Type.Array(Type.String()),
-  }),
-);
-
 /// Characters of a fingerprint in log lines.
 const LOGGED_FINGERPRINT_LENGTH = 12;
 
@@ -110,6 +75,10 @@
   /// Removes the crashes of a request that has completed, and of the parts of
   /// its prompt, on all VMs.
   clear(fingerprint: string, parts?: readonly string[]): void;
+  /// The records of the requests of a crash that have a key.
+  recordsOf(crash: string, key: string): readonly CrashRecord[];
+  /// Adds records that were kept elsewhere.
+  restore(records: readonly CrashRecord[]): void;
 }
 
 interface NumberedCrash {
@@ -127,8 +96,13 @@
   readonly log: Logger;
   /// Called for each record that is added, with the VM that reported it.
   readonly onRecorded?: (vm: string) => void;
+  /// Called for each key whose crashes this VM has found not to be caused by it.
+  readonly onCleared?: (key: string) => void;
 }
 
+/// The source of restored records in log lines.
+const RESTORED = "store";
+
 export function createCrashRecords(options: CrashRecordsOptions): CrashRecords {
   const { clock, links, log } = options;
   const table = createCrashTable(clock);
@@ -187,34 +161,43 @@
     if (ids.length === 0) return;
     remove(key, { ids, vm: links.self.vm });
     links.broadcast(clearMessage, { fingerprint: key, ids });
+    options.onCleared?.(key);
   };
 
-  const report = (vm: string, records: CrashRecord[]) =>
-    links.call(vm, reportCall, { marks: records }, {
-      timeoutMilliseconds: REPORT_TIMEOUT_MILLISECONDS,
-    });
-
-  /// Reports all records of this VM to VMs that have just connected.
-  /// With hubs, only the VMs that have a link to it do so.
-  const reportToNewPeers = () => {
-    const added = newPeers();
+  /// Returns a function that makes the record of a request.
+  const createRecorder = () => {
     const numbers = new Map(
       [...lastCrashes].map(([upstream, { number }]) => {
         const numbered = { upstream, number };
         return [idOf(numbered), numbered];
       }),
     );
-    const records = table.entries().map(
-      ({ crash: id, fingerprint, parts, age, ran, isRetry }) => ({
+    return (request: CrashedRequest): CrashRecord => {
+      const { crash: id, fingerprint, ran, isRetry } = request;
+      const age = clock.now() - table.timeOf(id);
+      const parts = [...request.parts];
+      return {
         fingerprint,
         id,
         age,
         ran,
         isRetry,
-        parts: [...parts],
+        parts,
         numbered: numbers.get(id),
-      }),
-    );
+      };
+    };
+  };
+
+  const report = (vm: string, records: CrashRecord[]) =>
+    links.call(vm, reportCall, { marks: records }, {
+      timeoutMilliseconds: REPORT_TIMEOUT_MILLISECONDS,
+    });
+
+  /// Reports all records of this VM to VMs that have just connected.
+  /// With hubs, only the VMs that have a link to it do so.
+  const reportToNewPeers = () => {
+    const added = newPeers();
+    const records = table.entries().map(createRecorder());
     if (records.length === 0) return;
     for (const { vm } of added) report(vm, records).catch(() => {});
   };
@@ -273,5 +256,14 @@
       clearKey(fingerprint);
       for (const part of parts) clearKey(partKey(part));
     },
+    recordsOf: (crash, key) =>
+      table.requestsIn(crash)
+        .filter(({ fingerprint, parts }) =>
+          fingerprint === key || parts.some((part) => partKey(part) === key)
+        )
+        .map(createRecorder()),
+    restore(records) {
+      for (const record of records) add(record, RESTORED);
+    },
   };
 }
--- a/src/requests/crash_table.ts
+++ b/src/requests/crash_table.ts
@@ -5,7 +5,7 @@
 /// share.
 
 /// Time for which a crash counts, and so for which its cause is refused.
-const RETENTION_MILLISECONDS: Milliseconds = 600_000;
+export const RETENTION_MILLISECONDS: Milliseconds = 600_000;
 /// Maximum number of requests in all crashes, of cleared crashes, and of completed
 /// requests and parts each, that one VM keeps. Above it, the oldest are removed.
 const MAXIMUM_ENTRIES = 10_000;
--- a/src/requests/quarantine.ts
+++ b/src/requests/quarantine.ts
@@ -1,13 +1,16 @@
 import { createHash } from "node:crypto";
 import { Type } from "@sinclair/typebox";
+import type { KeyValueStore } from "../infrastructure/key_value_store.ts";
 import type { Links } from "../links/links.ts";
 import { defineMessage } from "../links/message.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import { findCrashRefusal, type Suspects } from "./crash_attribution.ts";
-import { createCrashRecords } from "./crash_records.ts";
+import { createCrashRecords, type ObservedCrash } from "./crash_records.ts";
 import { createFleetPermits, type Permit } from "./fleet_permits.ts";
 import { RequestError } from "./request_error.ts";
+import { createStoredCrashes } from "./stored_crashes.ts";
+import { followStoredCrashes } from "./stored_crashes_follower.ts";
 
 /// Limits a request that crashes engines to two crashes in the whole fleet,
 /// however often it is resent and whichever VMs receive it. Attempts at engines
@@ -88,13 +91,28 @@
   readonly clock: Clock;
   readonly links: Links;
   readonly log: Logger;
+  /// Keeps the crashes of requests that are refused.
+  readonly store: KeyValueStore;
 }
 
 const UNCOUNTED: Permit = { release: () => {} };
 
 export function createQuarantine(options: QuarantineOptions): Quarantine {
-  const { clock, links } = options;
-  const crashes = createCrashRecords(options);
+  const { clock, links, log, store } = options;
+  const stop = new AbortController();
+  const crashes = createCrashRecords({
+    clock,
+    links,
+    log,
+    onCleared: (key) => storedCrashes.remove(key),
+  });
+  const storedCrashes = createStoredCrashes({
+    clock,
+    log,
+    store,
+    records: crashes,
+  });
+  followStoredCrashes({ clock, store, storedCrashes }, stop.signal);
   /// Time until which a fingerprint counts as harmless.
   const harmlessUntil = new Map<string, Milliseconds>();
   /// Time until which an engine is reserved for a suspect request.
@@ -134,6 +152,19 @@
     links.broadcast(exclusiveMessage, { engine, exclusive: isExclusive });
   };
 
+  const recordCrash = async (
+    crash: ObservedCrash & { readonly parts: readonly string[] },
+  ) => {
+    const { fingerprint, parts } = crash;
+    const recorded = crashes.record(crash);
+    if (crashes.count(fingerprint) >= MAXIMUM_CRASHES) {
+      storedCrashes.save(fingerprint);
+    }
+    const refusal = findCrashRefusal(crashes, { fingerprint, parts });
+    if (refusal) storedCrashes.save(refusal.key);
+    await recorded;
+  };
+
   const watch = (
     { fingerprint, parts }: Suspects,
     permit: Permit,
@@ -172,7 +203,7 @@
       },
       async crashed(engine) {
         const ran = clock.now() - startedAt;
-        await crashes.record({ fingerprint, parts, upstream: engine, ran });
+        await recordCrash({ fingerprint, parts, upstream: engine, ran });
         end();
       },
       stop: end,
@@ -213,9 +244,12 @@
     },
     requireAllowed,
     recordCrash: (fingerprint, crash) =>
-      crashes.record({ fingerprint, ...crash }),
+      recordCrash({ fingerprint, parts: [], ...crash }),
     recordCompleted: (fingerprint) => crashes.clear(fingerprint),
     isExclusive: (engine) => (exclusiveUntil.get(engine) ?? 0) > clock.now(),
-    close: () => permits.close(),
+    close() {
+      stop.abort(new Error("closed"));
+      permits.close();
+    },
   };
 }
--- a/test/gateway/malformed_input_test.ts
+++ b/test/gateway/malformed_input_test.ts
@@ -1,19 +1,13 @@
 import { connect } from "node:net";
 import test from "ava";
 import fastCheck from "fast-check";
-import { fleetDocuments } from "../../platform/fleet_documents.ts";
-import { createFleetView } from "../../src/gateway/fleet_view.ts";
-import { createStoreReplica } from "../../src/gateway/store_replica.ts";
-import { startViewBuilder } from "../../src/gateway/view_builder.ts";
-import { createVmDirectory } from "../../src/gateway/vm_directory.ts";
 import { decodeFrames, encodeFrame } from "../../src/links/frame.ts";
-import { createSilentLogger } from "../../src/support/log.ts";
-import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import {
   sampleConfiguration,
   startPlatformDeployment,
   until,
 } from "../../stand_ins/platform/platform_deployment.ts";
+import { createReplicaView } from "../../stand_ins/replica_view.ts";
 
 /// Malformed input takes down nothing but its own request or connection. An
 /// error that nothing catches fails the test by itself.
@@ -138,22 +132,14 @@
 });
 
 test("malformed documents in the store are ignored and later ones applied", (t) => {
-  const clock = createFakeClock();
-  const view = createFleetView(clock);
-  const replica = createStoreReplica();
-  const log = createSilentLogger();
-  const vms = createVmDirectory(clock, log);
-  const documents = fleetDocuments;
-  startViewBuilder({ log, documents, replica, view, vms });
-  const keys = ["op/config", "servers/e1", "sequoiaturn/vms/vm-1", "other"];
-  let revision = 0;
-  const put = (key: string, value: Uint8Array) => {
-    revision += 1;
-    replica.applyChanges([{
-      kind: "put",
-      value: { key, value, modifiedRevision: revision, lease: "0" },
-    }], "store");
-  };
+  const { put, view } = createReplicaView();
+  const keys = [
+    "op/config",
+    "servers/e1",
+    "sequoiaturn/vms/vm-1",
+    "sequoiaturn/crashes/1",
+    "other",
+  ];
   fastCheck.assert(
     fastCheck.property(
       fastCheck.constantFrom(...keys),
--- a/test/gateway/odd_entries_test.ts
+++ b/test/gateway/odd_entries_test.ts
@@ -1,13 +1,10 @@
 import { randomBytes } from "node:crypto";
 import test from "ava";
-import { fleetDocuments } from "../../platform/fleet_documents.ts";
 import { createStoreClient } from "../../platform/store_client.ts";
-import { createFleetView } from "../../src/gateway/fleet_view.ts";
 import { createStoreReplica } from "../../src/gateway/store_replica.ts";
-import { startViewBuilder } from "../../src/gateway/view_builder.ts";
 import { packReply } from "../../src/gateway/view_messages.ts";
-import { createVmDirectory } from "../../src/gateway/vm_directory.ts";
 import { createSilentLogger } from "../../src/support/log.ts";
+import { createVmDirectory } from "../../src/gateway/vm_directory.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import {
   type CallerRequest,
@@ -15,6 +12,7 @@
   until,
 } from "../../stand_ins/platform/platform_deployment.ts";
 import { createPlatformStore } from "../../stand_ins/platform/platform_store.ts";
+import { createReplicaView } from "../../stand_ins/replica_view.ts";
 
 /// An entry of the store that names no usable upstream affects nothing else, and
 /// a later valid one under its key is used.
@@ -71,23 +69,11 @@
 ];
 
 function createView() {
-  const clock = createFakeClock();
-  const log = createSilentLogger();
-  const view = createFleetView(clock);
-  const replica = createStoreReplica();
-  const vms = createVmDirectory(clock, log);
-  startViewBuilder({ log, documents: fleetDocuments, replica, view, vms });
-  let revision = 0;
-  const change = (kind: "put" | "delete", id: string, value: Uint8Array) => {
-    const key = `servers/${id}`;
-    revision += 1;
-    const stored = { key, value, modifiedRevision: revision, lease: "0" };
-    replica.applyChanges([{ kind, value: stored }], "store");
-  };
+  const { view, put, remove } = createReplicaView();
   return {
     recordStoreReconnected: view.recordStoreReconnected,
-    put: (id: string, value: Uint8Array) => change("put", id, value),
-    remove: (id: string) => change("delete", id, Buffer.alloc(0)),
+    put: (id: string, value: Uint8Array) => put(`servers/${id}`, value),
+    remove: (id: string) => remove(`servers/${id}`),
     ids: () => view.upstreams().map(({ id }) => id),
   };
 }
--- a/test/requests/completion_run_test.ts
+++ b/test/requests/completion_run_test.ts
@@ -15,6 +15,7 @@
 import { expectedAnswer } from "../../stand_ins/engine_answer.ts";
 import { createEngineModel } from "../../stand_ins/engine_model.ts";
 import { createFakeClock } from "../../stand_ins/fake_clock.ts";
+import { createMemoryStore } from "../../stand_ins/memory_store.ts";
 import { createLocalNetwork } from "../../stand_ins/local_links.ts";
 import { sampleSheet } from "../../stand_ins/sample_sheet.ts";
 
@@ -54,6 +55,7 @@
       clock,
       links,
       log: createSilentLogger(),
+      store: createMemoryStore(clock).connect(),
     }),
     resumables: { claim: () => Promise.resolve(undefined) },
     upstreamChecks: { isReachedByOthers: () => Promise.resolve(false) },
--- a/test/requests/quarantine_test.ts
+++ b/test/requests/quarantine_test.ts
@@ -63,6 +63,22 @@
   });
 }
 
+// Guards against daemons that all restart and run a quarantined request again.
+test("a quarantined request stays so when all VMs are killed", async (t) => {
+  const fleet = await startPoisonedFleet();
+  await fleet.clock.advanceUntil(send(fleet, "vm-1"));
+  t.is(crashes(fleet), 2);
+  await fleet.clock.advance(3_000);
+  for (const vm of VMS) fleet.kill(vm);
+  for (const vm of VMS) fleet.start(vm);
+  await fleet.clock.advance(SETTLE_MILLISECONDS);
+  for (const vm of VMS) {
+    const { error } = await fleet.clock.advanceUntil(send(fleet, vm));
+    t.is(error?.code, "quarantined");
+  }
+  t.is(crashes(fleet), 2);
+});
+
 test("the first caller receives an error that the request may have run", async (t) => {
   const fleet = await startPoisonedFleet();
   const { error } = await fleet.clock.advanceUntil(send(fleet, "vm-1"));
