Tell the end of an upstream's connection from the end of its tunnel

Callers of one VM got 10 of 16 events of a stream without a length and a normal end when another VM, through which the stream went, made a planned stop. A killed VM had the same effect.

Cause: tunnels carried bytes as they are, so their own end, that of the upstream and a reset behind the last bytes all looked alike.

Tunnels carry frames to their caller, the last one only after the upstream has closed in order. Without it the connection fails as after a reset. VMs of earlier builds, which know no frames, get resets instead of closes, and tunnels through them never end like their upstream.

--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -1,4 +1,3 @@
-import type { Socket } from "node:net";
 import { Client } from "undici";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import {
@@ -6,6 +5,7 @@
   REACHABILITY_OF_FAILURES,
   type UpstreamDialler,
 } from "../tunnels/upstream_dialler.ts";
+import type { UpstreamSocket } from "../tunnels/dial.ts";
 import { watchClose } from "../tunnels/socket_peer.ts";
 import type { UpstreamPaths } from "../tunnels/upstream_paths.ts";
 
@@ -90,7 +90,7 @@
     let wasDiscarded = false;
     let tunnelVm: string | undefined;
     let openingFailure: Reachability | undefined;
-    let socket: Socket | undefined;
+    let socket: UpstreamSocket | undefined;
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -102,7 +102,7 @@
       connect: (_options, callback) => {
         const settle = callback as (
           error: Error | null,
-          socket: Socket | null,
+          socket: UpstreamSocket | null,
         ) => void;
         dialler.dial(address, (result) => {
           if (result.kind === "failed") {
--- a/src/tunnels/connector.ts
+++ b/src/tunnels/connector.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
 import type { DialFailure } from "./dial.ts";
 import type { UpstreamDialler } from "./upstream_dialler.ts";
@@ -20,7 +21,10 @@
 ): buildConnector.connector {
   return (_options, callback) =>
     dialler.dial(address, (result) => {
-      if (result.kind === "connected") return callback(null, result.socket);
+      if (result.kind === "connected") {
+        // undici uses it as a stream.
+        return callback(null, result.socket as Socket);
+      }
       callback(new NotConnectedError(result.reason, result.failure), null);
     });
 }
--- a/src/tunnels/dial.ts
+++ b/src/tunnels/dial.ts
@@ -1,4 +1,5 @@
 import { connect, Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import { parseSocketAddress } from "../support/socket_address.ts";
 
@@ -9,9 +10,15 @@
 /// that was asked for a tunnel can't tell.
 export type DialFailure = "refused" | "silent" | "unavailable";
 
+/// A connection to an upstream, or a tunnel to it.
+export type UpstreamSocket = Duplex & {
+  /// Number of bytes received so far.
+  readonly bytesRead: number;
+};
+
 /// How opening a connection ended.
-export type DialResult =
-  | { readonly kind: "connected"; readonly socket: Socket }
+export type DialResult<Connection extends UpstreamSocket = UpstreamSocket> =
+  | { readonly kind: "connected"; readonly socket: Connection }
   | {
     readonly kind: "failed";
     readonly failure: DialFailure;
@@ -45,11 +52,11 @@
 /// Opens a connection from this VM. Calls `onResult` once, unless cancelled.
 export function dialDirectly(
   { clock, openSocket, address, timeout }: DirectDialOptions,
-  onResult: (result: DialResult) => void,
+  onResult: (result: DialResult<Socket>) => void,
 ): Dial {
   const socket = openSocket(address);
   let isSettled = false;
-  const settle = (result?: DialResult) => {
+  const settle = (result?: DialResult<Socket>) => {
     if (isSettled) return;
     isSettled = true;
     timer.cancel();
--- a/src/tunnels/tunnel_client.ts
+++ b/src/tunnels/tunnel_client.ts
@@ -2,6 +2,11 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import { parseSocketAddress } from "../support/socket_address.ts";
 import type { Dial, DialFailure, DialResult } from "./dial.ts";
+import {
+  TUNNEL_FRAMES,
+  TUNNEL_FRAMES_FIELD,
+  TunnelConnection,
+} from "./tunnel_frames.ts";
 import { TUNNEL_VM_FIELD, tunnelCredentials } from "./tunnel_credentials.ts";
 
 /// Opens connections to upstreams through another VM, with the HTTP method
@@ -55,6 +60,7 @@
     headers: {
       "Proxy-Authorization": tunnelCredentials(secret, address),
       [TUNNEL_VM_FIELD]: self,
+      [TUNNEL_FRAMES_FIELD]: TUNNEL_FRAMES,
     },
   });
   const timer = clock.schedule(
@@ -62,9 +68,9 @@
     () => fail("unavailable", `no response from ${vmAddress} in time`),
   );
   outgoing.on("error", (error) => fail("unavailable", error.message));
-  outgoing.on("connect", ({ statusCode = 0 }, socket, head) => {
+  outgoing.on("connect", ({ statusCode = 0, headers }, socket, head) => {
     socket.on("error", () => {
-      // The user of the socket handles its errors.
+      // The tunnel passes it on.
     });
     if (statusCode !== 200 || isSettled) {
       socket.destroy();
@@ -73,7 +79,12 @@
     }
     socket.setNoDelay(true);
     if (head.length > 0) socket.unshift(head);
-    settle({ kind: "connected", socket });
+    const isFramed = headers[TUNNEL_FRAMES_FIELD] === TUNNEL_FRAMES;
+    const connection = new TunnelConnection(socket, { isFramed });
+    connection.on("error", () => {
+      // The user of the tunnel handles its errors.
+    });
+    settle({ kind: "connected", socket: connection });
   });
   outgoing.end();
   return { cancel: () => settle() };
--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -7,6 +7,12 @@
   type DialResult,
   type OpenSocket,
 } from "./dial.ts";
+import { watchClose } from "./socket_peer.ts";
+import {
+  createFrameEncoder,
+  TUNNEL_FRAMES,
+  TUNNEL_FRAMES_FIELD,
+} from "./tunnel_frames.ts";
 import { isTunnelAllowed, TUNNEL_VM_FIELD } from "./tunnel_credentials.ts";
 
 /// Opens tunnels to upstreams for VMs that can't reach these. A tunnel is never
@@ -56,27 +62,45 @@
   close(): void;
 }
 
+interface Tunnel {
+  /// Name of the VM that opened it.
+  readonly vm: string;
+  /// Whether its caller gets frames, and so knows how it ended.
+  readonly isFramed: boolean;
+}
+
+/// Closes a tunnel so that its end isn't taken for that of the upstream.
+function closeTunnel(caller: Socket, { isFramed }: Tunnel) {
+  if (isFramed) caller.destroy();
+  else caller.resetAndDestroy();
+}
+
 /// Copies bytes in both directions until one end closes. A reset of the upstream
 /// is passed on as one, since it marks an incomplete response.
-function join(caller: Socket, upstream: Socket) {
-  let hasEnded = false;
+function join(caller: Socket, upstream: Socket, isFramed: boolean) {
+  const wasClosed = watchClose(upstream);
   const closeUpstream = () => upstream.destroy();
+  const resetCaller = () => caller.resetAndDestroy();
   caller.on("end", closeUpstream);
   caller.on("close", closeUpstream);
-  upstream.on("end", () => void (hasEnded = true));
-  upstream.on("error", () => caller.resetAndDestroy());
+  upstream.on("error", resetCaller);
+  upstream.on("end", () => {
+    if (!wasClosed()) resetCaller();
+  });
   upstream.on("close", () => {
-    if (!hasEnded) caller.destroy();
+    if (!wasClosed()) resetCaller();
   });
   caller.pipe(upstream);
-  upstream.pipe(caller);
+  if (!isFramed) return void upstream.pipe(caller);
+  const encoder = createFrameEncoder(wasClosed);
+  encoder.on("error", resetCaller);
+  upstream.pipe(encoder).pipe(caller);
 }
 
 /// Starts to accept CONNECT requests on the server of the links.
 export function startTunnelServer(options: TunnelServerOptions): TunnelServer {
   const { clock, openSocket, secrets } = options;
-  /// Names of the VMs that opened them.
-  const tunnels = new Map<Socket, string>();
+  const tunnels = new Map<Socket, Tunnel>();
   let isDraining = false;
 
   const findRefusal = (address: string, message: IncomingMessage) => {
@@ -89,9 +113,14 @@
   options.linkServer.on("connect", (message: IncomingMessage, stream, head) => {
     const caller = stream as Socket;
     const address = message.url ?? "";
+    const isFramed = message.headers[TUNNEL_FRAMES_FIELD] === TUNNEL_FRAMES;
+    const fields = isFramed
+      ? `${TUNNEL_FRAMES_FIELD}: ${TUNNEL_FRAMES}\r\n`
+      : "";
     const respond = (outcome: keyof typeof STATUS_LINES) =>
-      caller.write(`HTTP/1.1 ${STATUS_LINES[outcome]}\r\n\r\n`);
-    tunnels.set(caller, String(message.headers[TUNNEL_VM_FIELD] ?? ""));
+      caller.write(`HTTP/1.1 ${STATUS_LINES[outcome]}\r\n${fields}\r\n`);
+    const vm = String(message.headers[TUNNEL_VM_FIELD] ?? "");
+    tunnels.set(caller, { vm, isFramed });
     caller.on("close", () => tunnels.delete(caller));
     caller.on("error", () => {
       // A reset; the close that follows ends the tunnel.
@@ -101,7 +130,7 @@
       respond(refusal);
       return caller.end();
     }
-    const onDialled = (result: DialResult) => {
+    const onDialled = (result: DialResult<Socket>) => {
       if (result.kind === "failed") {
         respond(options.isPartitioned() ? "unavailable" : result.failure);
         return caller.end();
@@ -111,7 +140,7 @@
       caller.setNoDelay(true);
       caller.setKeepAlive(true, KEEP_ALIVE_MILLISECONDS);
       if (head.length > 0) result.socket.write(head);
-      join(caller, result.socket);
+      join(caller, result.socket, isFramed);
     };
     const dial = dialDirectly({
       clock,
@@ -126,13 +155,13 @@
     count: () => tunnels.size,
     startDraining: () => void (isDraining = true),
     closeTunnelsOf(vm) {
-      for (const [tunnel, openedBy] of tunnels) {
-        if (openedBy === vm) tunnel.destroy();
+      for (const [caller, tunnel] of tunnels) {
+        if (tunnel.vm === vm) closeTunnel(caller, tunnel);
       }
     },
     close() {
       isDraining = true;
-      for (const tunnel of tunnels.keys()) tunnel.destroy();
+      for (const [caller, tunnel] of tunnels) closeTunnel(caller, tunnel);
     },
   };
 }
--- a/src/tunnels/upstream_dialler.ts
+++ b/src/tunnels/upstream_dialler.ts
@@ -1,4 +1,3 @@
-import type { Socket } from "node:net";
 import type { ListedVm } from "../infrastructure/vm_list.ts";
 import type { Clock, Milliseconds, Timer } from "../support/clock.ts";
 import type { RandomSource } from "../support/random.ts";
@@ -8,6 +7,7 @@
   type DialFailure,
   type DialResult,
   type OpenSocket,
+  type UpstreamSocket,
 } from "./dial.ts";
 import { dialThroughVm } from "./tunnel_client.ts";
 import { createTunnelVms } from "./tunnel_vms.ts";
@@ -55,7 +55,7 @@
 export type UpstreamDialResult =
   | {
     readonly kind: "connected";
-    readonly socket: Socket;
+    readonly socket: UpstreamSocket;
     /// Name of the VM through which a tunnel goes; undefined for a direct
     /// connection.
     readonly tunnelVm: string | undefined;
@@ -136,7 +136,7 @@
     address: string,
     { findings, onConnected, onFailed }: {
       findings: Set<DialFailure>;
-      onConnected: (socket: Socket, vm: string) => void;
+      onConnected: (socket: UpstreamSocket, vm: string) => void;
       onFailed: () => void;
     },
   ): Dial => {
--- a/test/tunnels/tunnel_test.ts
+++ b/test/tunnels/tunnel_test.ts
@@ -1,10 +1,13 @@
-import { createServer, type Server } from "node:http";
+import type { EventEmitter } from "node:events";
+import { createServer, request, type Server } from "node:http";
 import {
   type AddressInfo,
   createServer as createTcpServer,
   type Server as TcpServer,
   type Socket,
 } from "node:net";
+import { randomBytes } from "node:crypto";
+import type { Duplex } from "node:stream";
 import test, { type ExecutionContext } from "ava";
 import { createSystemClock } from "../../src/support/clock.ts";
 import {
@@ -12,6 +15,7 @@
   type DialResult,
   openTcpSocket,
 } from "../../src/tunnels/dial.ts";
+import { tunnelCredentials } from "../../src/tunnels/tunnel_credentials.ts";
 import { dialThroughVm } from "../../src/tunnels/tunnel_client.ts";
 import { startTunnelServer } from "../../src/tunnels/tunnel_server.ts";
 import { watchLostVms } from "../../src/tunnels/lost_vms.ts";
@@ -42,6 +46,8 @@
   });
   const address = await listen(upstream);
   const server = createServer();
+  const connections: Socket[] = [];
+  server.on("connection", (socket: Socket) => void connections.push(socket));
   const vmAddress = await listen(server);
   let isPartitioned = false;
   const tunnels = startTunnelServer({
@@ -76,14 +82,43 @@
     if (result.kind === "failed") throw new Error(result.reason);
     return result.socket;
   };
+  /// Asks for a tunnel as earlier builds do.
+  const connectWithoutFrames = () =>
+    new Promise<Socket>((resolve) => {
+      const [host, port] = vmAddress.split(":");
+      request({
+        host,
+        port,
+        agent: false,
+        method: "CONNECT",
+        path: address,
+        headers: {
+          "Proxy-Authorization": tunnelCredentials(SECRET, address),
+          "X-Tunnel-Vm": "vm-1",
+        },
+      }).on("connect", (_, socket, head) => {
+        if (head.length > 0) socket.unshift(head);
+        resolve(socket as Socket);
+      }).end();
+    });
   const partition = () => void (isPartitioned = true);
-  return { tunnels, upstream, dial, connect, partition };
+  /// Closes the connections of the VM, as the kernel does for a killed process.
+  const kill = () => connections.forEach((connection) => connection.destroy());
+  return {
+    tunnels,
+    kill,
+    upstream,
+    dial,
+    connect,
+    connectWithoutFrames,
+    partition,
+  };
 }
 
 const ODD_ADDRESSES = ["127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1", ":80"];
 
 const echo = (socket: Socket) => void socket.pipe(socket);
-const once = (socket: Socket, event: string) =>
+const once = (socket: EventEmitter, event: string) =>
   new Promise<unknown>((resolve) => socket.once(event, resolve));
 
 test("a tunnel passes bytes on in both directions and ends with its caller", async (t) => {
@@ -113,6 +148,117 @@
   t.is(error.code, "ECONNRESET");
 });
 
+/// Collects what a connection receives until it ends, and how it does.
+const receive = (connection: Duplex) =>
+  new Promise<{ bytes: Buffer; isWhole: boolean }>((resolve) => {
+    const chunks: Buffer[] = [];
+    const end = (isWhole: boolean) =>
+      resolve({ bytes: Buffer.concat(chunks), isWhole });
+    connection.on("data", (chunk: Buffer) => void chunks.push(chunk));
+    connection.on("end", () => end(true));
+    connection.on("error", () => end(false));
+  });
+
+test("all bytes of an upstream that closes pass through a tunnel, and its end does", async (t) => {
+  const sent = randomBytes(3_000_000);
+  const { connect } = await deploy(t, (socket) => {
+    for (let at = 0, size = 1; at < sent.length; at += size, size *= 3) {
+      socket.write(sent.subarray(at, at + size));
+    }
+    socket.end();
+  });
+  const { bytes, isWhole } = await receive(await connect());
+  t.true(isWhole);
+  t.true(bytes.equals(sent));
+});
+
+interface EndCase {
+  readonly title: string;
+  readonly act: (socket: Socket) => void;
+  readonly end: (deployment: Awaited<ReturnType<typeof deploy>>) => void;
+}
+
+const part = (socket: Socket) =>
+  void socket.once("data", () => socket.write("a part"));
+
+/// Ends of tunnels that aren't those of their upstreams.
+const ENDS: readonly EndCase[] = [
+  {
+    title: "that its VM closes",
+    act: part,
+    end: ({ tunnels }) => tunnels.close(),
+  },
+  {
+    title: "of a VM that is lost",
+    act: part,
+    end: ({ tunnels }) => tunnels.closeTunnelsOf("vm-1"),
+  },
+  {
+    title: "whose VM is killed",
+    act: part,
+    end: ({ kill }) => kill(),
+  },
+  {
+    title: "whose upstream resets it with its last bytes",
+    act: (socket) =>
+      void socket.once("data", () => {
+        socket.write("a part");
+        socket.resetAndDestroy();
+      }),
+    end: () => {},
+  },
+];
+
+// Guards against a tunnel's end that is taken for the end of a response.
+for (const { title, act, end } of ENDS) {
+  test(`a tunnel ${title} doesn't end like its upstream`, async (t) => {
+    const deployment = await deploy(t, act);
+    const connection = await deployment.connect();
+    connection.once("data", () => end(deployment));
+    connection.write("go");
+    t.false((await receive(connection)).isWhole);
+  });
+
+  // Nothing tells a VM of an earlier build that another one was killed.
+  if (title === "whose VM is killed") continue;
+
+  test(`a tunnel ${title} is reset for a VM of an earlier build`, async (t) => {
+    const deployment = await deploy(t, act);
+    const socket = await deployment.connectWithoutFrames();
+    const ended = new Promise<boolean>((resolve) => {
+      socket.on("end", () => resolve(socket.remoteAddress === undefined));
+      socket.on("error", () => resolve(true));
+    });
+    socket.once("data", () => end(deployment));
+    socket.write("go");
+    t.true(await ended);
+  });
+}
+
+test("the end of a tunnel through a VM of an earlier build isn't that of its upstream", async (t) => {
+  const server = createServer();
+  server.on(
+    "connect",
+    (_, socket) =>
+      void socket.end("HTTP/1.1 200 Connection Established\r\n\r\na part"),
+  );
+  const vmAddress = await listen(server);
+  t.teardown(() => server.close());
+  const result = await new Promise<DialResult>((resolve) =>
+    void dialThroughVm({
+      clock,
+      self: "vm-1",
+      vmAddress,
+      address: "127.0.0.1:1",
+      secret: SECRET,
+      timeout: 1_000,
+    }, resolve)
+  );
+  if (result.kind === "failed") return t.fail(result.reason);
+  const { bytes, isWhole } = await receive(result.socket);
+  t.deepEqual([String(bytes), isWhole], ["a part", false]);
+});
+
 test("a tunnel that isn't allowed is refused", async (t) => {
   const { dial, tunnels } = await deploy(t, echo);
   const cases = [{ secret: "another" }, { address: "127.0.0.1:1" }];
--- a/test/upgrade_tunnels_test.ts
+++ b/test/upgrade_tunnels_test.ts
@@ -1,6 +1,7 @@
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import test from "ava";
+import { STORED_CRASHES_PREFIX } from "../src/requests/stored_crashes.ts";
 import {
   type CallerRequest,
   startPlatformDeployment,
@@ -9,10 +10,26 @@
 import { createGatewayProcess } from "../stand_ins/soak/gateway_process.ts";
 import { buildEarlierGateway } from "../stand_ins/upgrade/earlier_gateway.ts";
 
-/// Tunnels while most VMs run an earlier build, which knows none.
+/// Tunnels while most VMs run an earlier build.
 
-const EARLIER_COMMIT = "bf83872";
-const EARLIER_VMS = 8;
+interface EarlierBuild {
+  readonly title: string;
+  readonly commit: string;
+  readonly vms: number;
+}
+
+const EARLIER_BUILDS: readonly EarlierBuild[] = [
+  {
+    title: "finds the one VM of many that opens tunnels",
+    commit: "bf83872",
+    vms: 8,
+  },
+  {
+    title: "uses tunnels of VMs whose build has no frames or stored crashes",
+    commit: "5ea8436",
+    vms: 2,
+  },
+];
 const UPSTREAMS_PER_SERVICE = 4;
 const ROUNDS = 6;
 
@@ -26,44 +43,50 @@
   },
 ];
 
-test("a VM without a path to upstreams finds the one VM of many that opens tunnels", async (t) => {
-  const { program, remove } = buildEarlierGateway(EARLIER_COMMIT);
-  t.teardown(remove);
-  const folder = mkdtempSync(`${tmpdir()}/sequoiaturn-upgrade-`);
-  t.teardown(() => rmSync(folder, { recursive: true }));
-  const deployment = await startPlatformDeployment({ gateways: 2 });
-  t.teardown(deployment.close);
-  for (const service of ["engines", "desk"]) {
-    for (let index = 0; index < UPSTREAMS_PER_SERVICE; index++) {
-      await deployment.addUpstream(
-        service,
-        `${service}-${index}`,
-        () =>
-          service === "engines"
-            ? { kind: "stream", to: 3 }
-            : { kind: "answer", body: "done" },
-      );
+for (const { title, commit, vms } of EARLIER_BUILDS) {
+  test(`a VM without a path to upstreams ${title}`, async (t) => {
+    const { program, remove } = buildEarlierGateway(commit);
+    t.teardown(remove);
+    const folder = mkdtempSync(`${tmpdir()}/sequoiaturn-upgrade-`);
+    t.teardown(() => rmSync(folder, { recursive: true }));
+    const deployment = await startPlatformDeployment({ gateways: 2 });
+    t.teardown(deployment.close);
+    for (const service of ["engines", "desk"]) {
+      for (let index = 0; index < UPSTREAMS_PER_SERVICE; index++) {
+        await deployment.addUpstream(
+          service,
+          `${service}-${index}`,
+          () =>
+            service === "engines"
+              ? { kind: "stream", to: 3 }
+              : { kind: "answer", body: "done" },
+        );
+      }
     }
-  }
-  const { address: storeAddress } = await deployment.store.openEndpoint();
-  await Promise.all(
-    Array.from({ length: EARLIER_VMS }, async (_, index) => {
-      const options = { storeAddress, folder };
-      const vm = await createGatewayProcess(`earlier-${index}`, options);
-      t.teardown(() => vm.signal("SIGKILL"));
-      await vm.start(program);
-    }),
-  );
-  const peers = `sequoiaturn_gateway_peers ${EARLIER_VMS + 1}\n`;
-  await until(async () => (await deployment.readMetrics(0)).includes(peers));
-
-  deployment.upstreamNetworks[0]!.partition("refuse");
-  const statuses: (number | undefined)[] = [];
-  for (let round = 0; round < ROUNDS; round++) {
-    const results = await Promise.all(REQUESTS.map(deployment.send));
-    statuses.push(
-      ...results.map(({ status, isWhole }) => isWhole ? status : undefined),
+    deployment.store.put(`${STORED_CRASHES_PREFIX}1`, {
+      key: "deadly",
+      records: [],
+    });
+    const { address: storeAddress } = await deployment.store.openEndpoint();
+    await Promise.all(
+      Array.from({ length: vms }, async (_, index) => {
+        const options = { storeAddress, folder };
+        const vm = await createGatewayProcess(`earlier-${index}`, options);
+        t.teardown(() => vm.signal("SIGKILL"));
+        await vm.start(program);
+      }),
     );
-  }
-  t.deepEqual(statuses, statuses.map(() => 200));
-});
+    const peers = `sequoiaturn_gateway_peers ${vms + 1}\n`;
+    await until(async () => (await deployment.readMetrics(0)).includes(peers));
+
+    deployment.upstreamNetworks[0]!.partition("refuse");
+    const statuses: (number | undefined)[] = [];
+    for (let round = 0; round < ROUNDS; round++) {
+      const results = await Promise.all(REQUESTS.map(deployment.send));
+      statuses.push(
+        ...results.map(({ status, isWhole }) => isWhole ? status : undefined),
+      );
+    }
+    t.deepEqual(statuses, statuses.map(() => 200));
+  });
+}
