Handle the errors of a connection whose request for a tunnel is refused

A caller that sent CONNECT and reset the connection ended a gateway with the eleventh such request in 10 s, and with it all requests there.

Cause: Node.js removes its listeners from the connection of such a request, and the reset became an uncaught error, of which more than ten stop the process. The connection was also left open for as long as its caller liked.

The refusal handles the errors and closes the connection after a second.

Test: twelve callers in unusual_requests_test.ts; before, the uncaught errors failed the test file.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -17,6 +17,7 @@
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import { handleRequest } from "./request_handler.ts";
 import { findRequestFault } from "./request_check.ts";
+import { refuseTunnel } from "./refused_tunnel.ts";
 import { createRequestSequence } from "./request_sequence.ts";
 import type { RouteTable } from "./route_table.ts";
 import { timingOf } from "./stop_schedule.ts";
@@ -274,11 +275,7 @@
   );
 
   // Node.js closes the connection of this method if nothing handles it.
-  server.on("connect", (_message, socket) =>
-    void socket.end(
-      "HTTP/1.1 405 Method Not Allowed\r\n" +
-        "Connection: close\r\nContent-Length: 0\r\n\r\n",
-    ));
+  server.on("connect", (_message, socket) => refuseTunnel(socket, clock));
   const idleConnections = startIdleConnections(server, clock);
 
   return {
--- a/test/gateway/unusual_requests_test.ts
+++ b/test/gateway/unusual_requests_test.ts
@@ -96,6 +96,32 @@
   });
 }
 
+// Guards against a caller's reset that ends the process.
+test("callers that ask for a tunnel and reset the connection affect no others", async (t) => {
+  const { deployment, open } = await deployForCaller(t);
+  for (let count = 0; count < 12; count++) {
+    const connection = open();
+    connection.send(
+      "CONNECT callers.example:80 HTTP/1.1\r\nHost: callers.example\r\n\r\n",
+    );
+    await until(() => connection.socket.bytesWritten > 0);
+    connection.socket.resetAndDestroy();
+    await until(connection.isClosed);
+  }
+  const { status } = await deployment.send({ path: "/once/1", body: "order" });
+  t.is(status, 200);
+  t.regex(await deployment.readMetrics(), /unexpected_errors_total 0\n/);
+});
+
+test("a connection whose request for a tunnel was refused is closed", async (t) => {
+  const { connection } = await deployForCaller(t);
+  connection.send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n");
+  await until(() => connection.statuses().length > 0);
+  connection.socket.write("bytes");
+  await until(connection.isClosed);
+  t.deepEqual(connection.statuses(), [405]);
+});
+
 test("a stream in HTTP/1.0 has no chunks and ends with its connection", async (t) => {
   const { connection } = await deployForCaller(t);
   const lines = STREAM;
