Bound what upstreams send without end in small pieces and in heads

A single response in chunks of a byte, or a hundred with header fields without end, ended a gateway (heap), and with it all requests there. Trailers, sizes of chunks and comments without end took the processor, so that sound requests waited for up to 8 s.

Cause: limits counted bytes, while each piece of a byte is an object; the parser keeps fields that the gateway doesn't see; and bytes that are no piece counted nowhere.

Pieces are copied into blocks. What isn't the body of a response is counted, unfinished heads of all responses have a budget until their parsers are gone, and the parser gets slices of a read, so that the count comes first. Small pieces of all bodies are paced.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,3 +1,4 @@
+import { createByteCollector } from "../support/byte_collector.ts";
 import type { Milliseconds } from "../support/clock.ts";
 import type { Reachability } from "../tunnels/upstream_dialler.ts";
 import {
@@ -89,8 +90,7 @@
   const { clock, dialect } = context;
   const { attemptId } = request.metadata;
   const splitter = createEventSplitter();
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const collected = createByteCollector();
   /// Part of the shared memory for responses that this one uses.
   let held = 0;
   let head: ResponseHead | undefined;
@@ -157,8 +157,8 @@
       return settle({ kind: "not_run", reason, isUnreachable, faultAddress });
     }
     if (!isStream) {
-      const body = Buffer.concat(chunks);
       const { status, headers } = head;
+      const body = collected.bytes();
       return settle({ kind: "answered", status, headers, body });
     }
     if (splitter.remainder().length > 0) return fail("ended within an event");
@@ -169,7 +169,7 @@
     settle({ kind: "streamed" });
   };
 
-  const exchange: Exchange = startExchange(context.connections, {
+  const exchange: Exchange = startExchange(context, {
     address: plan.upstream.address,
     method: request.method,
     target: request.target,
@@ -213,13 +213,14 @@
     onData(chunk) {
       if (!head) return;
       if (!isStream) {
-        size += chunk.length;
-        if (size > MAXIMUM_RESPONSE_BYTES) return fail("an answer without end");
+        if (collected.size() + chunk.length > MAXIMUM_RESPONSE_BYTES) {
+          return fail("an answer without end");
+        }
         if (!context.responseBytes.take(chunk.length)) {
           return fail("too many bytes of answers are in memory");
         }
         held += chunk.length;
-        chunks.push(chunk);
+        collected.add(chunk);
         return;
       }
       const eventsBefore = splitter.count();
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,4 +1,8 @@
+import type { Clock, Milliseconds } from "../support/clock.ts";
 import { isFramedResponse } from "../upstreams/response_framing.ts";
+import type { ByteBudget } from "./byte_budget.ts";
+import { createPieceMeter, type PieceQuota } from "./piece_quota.ts";
+import { createResponseOverhead } from "./response_overhead.ts";
 import type {
   ReuseOptions,
   UpstreamConnection,
@@ -80,10 +84,19 @@
   "EPIPE",
 ]);
 
+/// What all exchanges of a process share.
+export interface ExchangeContext {
+  readonly clock: Clock;
+  readonly connections: UpstreamConnections;
+  readonly pieceQuota: PieceQuota;
+  /// Bytes of heads and trailers that are not complete yet.
+  readonly unfinishedHeadBytes: ByteBudget;
+}
+
 /// Sends a request. The connection is kept for other requests when the response
 /// is complete and framed.
 export function startExchange(
-  connections: UpstreamConnections,
+  { clock, connections, pieceQuota, unfinishedHeadBytes }: ExchangeContext,
   request: OutgoingRequest,
   handler: ExchangeHandler,
 ): Exchange {
@@ -96,16 +109,50 @@
   let isFramed = true;
   let informationalResponses = 0;
   let control: { pause(): void; resume(): void } | undefined;
+  /// Why reading is paused.
+  let isHeldBack = false;
+  let isPaced = false;
+  const overhead = createResponseOverhead(unfinishedHeadBytes);
+  const pieces = createPieceMeter(pieceQuota);
+  const receivedBefore = connection.bytesReceived();
+
+  const end = () => {
+    hasEnded = true;
+    // The parser keeps the fields of an unfinished head for as long.
+    connection.onClosed(overhead.release);
+  };
 
   const fail = (reason: string, wasClosed = false) => {
     if (hasEnded) return;
-    hasEnded = true;
+    end();
     connection.discard();
     const wasReused = connection.isReused();
     const hadNoPath = connection.openingFailure() === "unknown";
     handler.onFailure({ wasSent, wasReused, wasClosed, hadNoPath, reason });
   };
 
+  const resumeReading = () => {
+    if (!isHeldBack && !isPaced && !hasEnded) control?.resume();
+  };
+
+  /// Lets other requests have the processor before the next piece.
+  const pace = (delay: Milliseconds) => {
+    if (isPaced) return;
+    isPaced = true;
+    control?.pause();
+    clock.schedule(delay, () => {
+      isPaced = false;
+      resumeReading();
+    });
+  };
+
+  connection.setSlices(() => {
+    const parsed = connection.bytesParsed() - receivedBefore;
+    const fault = hasEnded ? undefined : overhead.findFault(parsed);
+    if (fault) fail(fault);
+    return overhead.nextSlice();
+  });
+
   try {
     connection.client.dispatch({
       path: request.target,
@@ -132,10 +179,15 @@
           return;
         }
         isFramed = isFramedResponse(status, headers);
+        overhead.recordHead();
         handler.onHead(status, headers, isFramed);
       },
       onResponseData(_controller, chunk) {
-        if (!hasEnded) handler.onData(chunk);
+        if (hasEnded) return;
+        overhead.recordPiece(chunk);
+        handler.onData(chunk);
+        const delay = pieces.count(chunk);
+        if (delay > 0 && !hasEnded) pace(delay);
       },
       onResponseEnd() {
         if (hasEnded) return;
@@ -144,6 +196,7 @@
           return fail("reset at the end of a response without a length", true);
         }
         hasEnded = true;
+        overhead.release();
         if (isFramed) connection.release();
         else connection.discard();
         handler.onEnd();
@@ -162,11 +215,17 @@
   return {
     abort() {
       if (hasEnded) return;
-      hasEnded = true;
+      end();
       connection.discard();
     },
-    pause: () => control?.pause(),
-    resume: () => control?.resume(),
+    pause() {
+      isHeldBack = true;
+      control?.pause();
+    },
+    resume() {
+      isHeldBack = false;
+      resumeReading();
+    },
     bytesReceived: connection.bytesReceived,
     wasSent: () => wasSent,
     tunnelVm: connection.tunnelVm,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { createLeavingUpstreams } from "./leaving_upstreams.ts";
+import { createPieceQuota } from "./piece_quota.ts";
 import { createPlannedStop } from "./planned_stop.ts";
 import { createPlacementParts } from "./placement_parts.ts";
 import { startLinkTraffic } from "./link_traffic.ts";
@@ -51,6 +52,9 @@
 /// Limit for all responses in memory at the same time, which bounds the memory
 /// of this process.
 const MAXIMUM_RESPONSE_BYTES = 16_777_216;
+/// Limit for the unfinished heads of all responses, whose fields take many times
+/// their size in memory.
+const MAXIMUM_UNFINISHED_HEAD_BYTES = 262_144;
 /// Shared by all VMs of a deployment, so that links to other programs are
 /// closed. The platform provides no secret. Links carry neither prompts nor
 /// keys; tunnels carry prompts, like connections to upstreams.
@@ -222,6 +226,8 @@
     upstreamHolds,
     leavingUpstreams: createLeavingUpstreams({ links, view }),
     connections,
+    pieceQuota: createPieceQuota(clock),
+    unfinishedHeadBytes: createByteBudget(MAXIMUM_UNFINISHED_HEAD_BYTES),
     crashRecords,
     storedCrashes,
     responseBytes: createByteBudget(MAXIMUM_RESPONSE_BYTES),
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -15,6 +15,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { InFlightWork } from "./in_flight_work.ts";
 import type { LeavingUpstreams } from "./leaving_upstreams.ts";
+import type { PieceQuota } from "./piece_quota.ts";
 import type { PlacementService } from "./placement_service.ts";
 import type { RequestStop } from "./planned_stop.ts";
 import type { RetryBudget } from "./retry_budget.ts";
@@ -39,6 +40,10 @@
   readonly upstreamHolds: UpstreamHolds;
   readonly leavingUpstreams: LeavingUpstreams;
   readonly connections: UpstreamConnections;
+  /// Limits the small pieces of all bodies together.
+  readonly pieceQuota: PieceQuota;
+  /// Bytes of upstreams' heads and trailers that are not complete yet.
+  readonly unfinishedHeadBytes: ByteBudget;
   readonly crashRecords: CrashRecords;
   readonly storedCrashes: StoredCrashes;
   /// Bytes of responses that are buffered before they are forwarded.
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -8,6 +8,7 @@
 import type { UpstreamSocket } from "../tunnels/dial.ts";
 import { watchClose } from "../tunnels/socket_peer.ts";
 import type { UpstreamPaths } from "../tunnels/upstream_paths.ts";
+import { readInSlices } from "./sliced_reads.ts";
 
 /// Connections to upstreams, which are kept for reuse. Each carries one request
 /// at a time. The most recently used idle connection is reused first.
@@ -23,6 +24,8 @@
 /// a time.
 const MAXIMUM_IDLE_CONNECTIONS = 4;
 const MAXIMUM_HEADER_BYTES = 65_536;
+/// Bytes that are parsed at once on a connection without a request.
+const SLICE_BYTES = 4_096;
 
 /// A connection in use by one request.
 export interface UpstreamConnection {
@@ -32,6 +35,11 @@
   wasClosedByUpstream(): boolean;
   /// Number of bytes received on it so far.
   bytesReceived(): number;
+  /// Number of these that have been passed to the parser.
+  bytesParsed(): number;
+  /// Sets how many bytes are parsed at once. `nextSlice` is called before each time
+  /// that bytes are parsed, when the earlier ones have been.
+  setSlices(nextSlice: () => number): void;
   /// Whether it has carried a request before.
   isReused(): boolean;
   /// Name of the VM through which it goes, if it is a tunnel. Tunnels aren't
@@ -39,6 +47,9 @@
   tunnelVm(): string | undefined;
   /// Why it could not be opened; undefined if it was.
   openingFailure(): Reachability | undefined;
+  /// Calls `listener` once the connection is closed and no longer parsed; at once
+  /// if it isn't open.
+  onClosed(listener: () => void): void;
   /// Returns the connection for reuse by other requests.
   release(): void;
   /// Closes the connection at once.
@@ -86,6 +97,7 @@
 
   const open = (address: string): UpstreamConnection => {
     let wasClosed = () => false;
+    let nextSlice = () => SLICE_BYTES;
     let wasReleased = false;
     let wasDiscarded = false;
     let tunnelVm: string | undefined;
@@ -112,6 +124,10 @@
           ({ socket, tunnelVm } = result);
           wasClosed = watchClose(socket);
           if (wasDiscarded) socket.destroy();
+          readInSlices(socket, () => {
+            const slice = nextSlice();
+            return wasDiscarded ? 0 : slice;
+          });
           settle(null, socket);
         });
       },
@@ -126,9 +142,15 @@
       client,
       wasClosedByUpstream: () => wasClosed(),
       bytesReceived: () => socket?.bytesRead ?? 0,
+      bytesParsed: () => socket ? socket.bytesRead - socket.readableLength : 0,
+      setSlices: (callback) => void (nextSlice = callback),
       isReused: () => wasReleased,
       tunnelVm: () => tunnelVm,
       openingFailure: () => openingFailure,
+      onClosed(listener) {
+        if (!socket || socket.closed) listener();
+        else socket.once("close", listener);
+      },
       release() {
         if (tunnelVm !== undefined) return connection.discard();
         wasReleased = true;
--- a/stand_ins/soak/gateway_process.ts
+++ b/stand_ins/soak/gateway_process.ts
@@ -15,6 +15,8 @@
   readonly readinessAddress: string;
   readonly linkAddress: string;
   readonly metricsAddress: string;
+  /// Undefined before the first start.
+  processId(): number | undefined;
   isRunning(): boolean;
   signal(signal: NodeJS.Signals): void;
   /// Starts the process unless it is running, from the current build unless
@@ -56,7 +58,12 @@
 
 export async function createGatewayProcess(
   vm: string,
-  options: { readonly storeAddress: string; readonly folder: string },
+  options: {
+    readonly storeAddress: string;
+    readonly folder: string;
+    /// Options of Node.js.
+    readonly nodeOptions?: readonly string[];
+  },
 ): Promise<GatewayProcess> {
   const findFreeAddress = async () => `127.0.0.1:${await findFreePort()}`;
   const callerAddress = await findFreeAddress();
@@ -88,13 +95,17 @@
     readinessAddress: settings.readinessAddress,
     linkAddress: settings.linkAddress,
     metricsAddress: settings.metricsAddress,
+    processId: () => child?.pid,
     isRunning,
     signal: (signal) => void (isRunning() && child!.kill(signal)),
     async start(program = PROGRAM) {
       if (isRunning()) return;
-      child = spawn(process.execPath, [program, "--settings", file], {
-        stdio: ["ignore", "pipe", "inherit"],
-      });
+      const { nodeOptions = [] } = options;
+      child = spawn(
+        process.execPath,
+        [...nodeOptions, program, "--settings", file],
+        { stdio: ["ignore", "pipe", "inherit"] },
+      );
       const started = new Promise<void>((resolve, reject) => {
         // Another fault may end the process while it starts.
         child!.once("exit", (code) => {
--- a/test/gateway/aborted_attempt_test.ts
+++ b/test/gateway/aborted_attempt_test.ts
@@ -20,7 +20,9 @@
     client: {
       dispatch: (_: object, handler: ResponseCalls) => calls = handler,
     },
-    socketError: () => undefined,
+    wasClosedByUpstream: () => true,
+    setSlices() {},
+    onClosed() {},
     bytesReceived: () => 0,
     isReused: () => false,
     tunnelVm: () => undefined,
@@ -38,6 +40,7 @@
       check: () => new Promise((resolve) => finishCheck = resolve),
     },
     responseBytes: { release() {} },
+    unfinishedHeadBytes: { release() {} },
   } as unknown as RequestContext;
   const request = {
     metadata: {},
