Copy callers' bodies, and limit those in small pieces

One request body within the configured limit, in chunks of a byte, ended a gateway (heap), and all requests there with it.

Cause: the reader kept each piece as an object of its own until the end.

Pieces are copied into blocks. Eight bodies in small pieces are read at the same time, at the process's rate of small pieces; others get 503, and a refused body that goes on in small pieces or for 16 MiB is closed.

Tests: bodies of 1 and 30 callers in endless_bytes_test.ts, and a body of some kilobytes in chunks of a byte, which is served.

--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -1,12 +1,26 @@
 import type { IncomingMessage } from "node:http";
+import { createByteCollector } from "../support/byte_collector.ts";
+import type { Clock, Milliseconds } from "../support/clock.ts";
+import { createPieceMeter, type PieceQuota } from "./piece_quota.ts";
 
 /// Reads the bodies of callers' requests into memory, of which all bodies
 /// together use a limited amount.
 
+/// Small pieces from which a body counts as one in small pieces.
+const MANY_SMALL_PIECES = 1_024;
+/// Bodies in small pieces that are read at the same time. While one waits for its
+/// share of the processor, Node.js keeps thousands of its pieces.
+const MAXIMUM_SMALL_PIECED_BODIES = 8;
+/// Time in which a body in small pieces has to arrive.
+const SMALL_PIECED_TIMEOUT_MILLISECONDS: Milliseconds = 10_000;
+/// Bytes of a refused body that are discarded before its connection is closed.
+const MAXIMUM_DISCARDED_BYTES = 16_777_216;
+
 /// How reading a body ended.
 export type ReadBody =
   | { readonly kind: "read"; readonly body: Buffer }
   | { readonly kind: "too_large" }
+  /// There is no memory for it, or no processor time for its small pieces.
   | { readonly kind: "no_memory" }
   /// The caller disconnected or violated the protocol within its body.
   | {
@@ -16,44 +30,107 @@
   };
 
 export interface BodyReader {
-  /// Reads the body of a request. The rest of a body that is too large is read
-  /// and discarded, since the next request of the connection follows it.
+  /// Reads the body of a request. The rest of a body that is refused is read and
+  /// discarded, since the next request of the connection follows it, unless it is
+  /// very long or in small pieces.
   read(message: IncomingMessage, limit: number): Promise<ReadBody>;
   /// Counts a body that has been read until the returned function is called.
   hold(body: Buffer): () => void;
 }
 
-/// Creates a reader of bodies that together take up to `maximumBytes`.
-export function createBodyReader(maximumBytes: number): BodyReader {
+export interface BodyReaderOptions {
+  readonly clock: Clock;
+  readonly pieceQuota: PieceQuota;
+  /// Size of all bodies together.
+  readonly maximumBytes: number;
+}
+
+export function createBodyReader(
+  { clock, pieceQuota, maximumBytes }: BodyReaderOptions,
+): BodyReader {
   let held = 0;
+  /// Bodies in small pieces that are being read.
+  let smallPieced = 0;
+
+  const read = (message: IncomingMessage, limit: number) =>
+    new Promise<ReadBody>((resolve) => {
+      const pieces = createPieceMeter(pieceQuota);
+      const startedAt = clock.now();
+      let collected = createByteCollector();
+      let size = 0;
+      let discarded = 0;
+      let isOver = false;
+      let isSmallPieced = false;
+      let isEnding = false;
+
+      const settle = (result: ReadBody) => {
+        if (isOver) return;
+        isOver = true;
+        held -= size;
+        collected = createByteCollector();
+        if (isSmallPieced) smallPieced -= 1;
+        resolve(result);
+      };
+
+      /// Closes the connection once the response has been written.
+      const endSoon = () => {
+        if (isEnding) return;
+        isEnding = true;
+        message.socket?.pause();
+        setImmediate(() => message.destroy());
+      };
+
+      const discard = (piece: Buffer) => {
+        discarded += piece.length;
+        const isEndless = discarded > MAXIMUM_DISCARDED_BYTES ||
+          pieces.small() > MANY_SMALL_PIECES;
+        if (isEndless) endSoon();
+      };
+
+      /// Returns whether a body with many small pieces may be read on.
+      const mayReadOn = () => {
+        if (pieces.small() <= MANY_SMALL_PIECES) return true;
+        if (!isSmallPieced) {
+          if (smallPieced >= MAXIMUM_SMALL_PIECED_BODIES) return false;
+          isSmallPieced = true;
+          smallPieced += 1;
+        }
+        const took = clock.now() - startedAt;
+        return took < SMALL_PIECED_TIMEOUT_MILLISECONDS;
+      };
+
+      message.on("data", (piece: Buffer) => {
+        const delay = pieces.count(piece);
+        if (isOver) return discard(piece);
+        size += piece.length;
+        held += piece.length;
+        collected.add(piece);
+        if (size > limit) return settle({ kind: "too_large" });
+        if (held > maximumBytes || !mayReadOn()) {
+          return settle({ kind: "no_memory" });
+        }
+        // Others aren't paused, since the pieces that wait take much memory.
+        if (delay === 0 || !isSmallPieced) return;
+        message.pause();
+        clock.schedule(delay, () => message.resume());
+      });
+      message.on(
+        "end",
+        () => settle({ kind: "read", body: collected.bytes() }),
+      );
+      message.on(
+        "error",
+        ({ message: reason }: Error) =>
+          settle({ kind: "failed", reason, size }),
+      );
+      message.on(
+        "close",
+        () => settle({ kind: "failed", reason: "closed", size }),
+      );
+    });
+
   return {
-    read: (message, limit) =>
-      new Promise((resolve) => {
-        let chunks: Buffer[] = [];
-        let size = 0;
-        let isOver = false;
-        const settle = (result: ReadBody) => {
-          if (isOver) return;
-          isOver = true;
-          held -= size;
-          chunks = [];
-          resolve(result);
-        };
-        message.on("data", (chunk: Buffer) => {
-          if (isOver) return;
-          size += chunk.length;
-          held += chunk.length;
-          chunks.push(chunk);
-          if (size > limit) settle({ kind: "too_large" });
-          else if (held > maximumBytes) settle({ kind: "no_memory" });
-        });
-        message.on("end", () =>
-          settle({ kind: "read", body: Buffer.concat(chunks, size) }));
-        message.on("error", ({ message: reason }: Error) =>
-          settle({ kind: "failed", reason, size }));
-        message.on("close", () =>
-          settle({ kind: "failed", reason: "closed", size }));
-      }),
+    read,
     hold(body) {
       held += body.length;
       return () => void (held -= body.length);
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -68,9 +68,13 @@
   context: RequestContext,
   plannedStop: PlannedStop,
 ): CallerServer {
-  const { clock, random, log, metrics, dialect, view } = context;
+  const { clock, random, log, metrics, dialect, view, pieceQuota } = context;
   let running = 0;
-  const bodies = createBodyReader(MAXIMUM_BUFFERED_BODY_BYTES);
+  const bodies = createBodyReader({
+    clock,
+    pieceQuota,
+    maximumBytes: MAXIMUM_BUFFERED_BODY_BYTES,
+  });
 
   /// Reads the body, or sends an error response and resolves to undefined.
   const readBody = async (
--- a/test/gateway/endless_bytes_test.ts
+++ b/test/gateway/endless_bytes_test.ts
@@ -240,3 +240,34 @@
     }
   });
 }
+
+for (const callers of [1, 30]) {
+  test.serial(`a gateway bears bodies of ${callers} callers in chunks of a byte`, async (t) => {
+    const deployment = await deploy(t, () => {});
+    const connections = Array.from({ length: callers }, deployment.open);
+    const pieces = chunk("x").repeat(4_000);
+    for (const { socket, send } of connections) {
+      send(
+        formatRequest("/once/sound", { body: "", lines: [CHUNKED] })
+          .replace(/Content-Length: 0\r\n/, ""),
+      );
+      writeEndlessly(socket, pieces);
+    }
+    await check(t, deployment, connections);
+    for (const connection of connections) {
+      t.regex(connection.received(), /^$|^HTTP\/1\.1 (413|503) /);
+    }
+  });
+}
+
+test.serial("a body of some kilobytes in chunks of a byte is served", async (t) => {
+  const { open } = await deploy(t, () => {});
+  const connection = open();
+  connection.send(
+    formatRequest("/once/sound", { body: "", lines: [CHUNKED] })
+      .replace(/Content-Length: 0\r\n/, "") +
+      chunk("x").repeat(8_000) + "0\r\n\r\n",
+  );
+  await until(() => connection.statuses().length > 0);
+  t.deepEqual(connection.statuses(), [200]);
+});
--- a/test/gateway/unusual_requests_test.ts
+++ b/test/gateway/unusual_requests_test.ts
@@ -1,6 +1,8 @@
 import { PassThrough } from "node:stream";
 import type { IncomingMessage } from "node:http";
 import test from "ava";
+import { createPieceQuota } from "../../src/gateway/piece_quota.ts";
+import { createSystemClock } from "../../src/support/clock.ts";
 import { createBodyReader } from "../../src/gateway/body_reader.ts";
 import {
   type CallerConnection,
@@ -131,7 +133,12 @@
 });
 
 test("a body without memory for it is discarded, and its memory used by the next", async (t) => {
-  const bodies = createBodyReader(10);
+  const clock = createSystemClock();
+  const bodies = createBodyReader({
+    clock,
+    pieceQuota: createPieceQuota(clock),
+    maximumBytes: 10,
+  });
   const open = () => new PassThrough();
   const read = (stream: PassThrough) =>
     bodies.read(stream as unknown as IncomingMessage, 100);
