Count only the bytes of the upstream at the caller's end of a tunnel

Cause: found by reading. The tunnel counted what its socket had received, frames and bytes that it had not passed on yet, so that a long response through another VM could count as bytes beside the body.

Test: the count in tunnel_test.ts failed before. A long response through another VM in endless_tunnels_test.ts is whole with and without the change.

--- a/src/tunnels/tunnel_frames.ts
+++ b/src/tunnels/tunnel_frames.ts
@@ -46,6 +46,7 @@
   #length: Buffer = Buffer.alloc(0);
   /// Bytes of the current frame that have not arrived yet.
   #missing = 0;
+  #received = 0;
   /// Whether the last frame has arrived.
   #isComplete = false;
 
@@ -54,7 +55,7 @@
     this.#socket = socket;
     this.#isFramed = options.isFramed;
     socket.on("data", (bytes: Buffer) => {
-      const hasRoom = this.#isFramed ? this.#decode(bytes) : this.push(bytes);
+      const hasRoom = this.#isFramed ? this.#decode(bytes) : this.#pass(bytes);
       if (!hasRoom) socket.pause();
     });
     socket.on("error", (error) => this.destroy(error));
@@ -68,9 +69,14 @@
     socket.on("close", onClose);
   }
 
-  /// Number of bytes received so far.
+  /// Number of bytes of the upstream that were received so far.
   get bytesRead(): number {
-    return this.#socket.bytesRead;
+    return this.#received;
+  }
+
+  #pass(bytes: Buffer): boolean {
+    this.#received += bytes.length;
+    return this.push(bytes);
   }
 
   /// Passes on what the frames contain. Returns false to pause.
@@ -95,7 +101,7 @@
       const part = rest.subarray(0, this.#missing);
       this.#missing -= part.length;
       rest = rest.subarray(part.length);
-      hasRoom = this.push(part);
+      hasRoom = this.#pass(part);
     }
     return hasRoom;
   }
--- a/test/gateway/endless_tunnels_test.ts
+++ b/test/gateway/endless_tunnels_test.ts
@@ -127,3 +127,19 @@
     t.regex(await deployment.readMetrics(), /tunnels[^\n]* [1-9]/);
   });
 }
+
+test.serial("a long response through another VM is whole", async (t) => {
+  const deployment = await startPlatformDeployment({ gateways: 2 });
+  t.teardown(deployment.close);
+  const body = "whole ".repeat(300_000);
+  await deployment.addUpstream("desk", "u1", () => ({ kind: "answer", body }));
+  await until(() => isConnected(deployment, 1));
+  deployment.upstreamNetworks[0]!.partition("refuse");
+  const results = await Promise.all(
+    Array.from({ length: 4 }, () => deployment.send(ONCE)),
+  );
+  for (const result of results) {
+    t.deepEqual([result.status, result.isWhole], [200, true]);
+    t.true(result.body === body);
+  }
+});
--- a/test/tunnels/tunnel_test.ts
+++ b/test/tunnels/tunnel_test.ts
@@ -172,6 +172,24 @@
   t.true(bytes.equals(sent));
 });
 
+test("a tunnel counts the bytes that it has passed on, and no others", async (t) => {
+  const sent = randomBytes(1_000_000);
+  const { connect } = await deploy(t, (socket) => {
+    for (let at = 0; at < sent.length; at += 100) {
+      socket.write(sent.subarray(at, at + 100));
+    }
+  });
+  const connection = await connect();
+  let read = 0;
+  while (read < sent.length) {
+    await once(connection, "readable");
+    const bytes = connection.read(10_000) ?? connection.read();
+    read += (bytes as Buffer | null)?.length ?? 0;
+    t.is(connection.bytesRead - connection.readableLength, read);
+  }
+  connection.destroy();
+});
+
 interface EndCase {
   readonly title: string;
   readonly act: (socket: Socket) => void;
