Close connections of callers whose bytes belong to no request

A hundred callers that sent sizes of chunks, blank lines or the body of a refused request without end took the processor of a gateway: sound requests beside them got no answer in 8 s.

Cause: Node.js parses such bytes without a limit and reports nothing, and the rest of a refused request was read by a second mechanism without any.

--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -34,6 +34,8 @@
   /// discarded, since the next request of the connection follows it, unless it is
   /// very long or in small pieces.
   read(message: IncomingMessage, limit: number): Promise<ReadBody>;
+  /// Reads and discards the body of a request that is refused without it.
+  discard(message: IncomingMessage): void;
   /// Counts a body that has been read until the returned function is called.
   hold(body: Buffer): () => void;
 }
@@ -41,27 +43,47 @@
 export interface BodyReaderOptions {
   readonly clock: Clock;
   readonly pieceQuota: PieceQuota;
+  /// Called with each piece that is read.
+  readonly onPiece?: (message: IncomingMessage, piece: Buffer) => void;
   /// Size of all bodies together.
   readonly maximumBytes: number;
 }
 
+/// Returns a function that counts the discarded pieces of a body, and closes the
+/// connection if they have no end, once the response has been written.
+function createDiscard(message: IncomingMessage) {
+  let discarded = 0;
+  let isEnding = false;
+  return (piece: Buffer, smallPieces: number) => {
+    discarded += piece.length;
+    const isEndless = discarded > MAXIMUM_DISCARDED_BYTES ||
+      smallPieces > MANY_SMALL_PIECES;
+    if (!isEndless || isEnding) return;
+    isEnding = true;
+    message.socket?.pause();
+    setImmediate(() => message.destroy());
+  };
+}
+
 export function createBodyReader(
-  { clock, pieceQuota, maximumBytes }: BodyReaderOptions,
+  { clock, pieceQuota, onPiece, maximumBytes }: BodyReaderOptions,
 ): BodyReader {
   let held = 0;
+  /// Messages whose pieces are received here.
+  const received = new WeakSet<IncomingMessage>();
   /// Bodies in small pieces that are being read.
   let smallPieced = 0;
 
   const read = (message: IncomingMessage, limit: number) =>
     new Promise<ReadBody>((resolve) => {
+      const discard = createDiscard(message);
+      received.add(message);
       const pieces = createPieceMeter(pieceQuota);
       const startedAt = clock.now();
       let collected = createByteCollector();
       let size = 0;
-      let discarded = 0;
       let isOver = false;
       let isSmallPieced = false;
-      let isEnding = false;
 
       const settle = (result: ReadBody) => {
         if (isOver) return;
@@ -72,21 +94,6 @@
         resolve(result);
       };
 
-      /// Closes the connection once the response has been written.
-      const endSoon = () => {
-        if (isEnding) return;
-        isEnding = true;
-        message.socket?.pause();
-        setImmediate(() => message.destroy());
-      };
-
-      const discard = (piece: Buffer) => {
-        discarded += piece.length;
-        const isEndless = discarded > MAXIMUM_DISCARDED_BYTES ||
-          pieces.small() > MANY_SMALL_PIECES;
-        if (isEndless) endSoon();
-      };
-
       /// Returns whether a body with many small pieces may be read on.
       const mayReadOn = () => {
         if (pieces.small() <= MANY_SMALL_PIECES) return true;
@@ -100,8 +107,9 @@
       };
 
       message.on("data", (piece: Buffer) => {
+        onPiece?.(message, piece);
         const delay = pieces.count(piece);
-        if (isOver) return discard(piece);
+        if (isOver) return discard(piece, pieces.small());
         size += piece.length;
         held += piece.length;
         collected.add(piece);
@@ -131,6 +139,19 @@
 
   return {
     read,
+    discard(message) {
+      if (!received.has(message)) {
+        received.add(message);
+        const discard = createDiscard(message);
+        const pieces = createPieceMeter(pieceQuota);
+        message.on("data", (piece: Buffer) => {
+          onPiece?.(message, piece);
+          pieces.count(piece);
+          discard(piece, pieces.small());
+        });
+      }
+      message.resume();
+    },
     hold(body) {
       held += body.length;
       return () => void (held -= body.length);
--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -1,4 +1,4 @@
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 
 /// The response to a caller's request; each request gets exactly one.
 
@@ -40,11 +40,13 @@
 export interface CallerResponseOptions {
   /// Whether the connection is to be closed after the response.
   readonly closesConnection: () => boolean;
+  /// Reads and discards the rest of a request.
+  readonly discardRequest: (message: IncomingMessage) => void;
 }
 
 export function createCallerResponse(
   response: ServerResponse,
-  { closesConnection }: CallerResponseOptions,
+  { closesConnection, discardRequest }: CallerResponseOptions,
 ): CallerResponse {
   let isDisconnected = false;
   /// Whether the whole response has been written before the request was read.
@@ -73,7 +75,7 @@
     isWritten = true;
     response.write(text);
     response.req.once("end", () => response.end());
-    response.req.resume();
+    discardRequest(response.req);
   };
   return {
     isClosed: () => isDisconnected,
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -6,12 +6,13 @@
   type ServerResponse,
 } from "node:http";
 import type { Milliseconds } from "../support/clock.ts";
+import { chooseService } from "./service_choice.ts";
 import { createBodyReader } from "./body_reader.ts";
 import {
   type CallerResponse,
   createCallerResponse,
 } from "./caller_response.ts";
-import type { CallerLimits, Route } from "./configuration.ts";
+import type { CallerLimits } from "./configuration.ts";
 import { startIdleConnections } from "./idle_connections.ts";
 import type { PlannedStop } from "./planned_stop.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
@@ -19,7 +20,7 @@
 import { findRequestFault } from "./request_check.ts";
 import { refuseTunnel } from "./refused_tunnel.ts";
 import { createRequestSequence } from "./request_sequence.ts";
-import type { RouteTable } from "./route_table.ts";
+import { watchCallerTraffic } from "./caller_traffic.ts";
 import { timingOf } from "./stop_schedule.ts";
 
 /// Accepts requests from callers: reads them, finds their route, checks their
@@ -73,6 +74,7 @@
   const bodies = createBodyReader({
     clock,
     pieceQuota,
+    onPiece: (message, piece) => traffic.recordPiece(message, piece),
     maximumBytes: MAXIMUM_BUFFERED_BODY_BYTES,
   });
 
@@ -104,17 +106,6 @@
     }
   };
 
-  const chooseService = (table: RouteTable, route: Route) => {
-    const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
-    let point = random.next() * total;
-    for (const { service, weight } of route.targets) {
-      point -= weight;
-      if (point < 0) return table.service(service);
-    }
-    const last = route.targets.at(-1);
-    return last && table.service(last.service);
-  };
-
   const refuse = (
     callerResponse: CallerResponse,
     fields: Refusal,
@@ -143,6 +134,7 @@
   ) => {
     const callerResponse = createCallerResponse(response, {
       closesConnection: plannedStop.isStopping,
+      discardRequest: bodies.discard,
     });
     const open = plannedStop.open(callerResponse);
     const table = view.routeTable();
@@ -184,7 +176,7 @@
       request,
     });
     if (!body) return;
-    const service = chooseService(table, route);
+    const service = chooseService(table, route, random);
     if (!service) {
       const reason = "the route's service is not configured";
       return refuse(callerResponse, { status: 503, reason, request, path });
@@ -260,6 +252,7 @@
     },
     (message, response) => {
       const arrivedAt = clock.now();
+      traffic.recordRequest(message);
       idleConnections.track(message, response);
       startInSequence(message, response, () => {
         running += 1;
@@ -270,6 +263,7 @@
           });
           const callerResponse = createCallerResponse(response, {
             closesConnection: () => true,
+            discardRequest: bodies.discard,
           });
           if (callerResponse.isStarted()) return callerResponse.abort();
           callerResponse.sendText(502, "a fault of the gateway\n");
@@ -281,6 +275,10 @@
   // Node.js closes the connection of this method if nothing handles it.
   server.on("connect", (_message, socket) => refuseTunnel(socket, clock));
   const idleConnections = startIdleConnections(server, clock);
+  const traffic = watchCallerTraffic(server, {
+    clock,
+    onEndless: () => log.warn("caller sent bytes without end"),
+  });
 
   return {
     server,
--- a/src/gateway/gateway_events.ts
+++ b/src/gateway/gateway_events.ts
@@ -27,6 +27,8 @@
   "configuration not readable": "the stored configuration is ignored; reason",
   "upstream changed":
     "an upstream is ready, draining or removed; source, revision",
+  "caller sent bytes without end":
+    "bytes that belong to no request; its connection is closed",
   "entry names no upstream":
     "an entry of another writer does not describe an upstream; key",
   "entry outdated":
