End callers' bodies in small pieces that stall, after 10 s

Cause: found by reading. A body in small pieces held one of eight places until its next piece, so that eight stalled ones kept out all others.

Chunks may also have extensions of up to 256 bytes before they count as bytes beside the body.

Test: eight stalled bodies in unusual_requests_test.ts; before, their reads ended only with another piece.

--- a/src/gateway/body_reader.ts
+++ b/src/gateway/body_reader.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { createByteCollector } from "../support/byte_collector.ts";
-import type { Clock, Milliseconds } from "../support/clock.ts";
+import type { Clock, Milliseconds, Timer } from "../support/clock.ts";
 import { createPieceMeter, type PieceQuota } from "./piece_quota.ts";
 
 /// Reads the bodies of callers' requests into memory, of which all bodies
@@ -79,7 +79,7 @@
       const discard = createDiscard(message);
       received.add(message);
       const pieces = createPieceMeter(pieceQuota);
-      const startedAt = clock.now();
+      let timer: Timer | undefined;
       let collected = createByteCollector();
       let size = 0;
       let isOver = false;
@@ -91,19 +91,21 @@
         held -= size;
         collected = createByteCollector();
         if (isSmallPieced) smallPieced -= 1;
+        timer?.cancel();
         resolve(result);
       };
 
       /// Returns whether a body with many small pieces may be read on.
       const mayReadOn = () => {
-        if (pieces.small() <= MANY_SMALL_PIECES) return true;
-        if (!isSmallPieced) {
-          if (smallPieced >= MAXIMUM_SMALL_PIECED_BODIES) return false;
-          isSmallPieced = true;
-          smallPieced += 1;
-        }
-        const took = clock.now() - startedAt;
-        return took < SMALL_PIECED_TIMEOUT_MILLISECONDS;
+        if (isSmallPieced || pieces.small() <= MANY_SMALL_PIECES) return true;
+        if (smallPieced >= MAXIMUM_SMALL_PIECED_BODIES) return false;
+        isSmallPieced = true;
+        smallPieced += 1;
+        timer = clock.schedule(
+          SMALL_PIECED_TIMEOUT_MILLISECONDS,
+          () => settle({ kind: "no_memory" }),
+        );
+        return true;
       };
 
       message.on("data", (piece: Buffer) => {
--- a/src/gateway/caller_traffic.ts
+++ b/src/gateway/caller_traffic.ts
@@ -12,7 +12,7 @@
 const MARGIN_BYTES = 524_288;
 const HEAD_BYTES = 65_536;
 /// Bytes around each piece of a body: the size of a chunk and line breaks.
-const BYTES_AROUND_PIECE = 64;
+const BYTES_AROUND_PIECE = 256;
 
 export interface CallerTraffic {
   /// Records the head of a request.
--- a/src/gateway/response_overhead.ts
+++ b/src/gateway/response_overhead.ts
@@ -9,7 +9,7 @@
 const HEAD_BYTES = 65_536;
 /// Bytes around each piece of the body: the size of a chunk, a short extension and
 /// line breaks.
-const BYTES_AROUND_PIECE = 64;
+const BYTES_AROUND_PIECE = 256;
 /// Size of an unfinished part of the response from which it counts against the
 /// budget of all responses. Each field takes many times its size in memory.
 const COUNTED_BYTES = 1_024;
--- a/test/gateway/unusual_requests_test.ts
+++ b/test/gateway/unusual_requests_test.ts
@@ -3,6 +3,7 @@
 import test from "ava";
 import { createPieceQuota } from "../../src/gateway/piece_quota.ts";
 import { createSystemClock } from "../../src/support/clock.ts";
+import { createFakeClock } from "../../stand_ins/fake_clock.ts";
 import { createBodyReader } from "../../src/gateway/body_reader.ts";
 import {
   type CallerConnection,
@@ -132,6 +133,30 @@
   t.regex(connection.received(), /\r\n\r\n(id: \d\ndata: piece \d\n\n){3}$/);
 });
 
+test("a body in small pieces that stalls makes room for another one", async (t) => {
+  const clock = createFakeClock();
+  const bodies = createBodyReader({
+    clock,
+    pieceQuota: createPieceQuota(clock),
+    maximumBytes: 1_000_000,
+  });
+  const begin = async () => {
+    const stream = new PassThrough({ objectMode: true });
+    const result = bodies.read(stream as unknown as IncomingMessage, 100_000);
+    for (let piece = 0; piece < 1_100; piece++) stream.write(Buffer.from("x"));
+    await new Promise((resolve) => setImmediate(resolve));
+    return { stream, result };
+  };
+  const stalled = [];
+  for (let body = 0; body < 8; body++) stalled.push(await begin());
+  t.is((await (await begin()).result).kind, "no_memory");
+  await clock.advance(10_000);
+  for (const { result } of stalled) t.is((await result).kind, "no_memory");
+  const { stream, result } = await begin();
+  stream.end();
+  t.is((await result).kind, "read");
+});
+
 test("a body without memory for it is discarded, and its memory used by the next", async (t) => {
   const clock = createSystemClock();
   const bodies = createBodyReader({
