Read the stored crashes once at a daemon's start, and long answers whole

Each daemon watched the entries of crashes, where two VMs of each data centre shall watch the store; and answers of services were cut at 8 MiB, while whole ones may be longer.

A daemon reads the entries once; later crashes and their end are reported over links, and the VM that knows an entry removes it. Answers of services end at 64 MiB, replies of engines at 8 MiB.

Tests: sheet_follower_test.ts and drained_daemon_test.ts failed before, and pass.

--- a/src/gateway/crash_parts.ts
+++ b/src/gateway/crash_parts.ts
@@ -38,7 +38,10 @@
       metrics.crashesRecorded.inc({
         source: vm === links.self.vm ? "this VM" : "other VM",
       }),
-    onCleared: (key) => storedCrashes.remove(key),
+    // All VMs know all entries, so one of them removes this one.
+    onCleared(key, vm) {
+      if (vm === links.self.vm) storedCrashes.remove(key);
+    },
   });
   const storedCrashes = createStoredCrashes({
     clock,
--- a/src/requests/crash_records.ts
+++ b/src/requests/crash_records.ts
@@ -96,8 +96,9 @@
   readonly log: Logger;
   /// Called for each record that is added, with the VM that reported it.
   readonly onRecorded?: (vm: string) => void;
-  /// Called for each key whose crashes this VM has found not to be caused by it.
-  readonly onCleared?: (key: string) => void;
+  /// Called for each key that has caused none of its crashes, with the VM that has
+  /// found this out.
+  readonly onCleared?: (key: string, vm: string) => void;
 }
 
 /// The source of restored records in log lines.
@@ -153,6 +154,7 @@
       reportedBy: vm,
     });
     table.clear(key, ids);
+    options.onCleared?.(key, vm);
   };
 
   const clearKey = (key: string) => {
@@ -161,7 +163,6 @@
     if (ids.length === 0) return;
     remove(key, { ids, vm: links.self.vm });
     links.broadcast(clearMessage, { fingerprint: key, ids });
-    options.onCleared?.(key);
   };
 
   /// Returns a function that makes the record of a request.
--- a/src/requests/quarantine.ts
+++ b/src/requests/quarantine.ts
@@ -10,7 +10,7 @@
 import { createFleetPermits, type Permit } from "./fleet_permits.ts";
 import { RequestError } from "./request_error.ts";
 import { createStoredCrashes } from "./stored_crashes.ts";
-import { followStoredCrashes } from "./stored_crashes_follower.ts";
+import { readStoredCrashes } from "./stored_crashes_reader.ts";
 
 /// Limits a request that crashes engines to two crashes in the whole fleet,
 /// however often it is resent and whichever VMs receive it. Attempts at engines
@@ -104,6 +104,7 @@
     clock,
     links,
     log,
+    // Only the VM that wrote an entry, or read it at its start, knows of it.
     onCleared: (key) => storedCrashes.remove(key),
   });
   const storedCrashes = createStoredCrashes({
@@ -112,7 +113,7 @@
     store,
     records: crashes,
   });
-  followStoredCrashes({ clock, store, storedCrashes }, stop.signal);
+  readStoredCrashes({ clock, store, storedCrashes }, stop.signal);
   /// Time until which a fingerprint counts as harmless.
   const harmlessUntil = new Map<string, Milliseconds>();
   /// Time until which an engine is reserved for a suspect request.
--- a/src/upstreams/http_engine_client.ts
+++ b/src/upstreams/http_engine_client.ts
@@ -21,6 +21,8 @@
 
 /// Limit for one engine; each connection carries one stream at a time.
 const MAXIMUM_CONNECTIONS = 512;
+/// Limit for a reply to a control call, or a refusal. Engines send some kilobytes.
+const MAXIMUM_REPLY_BYTES = 8_388_608;
 /// Limit for a line of an event stream. Engines send some hundred characters.
 const MAXIMUM_LINE_LENGTH = 262_144;
 /// Timeout of calls that carry no stream.
@@ -118,7 +120,7 @@
 }
 
 async function readJson(body: AsyncIterable<Uint8Array>): Promise<unknown> {
-  return JSON.parse(String(await readBoundedBody(body)));
+  return JSON.parse(String(await readBoundedBody(body, MAXIMUM_REPLY_BYTES)));
 }
 
 function toSpanBody(call: SpanCall) {
@@ -174,7 +176,9 @@
     // A refusal doesn't identify its request. A late copy of it would be taken
     // for the refusal of the next request on its connection.
     pool.renew();
-    const text = String(await readBoundedBody(response.body));
+    const text = String(
+      await readBoundedBody(response.body, MAXIMUM_REPLY_BYTES),
+    );
     if (REFUSED_STATUSES.has(response.statusCode)) {
       throw new EngineRefusedError(`${response.statusCode} ${text}`);
     }
--- a/src/upstreams/service_client.ts
+++ b/src/upstreams/service_client.ts
@@ -54,6 +54,8 @@
 }
 
 const MAXIMUM_CONNECTIONS = 64;
+/// A longer answer has no end.
+const MAXIMUM_ANSWER_BYTES = 67_108_864;
 
 function toServiceError(error: unknown): Error {
   const reason = error instanceof Error ? error.message : String(error);
@@ -91,7 +93,10 @@
           // its own.
           reset: true,
         });
-        const body = await readBoundedBody(response.body);
+        const body = await readBoundedBody(
+          response.body,
+          MAXIMUM_ANSWER_BYTES,
+        );
         const contentType = response.headers["content-type"];
         return {
           status: response.statusCode,
