--- a/test/gateway/endless_tunnels_test.ts
+++ b/test/gateway/endless_tunnels_test.ts
@@ -1,5 +1,9 @@
-import type { Socket } from "node:net";
 import test from "ava";
+import {
+  chunk,
+  CHUNKED,
+  writeEndlessly,
+} from "../../stand_ins/endless_bytes.ts";
 import {
   type CallerRequest,
   isConnected,
@@ -25,8 +29,7 @@
 };
 const ONCE: CallerRequest = { path: "/once/bad", body: "an order" };
 
-const CHUNKED = "Transfer-Encoding: chunked";
-const byteChunks = "1\r\nx\r\n".repeat(4_000);
+const byteChunks = chunk("x").repeat(4_000);
 
 type Head = Parameters<(UpstreamAction & { kind: "raw" })["write"]>[1];
 
@@ -65,16 +68,6 @@
   },
 ];
 
-function writeEndlessly(socket: Socket, text: string) {
-  const bytes = Buffer.from(text);
-  const write = () => {
-    if (socket.destroyed) return;
-    if (socket.write(bytes)) setImmediate(write);
-    else socket.once("drain", write);
-  };
-  write();
-}
-
 for (const { title, request, begin, text } of ENDLESS) {
   test.serial(`${title} without end through another VM end soon, beside sound requests`, async (t) => {
     const deployment = await startPlatformDeployment({ gateways: 2 });
