Tell connections that the gateway closed from those that callers closed

Whoever closed a caller's connection, the log said that the caller had disconnected, and connections closed without a request had no trace at all. So nothing could tell a caller that left from a connection that a timeout or limit of the gateway ended under a request.

A request now ends as connection_closed where the gateway closed its connection, its line has the time since the last write, and a counter has the closed connections by who closed them. No decision changes.

--- a/src/gateway/caller_response.ts
+++ b/src/gateway/caller_response.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { type ConnectionEnd, endOfConnection } from "./connection_end.ts";
 
 /// The response to a caller's request; each request gets exactly one.
 
@@ -10,8 +11,10 @@
 }
 
 export interface CallerResponse {
-  /// Whether the caller has closed its connection.
+  /// Whether the connection was closed before the end of the response.
   isClosed(): boolean;
+  /// Which end has closed it.
+  closedBy(): ConnectionEnd;
   /// Whether bytes of the response have been sent.
   isStarted(): boolean;
   /// Forwards an upstream's response with its complete body, and with its length
@@ -48,6 +51,7 @@
   response: ServerResponse,
   { closesConnection, discardRequest }: CallerResponseOptions,
 ): CallerResponse {
+  const { socket } = response.req;
   let isDisconnected = false;
   /// Whether the whole response has been written before the request was read.
   let isWritten = false;
@@ -79,6 +83,7 @@
   };
   return {
     isClosed: () => isDisconnected,
+    closedBy: () => endOfConnection(socket),
     isStarted: () => response.headersSent,
     forward({ status, headers }, body) {
       if (isDisconnected || response.headersSent) return;
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -13,6 +13,7 @@
   createCallerResponse,
 } from "./caller_response.ts";
 import type { CallerLimits } from "./configuration.ts";
+import { endOfConnection } from "./connection_end.ts";
 import { startIdleConnections } from "./idle_connections.ts";
 import type { PlannedStop } from "./planned_stop.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
@@ -234,6 +235,7 @@
         tries: outcome.attempts,
         firstByte: outcome.firstByte && Math.round(outcome.firstByte),
         longestPause: Math.round(outcome.longestEventGap),
+        sinceLastWrite: Math.round(outcome.sinceLastWrite),
         isInTime: outcome.isInTime,
         ...outcome.placement,
         took: Math.round(took),
@@ -272,6 +274,13 @@
     },
   );
 
+  server.on("connection", (socket) => {
+    socket.on("close", () => {
+      metrics.callerConnectionsClosed.inc({
+        closed_by: endOfConnection(socket),
+      });
+    });
+  });
   // Node.js closes the connection of this method if nothing handles it.
   server.on("connect", (_message, socket) => refuseTunnel(socket, clock));
   const idleConnections = startIdleConnections(server, clock);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -10,6 +10,8 @@
   readonly silences: Counter<"route_kind">;
   readonly firstByteSeconds: Histogram<"route_kind">;
   readonly durationSeconds: Histogram<"route_kind" | "outcome">;
+  /// Connections of callers by the end that closed them.
+  readonly callerConnectionsClosed: Counter<"closed_by">;
   readonly running: Gauge;
   readonly configurationVersion: Gauge;
   readonly upstreams: Gauge;
@@ -73,6 +75,12 @@
       labelNames: ["route_kind"],
       registers,
     }),
+    callerConnectionsClosed: new Counter({
+      name: "sequoiaturn_gateway_caller_connections_closed_total",
+      help: "Connections of callers by the end that closed them",
+      labelNames: ["closed_by"],
+      registers,
+    }),
     firstByteSeconds: new Histogram({
       name: "sequoiaturn_gateway_first_byte_seconds",
       help: "Time from arrival to the first byte of a good answer",
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -196,7 +196,12 @@
   /// Ends the request when no further attempt is made.
   const giveUp = (): RequestOutcome => {
     const { lastReason, lastResponse } = progress;
-    if (response.isClosed()) return end("caller_gone", undefined, lastReason);
+    if (response.isClosed()) {
+      const outcome = response.closedBy() === "caller"
+        ? "caller_gone"
+        : "connection_closed";
+      return end(outcome, undefined, lastReason);
+    }
     if (response.isStarted()) {
       response.abort();
       const outcome = isTimedOut ? "timed_out" : "broken_off";
@@ -229,7 +234,7 @@
       // The upstream may still execute a request that was sent.
       progress.mayHaveExecuted ||= result.wasSent;
       progress.lastReason = response.isClosed()
-        ? "the caller disconnected"
+        ? `the ${response.closedBy()} closed the connection`
         : "the time is up";
       return giveUp();
     }
--- a/src/gateway/request_outcome.ts
+++ b/src/gateway/request_outcome.ts
@@ -9,6 +9,8 @@
     | "failed"
     | "timed_out"
     | "caller_gone"
+    /// The gateway closed the connection for a reason that isn't the request's.
+    | "connection_closed"
     | "broken_off";
   readonly status: number | undefined;
   readonly reason: string;
@@ -17,6 +19,8 @@
   readonly firstByte: Milliseconds | undefined;
   /// Longest time between two writes of a stream.
   readonly longestEventGap: Milliseconds;
+  /// Time since the last write of a response that has begun, or since arrival.
+  readonly sinceLastWrite: Milliseconds;
   /// Whether the response met the route's objective and maximum event gap.
   readonly isInTime: boolean;
   /// The last placement: its estimate and the inputs of the estimate.
--- a/src/gateway/response_writer.ts
+++ b/src/gateway/response_writer.ts
@@ -20,7 +20,7 @@
   /// Times of what was written so far.
   timing(isServed: boolean): Pick<
     RequestOutcome,
-    "firstByte" | "longestEventGap" | "isInTime"
+    "firstByte" | "longestEventGap" | "sinceLastWrite" | "isInTime"
   >;
 }
 
@@ -65,6 +65,7 @@
     timing: (isServed) => ({
       firstByte,
       longestEventGap,
+      sinceLastWrite: clock.now() - (progress.lastWriteAt ?? arrivedAt),
       isInTime: isServed && firstByte !== undefined &&
         firstByte <= route.objectiveMilliseconds &&
         longestEventGap <= route.pauseMilliseconds,
