Send nothing on connections that were idle while they may have fallen silent

Callers lost streams and safe calls, or got them late, seconds after the connections of a VM to upstreams had fallen silent for good without a reset, while new connections worked: kept idle ones were used for up to the time that the upstream states. Each request waited for the time without an event, the replacement was sent on another silent connection of another upstream, and requests without a retry that is left, with MaxAttempts 1 or on a route that isn't resumable waited for an answer that could not come.

The class of the fault: a kept connection was taken for a working one without evidence. An idle connection is now used for 2.5 s at most, whatever the upstream states, so that in the calm after the silence only those that have worked since are used. A request that may not be sent again uses one that was idle for 250 ms at most, not only on routes that run once. Further attempts open a new connection.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -19,9 +19,10 @@
 /// Limit for a response that is buffered before it is forwarded. A longer one
 /// is treated as corrupt; services respond with some kilobytes.
 const MAXIMUM_RESPONSE_BYTES = 2_097_152;
-/// The upstream may have closed a connection that was idle for longer, so a
-/// request that must run at most once isn't sent on it. The platform states
-/// 300 ms as the shortest time after which upstreams drop idle connections.
+/// The upstream may have closed a connection that was idle for longer, or it may
+/// have fallen silent, so a request that may not be sent again isn't sent on it.
+/// The platform states 300 ms as the shortest time after which upstreams drop
+/// idle connections.
 const MAXIMUM_ONCE_IDLE_MILLISECONDS: Milliseconds = 250;
 
 export interface ResponseHead {
@@ -35,8 +36,9 @@
 export interface AttemptPlan {
   readonly upstream: Upstream;
   readonly helpers: readonly HelperEngine[];
-  /// Whether the upstream has had the request before. A late copy of its earlier
-  /// response would have the same ID, so the attempt uses a new connection.
+  /// Whether the request has been sent before. A new connection is used then: a
+  /// late copy of an earlier response would have the same ID, and what silenced
+  /// one kept connection may have silenced the others.
   readonly isRepeated: boolean;
   /// 0 is the highest; undefined for calls.
   readonly priority: number | undefined;
@@ -184,9 +186,7 @@
     }),
     body: request.body.length > 0 ? request.body : undefined,
     reuse: {
-      maximumIdle: request.route.kind === "once"
-        ? MAXIMUM_ONCE_IDLE_MILLISECONDS
-        : undefined,
+      maximumIdle: plan.mayRetry() ? undefined : MAXIMUM_ONCE_IDLE_MILLISECONDS,
       isNew: plan.isRepeated || attemptId === undefined,
     },
   }, {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -94,7 +94,8 @@
     const attempt = startAttempt(context, request, {
       upstream,
       helpers,
-      isRepeated: progress.avoided.has(upstream.id),
+      isRepeated: progress.avoided.has(upstream.id) ||
+        progress.mayHaveExecutedAt.size > 0,
       priority: placer.priority,
       remaining: remaining(),
       resumeAfterEventId: response.isStarted() ? progress.lastId : undefined,
--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -13,12 +13,13 @@
 /// Connections to upstreams, which are kept for reuse. Each carries one request
 /// at a time. The most recently used idle connection is reused first.
 
-/// Idle time after which a connection is not reused if the upstream states
-/// none.
-const DEFAULT_IDLE_TIMEOUT_MILLISECONDS: Milliseconds = 4_000;
 /// Time before the upstream's idle timeout at which a connection is closed.
 const IDLE_TIMEOUT_MARGIN_MILLISECONDS: Milliseconds = 500;
-const MAXIMUM_IDLE_MILLISECONDS: Milliseconds = 60_000;
+/// Idle time after which a connection is not reused, whatever the upstream
+/// states. Connections may fall silent for good without a reset, which counts as
+/// a disruption of three seconds: after these, only connections that have worked
+/// since are used.
+const MAXIMUM_IDLE_MILLISECONDS: Milliseconds = 2_500;
 /// Idle connections that are kept to one upstream. An upstream limits the
 /// connections of all VMs together, and one VM sends it only a few requests at
 /// a time.
@@ -107,7 +108,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MILLISECONDS,
+      keepAliveTimeout: MAXIMUM_IDLE_MILLISECONDS,
       keepAliveMaxTimeout: MAXIMUM_IDLE_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MILLISECONDS,
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
