Compile the bundle anew in each build

A gateway that was built where an earlier build had left its code cache could run the code of the earlier one: V8 accepts a cache whose source has the same length, and the run that writes the cache read the old one first. A clean checkout has no cache, so deployments were not affected.

The cache is removed before the bundle is written.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,5 +1,5 @@
 import { execFileSync } from "node:child_process";
-import { mkdirSync, writeFileSync } from "node:fs";
+import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { build } from "esbuild";
 
 /// Bundles the gateway into one file, with a code cache beside it. A process that
@@ -8,6 +8,7 @@
 
 const BUNDLE = "target/gateway_bundle.cjs";
 const PROGRAM = "target/gateway.cjs";
+const CACHE = "target/gateway_bundle.cache";
 
 const { outputFiles } = await build({
   entryPoints: ["src/bin/gateway.ts"],
@@ -28,6 +29,8 @@
   write: false,
 });
 mkdirSync("target", { recursive: true });
+// V8 accepts the cache of any earlier bundle that has the same length.
+rmSync(CACHE, { force: true });
 // The program below wraps the bundle in a function.
 writeFileSync(BUNDLE, outputFiles[0].text.replace(/^#!.*\n/, ""));
 
