Forward responses to HEAD that state no length

Callers of a HEAD request got 502 although a sound upstream had answered it.

Cause: a response without a length was taken to end with its connection, also where HTTP gives it no body. Node.js, for one, states no length in such a response, and the kept connection counted as reset at its end. The daemon's client of services asks the same question and gets the same answer now.

The three new tests, for calls of both kinds and streams, failed before (502 instead of 200) and pass now, five of five runs of the file.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -178,7 +178,7 @@
           }
           return;
         }
-        isFramed = isFramedResponse(status, headers);
+        isFramed = isFramedResponse(request.method, { status, headers });
         overhead.recordHead();
         handler.onHead(status, headers, isFramed);
       },
--- a/src/upstreams/checked_client.ts
+++ b/src/upstreams/checked_client.ts
@@ -22,14 +22,16 @@
 ) => ResponseMethods;
 
 class CheckedHandler extends BaseHandler {
+  readonly #method: string;
   readonly #wasClosed: () => boolean;
   #isFramed = true;
 
   constructor(
     handler: Dispatcher.DispatchHandler,
-    wasClosed: () => boolean,
+    { method, wasClosed }: { method: string; wasClosed: () => boolean },
   ) {
     super(handler);
+    this.#method = method;
     this.#wasClosed = wasClosed;
   }
 
@@ -37,7 +39,7 @@
     ...parameters: ParametersOf<"onResponseStart">
   ) {
     const [, status, headers] = parameters;
-    this.#isFramed = isFramedResponse(status, headers);
+    this.#isFramed = isFramedResponse(this.#method, { status, headers });
     super.onResponseStart(...parameters);
   }
 
@@ -76,7 +78,10 @@
   ): boolean {
     return super.dispatch(
       options,
-      new CheckedHandler(handler, () => this.#wasClosed()),
+      new CheckedHandler(handler, {
+        method: options.method,
+        wasClosed: () => this.#wasClosed(),
+      }),
     );
   }
 }
--- a/src/upstreams/response_framing.ts
+++ b/src/upstreams/response_framing.ts
@@ -1,10 +1,13 @@
 /// Whether the framing of a response marks the end of its body. A response
-/// without a length ends when its connection closes.
+/// without a length ends when its connection closes, unless it has no body.
 export function isFramedResponse(
-  status: number,
-  headers: Readonly<Record<string, string | string[] | undefined>>,
+  method: string,
+  { status, headers }: {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  },
 ): boolean {
-  return status === 204 || status === 304 ||
+  return method === "HEAD" || status === 204 || status === 304 ||
     headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
 }
--- a/test/gateway/unframed_responses_test.ts
+++ b/test/gateway/unframed_responses_test.ts
@@ -104,3 +104,21 @@
     t.is(runs(), 1);
   });
 }
+
+// Guards against a response to HEAD that counts as cut since it has no length.
+for (const path of [SAFE.path, ONCE.path, STREAM.path]) {
+  test(`a response to HEAD ${path} without a length is forwarded`, async (t) => {
+    const request = { ...STREAM, path, method: "HEAD" };
+    const { deployment, runs } = await deploy(
+      t,
+      path === STREAM.path ? STREAM : request,
+      () => ({
+        kind: "raw",
+        write: (socket, head) => void socket.write(`${head()}\r\n`),
+      }),
+    );
+    const { status, isWhole } = await deployment.send(request);
+    t.deepEqual([status, isWhole], [200, true]);
+    t.is(runs(), 1);
+  });
+}
