Check silent upstreams again at the end of their responses

Callers of a sound upstream that was silent for a moment just when it had ended a response without a length got 502, or a stream with all of its events and a broken end; without a retry that was left, also for safe requests.

Cause: a check that told nothing was taken for the end of the upstream. After a connection has closed in order, only a refused new one shows that its process has ended, and that the response may be cut. The attempt is now reported as silent, so that a replacement may run beside it, and the upstream is checked again until it accepts or refuses connections.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,7 +7,7 @@
   failedResult,
 } from "./attempt_result.ts";
 import type { HelperEngine, UpstreamResponseMetadata } from "./dialect.ts";
-import { createEventSplitter } from "./event_splitter.ts";
+import { createEventSplitter, isEventStream } from "./event_splitter.ts";
 import { type Exchange, type HeaderFields, startExchange } from "./exchange.ts";
 import { createInactivityWatch } from "./inactivity_watch.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
@@ -15,7 +15,6 @@
 
 /// One attempt: a request that is sent to one upstream once.
 
-const EVENT_STREAM = "text/event-stream";
 /// Limit for a response that is buffered before it is forwarded. A longer one
 /// is treated as corrupt; services respond with some kilobytes.
 const MAXIMUM_RESPONSE_BYTES = 2_097_152;
@@ -24,6 +23,8 @@
 /// The platform states 300 ms as the shortest time after which upstreams drop
 /// idle connections.
 const MAXIMUM_ONCE_IDLE_MILLISECONDS: Milliseconds = 250;
+/// Delay after a check that tells nothing of the upstream.
+const CHECK_DELAY_MILLISECONDS: Milliseconds = 200;
 
 export interface ResponseHead {
   readonly status: number;
@@ -80,10 +81,6 @@
   resume(): void;
 }
 
-function isEventStream(headers: HeaderFields): boolean {
-  return String(headers["content-type"] ?? "").startsWith(EVENT_STREAM);
-}
-
 export function startAttempt(
   context: RequestContext,
   request: GatewayRequest,
@@ -171,6 +168,22 @@
     settle({ kind: "streamed" });
   };
 
+  /// Finishes a response without a length unless its upstream is gone. Silence
+  /// doesn't show that it is.
+  const finishUnlessGone = () =>
+    checkReachable((reachability) => {
+      if (acceptsConnections(reachability)) return finish();
+      if (reachability === "refuses") {
+        return fail("gone at the end of its answer", reachability);
+      }
+      const reason = "silent at the end of its answer";
+      if (plan.mayRetry()) endOrReport(reason, reachability);
+      clock.schedule(
+        CHECK_DELAY_MILLISECONDS,
+        () => isSettled || finishUnlessGone(),
+      );
+    });
+
   const exchange: Exchange = startExchange(context, {
     address: plan.upstream.address,
     method: request.method,
@@ -234,12 +247,7 @@
     },
     onEnd() {
       if (head?.isFramed !== false) return finish();
-      // The response is complete only if the upstream is still there.
-      checkReachable((reachability) => {
-        if (acceptsConnections(reachability)) return finish();
-        const reason = "the upstream went away at the end of its answer";
-        fail(reason, reachability);
-      });
+      finishUnlessGone();
     },
     onFailure({ wasSent, wasReused, wasClosed, hadNoPath, reason }) {
       if (!wasSent) {
--- a/src/gateway/event_splitter.ts
+++ b/src/gateway/event_splitter.ts
@@ -1,3 +1,5 @@
+import type { HeaderFields } from "./exchange.ts";
+
 /// Splits a stream of server-sent events into complete events, so that a broken
 /// stream can be resumed after the last complete one.
 
@@ -7,6 +9,11 @@
 /// are no events.
 const MAXIMUM_EVENT_BYTES = 262_144;
 
+/// Whether a response is a stream of events.
+export function isEventStream(headers: HeaderFields): boolean {
+  return String(headers["content-type"] ?? "").startsWith("text/event-stream");
+}
+
 export interface EventSplitter {
   /// Appends bytes and returns the buffered ones up to the last event boundary;
   /// undefined if there is none.
--- a/stand_ins/platform/upstream_network.ts
+++ b/stand_ins/platform/upstream_network.ts
@@ -4,14 +4,16 @@
 /// The network between one gateway and all upstreams, which can be partitioned.
 
 /// What happens to connections in a partition. `reset` closes them and refuses
-/// new ones, `refuse` only refuses new ones, and in a `silent` one neither
-/// existing nor new connections get a response.
-export type Partition = "reset" | "refuse" | "silent";
+/// new ones, `refuse` only refuses new ones, in `hang` new ones get no response,
+/// and in a `silent` one neither existing nor new connections do.
+export type Partition = "reset" | "refuse" | "hang" | "silent";
 
 /// The network of one gateway.
 export interface UpstreamNetwork {
   readonly open: OpenSocket;
-  partition(kind: Partition): void;
+  /// Begins a partition from all upstreams, or from that at `address` for new
+  /// connections.
+  partition(kind: Partition, address?: string): void;
   /// Ends the partition. Connections that were silent stay so.
   heal(): void;
 }
@@ -28,23 +30,27 @@
 export function createUpstreamNetwork(): UpstreamNetwork {
   const sockets = new Set<Socket>();
   let current: Partition | undefined;
+  let partitioned: string | undefined;
 
   const openPartitioned = () =>
-    current === "silent"
+    current === "silent" || current === "hang"
       ? new Socket()
       : connect({ host: "127.0.0.1", port: CLOSED_PORT });
 
   return {
     open(address) {
-      if (current) return openPartitioned();
+      if (current && (partitioned ?? address) === address) {
+        return openPartitioned();
+      }
       const socket = openTcpSocket(address);
       sockets.add(socket);
       socket.on("close", () => sockets.delete(socket));
       return socket;
     },
-    partition(kind) {
+    partition(kind, address) {
       current = kind;
-      if (kind === "refuse") return;
+      partitioned = address;
+      if (kind === "refuse" || kind === "hang") return;
       for (const socket of sockets) {
         if (kind === "silent") silence(socket);
         else socket.destroy(new Error("read ECONNRESET"));
