Keep the search for a replacement when the last attempt fails

Callers of a stream whose silent engine reset its connection while a replacement was being prepared got a broken stream ("no repeats are left") although other engines were sound, if that was the last retry of the VM.

Cause: the search was cancelled and begun again. The retry that it had taken was lost, and so was its place among the requests that wait for an engine. The run now goes on with the search; only if that finds nothing, or the request is ended, does it end with the failure of the last attempt.

--- a/src/gateway/attempt_race.ts
+++ b/src/gateway/attempt_race.ts
@@ -34,14 +34,22 @@
   mayReplace(): boolean;
   /// Whether a result ends the request, whatever other attempts do.
   isFinal(record: AttemptRecord): boolean;
-  /// Receives the end of an attempt while another one goes on.
-  onFailed(record: AttemptRecord): void;
+  /// Receives each result that doesn't end the request by itself. Returns whether
+  /// a further attempt may follow.
+  onFailed(record: AttemptRecord): boolean;
+}
+
+/// How a run ended.
+export interface RaceResult {
+  readonly record: AttemptRecord;
+  /// Whether a further attempt may follow.
+  readonly mayContinue: boolean;
 }
 
 export interface AttemptRace {
   /// Runs an attempt and its replacements. Resolves to the result that ends the
   /// request, or to the last one if all have failed.
-  run(prepared: PreparedAttempt): Promise<AttemptRecord>;
+  run(prepared: PreparedAttempt): Promise<RaceResult>;
   abort(): void;
   /// Resumes attempts that are paused because the caller reads slowly.
   resume(): void;
@@ -49,7 +57,7 @@
 
 /// What ends a run.
 interface Run {
-  finish(record: AttemptRecord): void;
+  finish(result: RaceResult): void;
   fail(error: unknown): void;
 }
 
@@ -58,6 +66,9 @@
   /// Attempts whose upstreams have sent nothing since they fell silent.
   const silent = new Set<StartedAttempt>();
   let search: AbortController | undefined;
+  /// Ends the run while only the search for a replacement goes on: the retry and
+  /// the place in the queue that it has aren't given up.
+  let endSearching = () => {};
 
   const cancelSearch = () => {
     search?.abort();
@@ -78,6 +89,7 @@
     prepared: PreparedAttempt,
     run: Run,
   ) => {
+    endSearching = () => {};
     const started = options.start(prepared, {
       onSilent() {
         silent.add(started);
@@ -89,16 +101,18 @@
       },
     });
     running.add(started);
-    void started.ended.then((record) => {
+    started.ended.then((record) => {
       // Another attempt has taken its place.
-      if (!running.delete(started)) return;
-      if (running.size > 0 && !options.isFinal(record)) {
-        options.onFailed(record);
-        return void replace(run);
-      }
+      if (!running.has(started)) return;
+      const isFinal = options.isFinal(record);
+      const mayContinue = !isFinal && options.onFailed(record);
+      running.delete(started);
+      if (running.size > 0 && !isFinal) return void replace(run);
+      const end = () => run.finish({ record, mayContinue });
+      if (search && mayContinue) return void (endSearching = end);
       keepOnly();
-      run.finish(record);
-    }, (error: unknown) => {
+      end();
+    }).catch((error: unknown) => {
       if (!running.has(started)) throw error;
       keepOnly();
       run.fail(error);
@@ -121,10 +135,11 @@
     const current = new AbortController();
     search = current;
     const prepared = await prepareReplacement(current.signal);
-    if (search === current) search = undefined;
-    if (!prepared) return;
-    if (current.signal.aborted) return options.discard(prepared);
-    launch(prepared, run);
+    const isCurrent = search === current;
+    if (isCurrent) search = undefined;
+    if (prepared && isCurrent) return launch(prepared, run);
+    if (prepared) options.discard(prepared);
+    if (isCurrent) endSearching();
   };
 
   return {
@@ -133,6 +148,7 @@
     abort() {
       cancelSearch();
       for (const each of running) each.abort();
+      endSearching();
     },
     resume() {
       for (const each of running) each.resume();
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -249,10 +249,10 @@
   while (true) {
     const prepared = await preparation.prepare(stopped.signal);
     if (!prepared) return giveUp();
-    const record = await race.run(prepared);
+    const { record, mayContinue } = await race.run(prepared);
     const { result } = record;
     if (isFinal(record)) return complete(result);
-    if (!retries.recordFailure(record)) return giveUp();
+    if (!mayContinue) return giveUp();
     if (result.kind === "not_run" && !retries.hasUntriedUpstream()) {
       await clock.sleep(RETRY_DELAY_MILLISECONDS);
     }
