Take one retry for each search, however many decisions it needs

Callers of a stream got a broken end, or none until their deadline, when an engine of the replacement lost or refused a reservation of memory: each further decision of the same search took another retry of the service, until none was left, although none of them had been sent.

--- a/src/gateway/attempt_preparation.ts
+++ b/src/gateway/attempt_preparation.ts
@@ -185,13 +185,16 @@
   return {
     discard,
     async prepare(signal) {
+      // One is enough for however many decisions it takes.
+      let hasRetry = false;
       while (true) {
         const placement = await place(signal);
         if (!placement) return undefined;
         const { decision } = placement;
         const decidedAt = clock.now();
         const permit = await takePermit(decision, signal);
-        if (permit !== "taken" || !takeRetry()) {
+        if (permit === "taken") hasRetry ||= takeRetry();
+        if (permit !== "taken" || !hasRetry) {
           placements.abandon(decision);
           if (permit === "wait") continue;
           return undefined;
--- a/test/gateway/kept_search_test.ts
+++ b/test/gateway/kept_search_test.ts
@@ -1,5 +1,5 @@
 import type { Socket } from "node:net";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import {
   isConnected,
   sampleConfiguration,
@@ -8,6 +8,8 @@
 } from "../../stand_ins/platform/platform_deployment.ts";
 import type { ScriptedUpstream } from "../../stand_ins/platform/scripted_upstream.ts";
 
+/// Streams with a single retry whose replacement needs memory of several engines.
+
 const ENGINES = 5;
 const EVENTS = 4;
 /// Time that an engine takes to reserve memory.
@@ -15,7 +17,13 @@
 /// So many that one VM may take one.
 const RETRY_ALLOWANCE = 12;
 
-test("a stream uses the retry that it took before its silent engine reset the connection", async (t) => {
+/// Sends a prompt to engines of which the first falls silent after two events.
+/// `onOrder` is called when an engine is first asked for memory of the replacement;
+/// it returns whether the order gets lost.
+async function sendPrompt(
+  t: ExecutionContext,
+  onOrder: (first: Socket) => boolean,
+) {
   const configuration = sampleConfiguration(1);
   for (const route of configuration.Routes) route.TimeoutMs = 12_000;
   const deployment = await startPlatformDeployment({
@@ -46,11 +54,8 @@
       },
       {
         firstOrderDelayMilliseconds: ORDER_MILLISECONDS,
-        losesOrder() {
-          // An engine of the replacement is asked for memory.
-          if (engine.orders.length === 0) first?.resetAndDestroy();
-          return false;
-        },
+        losesOrder: () =>
+          first !== undefined && engine.orders.length === 0 && onOrder(first),
       },
     );
   }
@@ -61,7 +66,26 @@
     headers: { "X-Token-Counts": "150000,50", "X-Deadline-Ms": "12000" },
     body: "a prompt",
   });
-  t.is(body.match(/^id: /gm)?.length, EVENTS);
-  t.true(isWhole);
-  t.is(runs, 2);
+  return { isWhole, events: body.match(/^id: /gm)?.length, runs };
+}
+
+const WHOLE = { isWhole: true, events: EVENTS, runs: 2 };
+
+test("a stream uses the retry that it took before its silent engine reset the connection", async (t) => {
+  const result = await sendPrompt(t, (first) => {
+    first.resetAndDestroy();
+    return false;
+  });
+  t.deepEqual(result, WHOLE);
+});
+
+test("a stream uses the retry that it took before an engine lost a reservation", async (t) => {
+  let hasLost = false;
+  const result = await sendPrompt(t, () => {
+    if (hasLost) return false;
+    hasLost = true;
+    return true;
+  });
+  t.true(hasLost);
+  t.deepEqual(result, WHOLE);
 });
