Answer pipelined requests during a planned stop

A caller that had sent a whole request behind another one on the same connection got neither an answer nor a refusal when the VM was stopped in between: the answer to the first request said Connection: close, and the connection was closed behind it. The same happened behind a request that failed by a fault of the gateway.

Class of fault: a connection is ended for a reason of its own while requests that were read on it still wait. The gateway now ends it with the answer to the last request that it has read.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -128,15 +128,21 @@
     });
   };
 
+  const sequence = createRequestSequence();
+  /// Requests that arrived behind this one are answered too.
+  const respondTo = (response: ServerResponse, isEnding: () => boolean) =>
+    createCallerResponse(response, {
+      closesConnection: () =>
+        isEnding() && sequence.last(response.req.socket) === response,
+      discardRequest: bodies.discard,
+    });
+
   const handle = async (
     message: IncomingMessage,
     response: ServerResponse,
     arrivedAt: Milliseconds,
   ) => {
-    const callerResponse = createCallerResponse(response, {
-      closesConnection: plannedStop.isStopping,
-      discardRequest: bodies.discard,
-    });
+    const callerResponse = respondTo(response, plannedStop.isStopping);
     const open = plannedStop.open(callerResponse);
     const table = view.routeTable();
     const metadata = dialect.parseCallerHeaders(message.headers);
@@ -157,12 +163,8 @@
     const path = pathOf(target);
     const route = table.findRoute(hostOf(message.headers.host), path);
     if (!route) {
-      return refuse(callerResponse, {
-        status: 404,
-        reason: "no route",
-        request,
-        path,
-      });
+      const reason = "no route";
+      return refuse(callerResponse, { status: 404, reason, request, path });
     }
     const hasCustomers = table.configuration.customers !== undefined;
     const customer = hasCustomers && metadata.key !== undefined
@@ -245,7 +247,6 @@
     }
   };
 
-  const startInSequence = createRequestSequence();
   const server = createServer(
     {
       connectionsCheckingInterval: HEADER_CHECK_INTERVAL_MILLISECONDS,
@@ -256,19 +257,16 @@
       const arrivedAt = clock.now();
       traffic.recordRequest(message);
       idleConnections.track(message, response);
-      startInSequence(message, response, () => {
+      sequence.add(message, response, () => {
         running += 1;
         response.on("close", () => void (running -= 1));
         handle(message, response, arrivedAt).catch((error: Error) => {
           log.warn("request failed by a fault of the gateway", {
             reason: error.stack ?? error.message,
           });
-          const callerResponse = createCallerResponse(response, {
-            closesConnection: () => true,
-            discardRequest: bodies.discard,
-          });
-          if (callerResponse.isStarted()) return callerResponse.abort();
-          callerResponse.sendText(502, "a fault of the gateway\n");
+          const failed = respondTo(response, () => true);
+          if (failed.isStarted()) return failed.abort();
+          failed.sendText(502, "a fault of the gateway\n");
         });
       });
     },
--- a/src/gateway/request_sequence.ts
+++ b/src/gateway/request_sequence.ts
@@ -5,22 +5,29 @@
 /// hands them over at once, but only the first response has a connection: if that
 /// closes, the others neither get an answer nor learn that their caller is gone.
 
-/// Calls `start` when the responses before this one have ended, unless the
-/// connection closes by then.
-export type RequestSequence = (
-  message: IncomingMessage,
-  response: ServerResponse,
-  start: () => void,
-) => void;
+export interface RequestSequence {
+  /// Calls `start` when the responses before this one have ended, unless the
+  /// connection closes by then.
+  add(
+    message: IncomingMessage,
+    response: ServerResponse,
+    start: () => void,
+  ): void;
+  /// The response to the last request of a connection.
+  last(socket: Socket): ServerResponse | undefined;
+}
 
 export function createRequestSequence(): RequestSequence {
-  const lastResponses = new WeakMap<Socket, ServerResponse>();
-  return ({ socket }, response, start) => {
-    const previous = lastResponses.get(socket);
-    lastResponses.set(socket, response);
-    if (!previous || previous.destroyed) return start();
-    previous.once("close", () => {
-      if (socket.writable) start();
-    });
+  const last = new WeakMap<Socket, ServerResponse>();
+  return {
+    add({ socket }, response, start) {
+      const previous = last.get(socket);
+      last.set(socket, response);
+      if (!previous || previous.destroyed) return start();
+      previous.once("close", () => {
+        if (socket.writable) start();
+      });
+    },
+    last: (socket) => last.get(socket),
   };
 }
--- a/test/gateway/pipelined_requests_test.ts
+++ b/test/gateway/pipelined_requests_test.ts
@@ -80,3 +80,14 @@
   t.deepEqual(connection.statuses(), [200, 503]);
   t.is(desk.requests.length, 1);
 });
+
+test("a request behind one that is answered during a planned stop is answered", async (t) => {
+  const { deployment, desk, connection } = await deploy(t);
+  connection.send(formatRequest("/once/1") + formatRequest("/look/2"));
+  await until(() => desk.requests.length === 1);
+  const drained = deployment.gateways[0]!.drain();
+  await until(connection.isClosed);
+  t.is(connection.statuses().length, 2);
+  t.is(connection.received().match(/^connection: close\r$/gim)?.length, 1);
+  await drained;
+});
