Finish the requests before a fault of a caller's connection

A whole request that was running at an upstream was cut when bytes that are no request, or the first part of the next head, followed it on its connection: a stream ended midway, and a call that runs at most once got 400 or 408, which stood for the next request, while its upstream went on.

Cause: Node.js answers an error of a connection's bytes at once. The gateway handles these errors now: it refuses the faulty request when those that were read before it have been answered. A head whose rest arrives by then is a request like any other. Connections that callers have closed end at once, as before.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -12,6 +12,7 @@
   type CallerResponse,
   createCallerResponse,
 } from "./caller_response.ts";
+import { handleCallerFaults } from "./caller_faults.ts";
 import type { CallerLimits } from "./configuration.ts";
 import { endOfConnection } from "./connection_end.ts";
 import { startIdleConnections } from "./idle_connections.ts";
@@ -281,6 +282,7 @@
   });
   // Node.js closes the connection of this method if nothing handles it.
   server.on("connect", (_message, socket) => refuseTunnel(socket, clock));
+  handleCallerFaults(server, sequence);
   const idleConnections = startIdleConnections(server, clock);
   const traffic = watchCallerTraffic(server, {
     clock,
--- a/src/gateway/request_sequence.ts
+++ b/src/gateway/request_sequence.ts
@@ -13,21 +13,31 @@
     response: ServerResponse,
     start: () => void,
   ): void;
+  /// The response to the request of a connection that has been started and not
+  /// ended.
+  current(socket: Socket): ServerResponse | undefined;
   /// The response to the last request of a connection.
   last(socket: Socket): ServerResponse | undefined;
 }
 
 export function createRequestSequence(): RequestSequence {
+  const current = new WeakMap<Socket, ServerResponse>();
   const last = new WeakMap<Socket, ServerResponse>();
   return {
     add({ socket }, response, start) {
+      const run = () => {
+        current.set(socket, response);
+        response.once("close", () => current.delete(socket));
+        start();
+      };
       const previous = last.get(socket);
       last.set(socket, response);
-      if (!previous || previous.destroyed) return start();
+      if (!previous || previous.destroyed) return run();
       previous.once("close", () => {
-        if (socket.writable) start();
+        if (socket.writable) run();
       });
     },
+    current: (socket) => current.get(socket),
     last: (socket) => last.get(socket),
   };
 }
--- a/stand_ins/platform/caller_connection.ts
+++ b/stand_ins/platform/caller_connection.ts
@@ -41,6 +41,14 @@
   ].join("\r\n");
 }
 
+/// The same with a deadline that a busy processor doesn't reach.
+export function formatPatientRequest(
+  ...parameters: Parameters<typeof formatRequest>
+): string {
+  return formatRequest(...parameters)
+    .replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 14000");
+}
+
 export function openCallerConnection(address: string): CallerConnection {
   const [host, port] = address.split(":");
   const socket = connect(Number(port), host);
--- /dev/null
+++ b/test/gateway/caller_faults_test.ts
@@ -0,0 +1,112 @@
+import test from "ava";
+import { readAnswers } from "../../stand_ins/platform/caller_answers.ts";
+import { formatPatientRequest } from "../../stand_ins/platform/caller_connection.ts";
+import { deployForCaller } from "../../stand_ins/platform/caller_deployment.ts";
+import {
+  sampleConfiguration,
+  until,
+} from "../../stand_ins/platform/platform_deployment.ts";
+
+/// Invalid or incomplete requests behind others on the same connection.
+
+const HEADER_TIMEOUT_MILLISECONDS = 200;
+const WORK_MILLISECONDS = 1_500;
+const EVENTS = 15;
+const { Limits, Routes } = sampleConfiguration(1);
+const CONFIGURATION = {
+  Limits: { ...Limits, HeaderTimeoutMs: HEADER_TIMEOUT_MILLISECONDS },
+  Routes: Routes.map((route) => ({ ...route, TimeoutMs: 14_000 })),
+};
+
+interface FaultCase {
+  readonly title: string;
+  readonly bytes: string;
+  readonly status: number;
+}
+
+const FAULTS: readonly FaultCase[] = [
+  { title: "the head doesn't arrive", bytes: "POST /once/2", status: 408 },
+  { title: "isn't HTTP", bytes: "no request\r\n\r\n", status: 400 },
+  {
+    title: "has an invalid chunk",
+    bytes: formatPatientRequest("/once/2", { body: "" })
+      .replace("Content-Length: 0", "Transfer-Encoding: chunked") + "size",
+    status: 400,
+  },
+  {
+    title: "has a head without end",
+    bytes: `POST /once/2 HTTP/1.1\r\nX-Note: ${"n".repeat(70_000)}`,
+    status: 431,
+  },
+];
+
+const deploy = (t: Parameters<typeof deployForCaller>[0]) =>
+  deployForCaller(t, {
+    configuration: CONFIGURATION,
+    act: () => ({
+      kind: "answer",
+      body: "done",
+      workMilliseconds: WORK_MILLISECONDS,
+    }),
+    stream: {
+      kind: "stream",
+      to: EVENTS,
+      pauseMilliseconds: WORK_MILLISECONDS / EVENTS,
+    },
+  });
+
+for (const { title, bytes, status } of FAULTS) {
+  for (const path of ["/once/1", "/look/1", "/ask/1"]) {
+    test(`a request to ${path} is answered although the next one of its connection ${title}`, async (t) => {
+      const { desk, engine, connection } = await deploy(t);
+      connection.send(formatPatientRequest(path));
+      await until(() => desk.requests.length + engine.requests.length === 1);
+      if (path === "/ask/1") {
+        await until(() => connection.received().includes("piece"));
+      }
+      connection.send(bytes);
+      await until(connection.isClosed);
+      const { complete, rest } = readAnswers(connection.received());
+      t.is(rest, "");
+      t.deepEqual(complete.map((answer) => answer.status), [200, status]);
+      const body = path === "/ask/1" ? `piece ${EVENTS}\n\n` : "done";
+      t.true(complete[0]?.body.endsWith(body));
+      const [request] = [...desk.requests, ...engine.requests];
+      t.false(request!.wasAborted);
+    });
+  }
+}
+
+test("whole requests are answered in turn before an invalid one", async (t) => {
+  const { connection } = await deploy(t);
+  const requests = formatPatientRequest("/once/1") +
+    formatPatientRequest("/look/2");
+  connection.send(`${requests}no request\r\n\r\n`);
+  await until(connection.isClosed);
+  const { complete, rest } = readAnswers(connection.received());
+  t.is(rest, "");
+  t.deepEqual(complete.map(({ status }) => status), [200, 200, 400]);
+});
+
+test("a head that arrives late behind a request under way is answered", async (t) => {
+  const { desk, connection } = await deploy(t);
+  const next = formatPatientRequest("/look/2");
+  connection.send(formatPatientRequest("/once/1") + next.slice(0, 20));
+  await until(() => desk.requests.length === 1);
+  const wait = 2 * HEADER_TIMEOUT_MILLISECONDS + 500;
+  await new Promise((resolve) => setTimeout(resolve, wait));
+  connection.send(next.slice(20));
+  await until(() => connection.statuses().length === 2);
+  t.deepEqual(connection.statuses(), [200, 200]);
+});
+
+test("an upstream stops for a caller that leaves behind an invalid request", async (t) => {
+  const { desk, connection } = await deploy(t);
+  connection.send(formatPatientRequest("/once/1"));
+  await until(() => desk.requests.length === 1);
+  connection.send("no request\r\n\r\n");
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  connection.socket.end();
+  await until(() => desk.requests[0]!.wasAborted);
+  t.pass();
+});
