--- a/src/gateway/upstream_connections.ts
+++ b/src/gateway/upstream_connections.ts
@@ -19,7 +19,7 @@
 /// states. Connections may fall silent for good without a reset, which counts as
 /// a disruption of three seconds: after these, only connections that have worked
 /// since are used.
-const MAXIMUM_IDLE_MILLISECONDS: Milliseconds = 2_500;
+const MAXIMUM_IDLE_MILLISECONDS: Milliseconds = 2_800;
 /// Idle connections that are kept to one upstream. An upstream limits the
 /// connections of all VMs together, and one VM sends it only a few requests at
 /// a time.
