Place further attempts at services that the configuration no longer has

Callers lost streams, and got 502 for safe calls, whose upstream broke off after a new configuration had dropped the route's service: the request had been accepted with it, its other upstreams still ran, but each further attempt was refused with "the route's service is not configured". With an owner of placement, one version of difference sufficed: it refused prompts of VMs that already knew a new service, or still had requests of a dropped one.

The class of the fault: a request under way is judged by a configuration that it wasn't accepted with. The view now remembers services that versions have dropped, for requests that arrived before; new requests still follow the routes in force. An owner that doesn't know a service says so, and the VM that asked decides by itself.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
-import type { Configuration } from "./configuration.ts";
+import type { Configuration, Service } from "./configuration.ts";
 import { createRouteTable, type RouteTable } from "./route_table.ts";
 import { isSameInstance, type Upstream } from "./upstream.ts";
 
@@ -12,6 +12,8 @@
 const RELISTING_TIMEOUT_MILLISECONDS: Milliseconds = 1_900;
 /// Upstreams that are remembered after they are gone.
 const MAXIMUM_GONE_UPSTREAMS = 4_096;
+/// Services that are remembered after the configuration no longer has them.
+const MAXIMUM_FORMER_SERVICES = 256;
 
 /// Origin of a change, for logs.
 export interface ViewSource {
@@ -29,6 +31,9 @@
 export interface FleetView {
   /// Undefined until a configuration is received.
   routeTable(): RouteTable | undefined;
+  /// A service as it was last configured, also if the configuration in force no
+  /// longer has it: requests that arrived before may need a further attempt.
+  service(name: string): Service | undefined;
   /// Store revision of the latest change that was applied.
   revision(): number;
   upstream(id: string): Upstream | undefined;
@@ -69,6 +74,8 @@
   /// Upstreams that are no longer listed, by id, the earliest first.
   const gone = new Map<string, GoneUpstream>();
   const listeners: ((change: ViewChange) => void)[] = [];
+  /// Services by name, the one that was configured last at the end.
+  const services = new Map<string, Service>();
   let byService: Map<string, Upstream[]> | undefined;
   let table: RouteTable | undefined;
   let revision = 0;
@@ -126,8 +133,20 @@
     return true;
   };
 
+  const recordServices = (configured: readonly Service[]) => {
+    for (const service of configured) {
+      services.delete(service.name);
+      services.set(service.name, service);
+    }
+    for (const name of services.keys()) {
+      if (services.size <= configured.length + MAXIMUM_FORMER_SERVICES) return;
+      services.delete(name);
+    }
+  };
+
   return {
     routeTable: () => table,
+    service: (name) => services.get(name),
     revision: () => revision,
     upstream: (id) => upstreams.get(id),
     upstreams: () => [...upstreams.values()],
@@ -148,6 +167,7 @@
       const current = table?.configuration.version;
       if (current !== undefined && configuration.version <= current) return;
       table = createRouteTable(configuration);
+      recordServices(configuration.services);
       const detail = `version ${configuration.version}`;
       notify({ kind: "configuration", detail, source });
     },
--- a/src/gateway/placement_decider.ts
+++ b/src/gateway/placement_decider.ts
@@ -186,8 +186,11 @@
     query: PlacementQuery,
     scope: DecisionScope & { readonly ignoresQueue: boolean },
   ): PlacementDecision | undefined => {
-    const service = view.routeTable()?.service(query.service);
-    if (!service) return refused("the route's service is not configured");
+    const service = view.service(query.service);
+    if (!service) {
+      const reason = "the route's service is not configured";
+      return { ...refused(reason), isUnknown: true };
+    }
     const { engine } = service;
     if (engine) return decidePrompt({ ...service, engine }, query, scope);
     const chosen = placeCall(
@@ -205,7 +208,7 @@
 
   /// Estimated time to the first event once the request has a slot.
   const firstEventTimeOf = (query: PlacementQuery, scope: DecisionScope) => {
-    const service = view.routeTable()?.service(query.service);
+    const service = view.service(query.service);
     if (!service?.engine) return 0;
     const plan = placePrompt(
       service.engine,
--- a/src/gateway/placement_decision.ts
+++ b/src/gateway/placement_decision.ts
@@ -61,6 +61,9 @@
   /// Whether it could be placed then, because all upstreams have reached the
   /// limits that they state.
   isAtLimit: Type.Optional(Type.Boolean()),
+  /// Whether the VM that decided doesn't know the service. Its configuration may
+  /// be older than that of the VM that asked.
+  isUnknown: Type.Optional(Type.Boolean()),
 });
 /// The request can't be served in time.
 export type RefusedDecision = Static<typeof RefusedDecision>;
--- a/src/gateway/placement_service.ts
+++ b/src/gateway/placement_service.ts
@@ -89,7 +89,7 @@
   let nextTicket = 0;
 
   const claim = (vm: string, query: PlacementQuery, placed: PlacedDecision) => {
-    const engine = view.routeTable()?.service(query.service)?.engine;
+    const engine = view.service(query.service)?.engine;
     const eventGap = view.routeTable()?.shortestEventGap(query.service);
     const items = workOfDecision(placed, query, { engine, eventGap });
     for (const { upstream, work } of items) {
@@ -226,22 +226,23 @@
     return decider.decide(query, { dataCentre, mayWait: true }, signal);
   };
 
-  /// Whether this VM may send to the upstreams of another VM's decision: its
-  /// own view may be newer, and an owner of an earlier build doesn't know which
-  /// of them want no requests of this VM.
+  /// Whether another VM's decision is followed. This VM's own view may be newer,
+  /// and an owner of an earlier build doesn't know which upstreams want no
+  /// requests of this VM.
   const isUsable = (
     decision: PlacementDecision,
     { held = [] }: PlacementQuery,
   ) =>
-    decision.kind === "refused" ||
-    [decision.upstream, ...decision.helpers].every((id) => {
-      const upstream = view.upstream(id);
-      return upstream !== undefined && !upstream.isLeaving &&
-        !held.some((each) => each.upstream === id);
-    });
+    decision.kind === "refused"
+      ? !decision.isUnknown
+      : [decision.upstream, ...decision.helpers].every((id) => {
+        const upstream = view.upstream(id);
+        return upstream !== undefined && !upstream.isLeaving &&
+          !held.some((each) => each.upstream === id);
+      });
 
   const decide: PlacementService["decide"] = async (query, signal) => {
-    const hasEngines = view.routeTable()?.service(query.service)?.engine;
+    const hasEngines = view.service(query.service)?.engine;
     if (owners.isBroadcast() || !hasEngines) return decideAlone(query, signal);
     if (owners.isOwner()) return decideAsOwner(query, ownScope(true), signal);
     const askedAt = clock.now();
--- a/test/gateway/placement_owner_test.ts
+++ b/test/gateway/placement_owner_test.ts
@@ -305,3 +305,35 @@
   await fleet.clock.advance(50);
   t.false(owner!.health.isSuspended("north-e0"));
 });
+
+for (
+  const [title, isKnownFirst] of [["not yet", false], [
+    "no longer",
+    true,
+  ]] as const
+) {
+  test(`a request is placed although its owner's configuration has its service ${title}`, async (t) => {
+    const fleet = createFleet({
+      vmsPerDataCentre: 40,
+      enginesPerDataCentre: 1,
+    });
+    await fleet.clock.advance(1_000);
+    const [owner, successor, asker] = fleet.vms;
+    const service = isKnownFirst ? "engines" : "later";
+    const source = { kind: "store" as const, revision: 2 };
+    const services = isKnownFirst
+      ? []
+      : [{ ...CONFIGURATION.services[0]!, name: service }];
+    const configuration = { ...CONFIGURATION, version: 2, services };
+    const changed = isKnownFirst ? [owner!, successor!] : [asker!];
+    for (const { view } of changed) {
+      view.setConfiguration(configuration, source);
+    }
+    const engine = sampleUpstream("north-e0", { dataCentre: "north" });
+    for (const { view } of fleet.vms) {
+      view.setUpstream({ ...engine, service }, source);
+    }
+    const decision = await fleet.place(asker!, { ...SHORT, service });
+    t.like(decision, { kind: "placed", upstream: "north-e0" });
+  });
+}
