Continue a stream elsewhere before its caller leaves an occupied engine

Cause: silence counts as expected for as long as other work of the engine accounts for it, and nothing compared that with the time after which the caller leaves. A prompt whose own callers are more patient, placed later at the same engine, can take longer than that.

The wait for other work and the extension for long prompts now end after two thirds of the caller's patience; the engine then counts as silent, so that a replacement is prepared and whichever goes on first is kept.

The test (a silent engine that reads a prompt of 10 s beside a stream whose caller leaves after 4 s) failed before with no response and passes now.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -9,7 +9,10 @@
 import type { HelperEngine, UpstreamResponseMetadata } from "./dialect.ts";
 import { createEventSplitter, isEventStream } from "./event_splitter.ts";
 import { type Exchange, type HeaderFields, startExchange } from "./exchange.ts";
-import { createInactivityWatch } from "./inactivity_watch.ts";
+import {
+  createInactivityWatch,
+  type SilenceConditions,
+} from "./inactivity_watch.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { Upstream } from "./upstream.ts";
 
@@ -47,16 +50,12 @@
   /// ID of the last event received of a stream that is to be resumed.
   readonly resumeAfterEventId: string | undefined;
   /// Time without progress, before the first event, after which the upstream
-  /// counts as silent if `mayRetry` allows it. Progress is a complete event.
+  /// counts as silent if `silence` allows it. Progress is a complete event.
   readonly firstEventTimeout: Milliseconds;
   /// The same after the first event.
   readonly idleTimeout: Milliseconds;
-  /// Whether an attempt at another upstream may follow a failure.
-  readonly mayRetry: () => boolean;
-  /// Whether a new attempt elsewhere costs more than a longer timeout.
-  readonly extendsTimeout: boolean;
-  /// Further inactivity that the upstream's other work accounts for.
-  readonly remainingPrefill: () => Promise<Milliseconds>;
+  /// What decides how long silence is expected.
+  readonly silence: SilenceConditions;
   /// Receives what the head of the upstream's response to this request states,
   /// and the name of the VM through which it came, if any.
   readonly onResponse: (
@@ -268,9 +267,7 @@
   });
   const inactivity = createInactivityWatch({
     clock,
-    extendsTimeout: plan.extendsTimeout,
-    mayRetry: plan.mayRetry,
-    remainingPrefill: plan.remainingPrefill,
+    ...plan.silence,
     bytesReceived: exchange.bytesReceived,
     phase: () => !head ? "head" : isStream ? "stream" : "body",
     isPaused: () => isPaused,
--- a/src/gateway/inactivity_watch.ts
+++ b/src/gateway/inactivity_watch.ts
@@ -21,7 +21,19 @@
   stop(): void;
 }
 
-export interface InactivityWatchOptions {
+/// What decides how long the silence of an upstream is expected.
+export interface SilenceConditions {
+  /// Whether silence matters, since an attempt at another upstream may follow.
+  readonly mayRetry: () => boolean;
+  /// Whether a new attempt elsewhere costs more than a longer timeout.
+  readonly extendsTimeout: boolean;
+  /// Further inactivity that the upstream's other work accounts for.
+  readonly remainingPrefill: () => Promise<Milliseconds>;
+  /// Time after which a replacement would be too late, since the caller leaves.
+  readonly replaceableFor: () => Milliseconds;
+}
+
+export interface InactivityWatchOptions extends SilenceConditions {
   readonly clock: Clock;
   /// Number of bytes received on the connection so far.
   readonly bytesReceived: () => number;
@@ -30,12 +42,6 @@
   /// Whether the response isn't read, since the caller reads slowly.
   readonly isPaused: () => boolean;
   readonly isTunnel: () => boolean;
-  /// Whether silence matters, since an attempt at another upstream may follow.
-  readonly mayRetry: () => boolean;
-  /// Whether a new attempt elsewhere costs more than a longer timeout.
-  readonly extendsTimeout: boolean;
-  /// Further inactivity that the upstream's other work accounts for.
-  readonly remainingPrefill: () => Promise<Milliseconds>;
   readonly check: () => Promise<Reachability>;
   /// Called when the upstream sends bytes without progress.
   readonly onUnproductive: (reason: string) => void;
@@ -63,16 +69,18 @@
     prefill: Milliseconds,
     { isReached, isDoubtful }: { isReached: boolean; isDoubtful: boolean },
   ): Milliseconds => {
+    const latest = options.replaceableFor();
+    if (latest <= 0) return 0;
     if (isReached && prefill > 0 && !(isDoubtful && hasWaited)) {
       hasWaited = true;
-      return prefill + PREFILL_MARGIN_MILLISECONDS;
+      return Math.min(prefill + PREFILL_MARGIN_MILLISECONDS, latest);
     }
     // A busy engine resumes a long prompt sooner than another engine would
     // complete a new prefill.
     const mayExtend = isReached && !isDoubtful && options.extendsTimeout;
     if (!mayExtend || wasExtended) return 0;
     wasExtended = true;
-    return TIMEOUT_EXTENSION_MILLISECONDS;
+    return Math.min(TIMEOUT_EXTENSION_MILLISECONDS, latest);
   };
 
   const onTimeout = async (timeout: Milliseconds, scheduled: Timer) => {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -29,6 +29,8 @@
 /// of the route's maximum event gap.
 const IDLE_TIMEOUT_FACTOR = 2.5;
 const MINIMUM_IDLE_TIMEOUT_MILLISECONDS: Milliseconds = 900;
+/// Part of a caller's patience within which a replacement is prepared.
+const REPLACEMENT_START_SHARE = 2 / 3;
 
 /// Handles a request to its end and resolves to the outcome.
 export async function handleRequest(
@@ -63,6 +65,15 @@
   /// Ends whatever the request waits for.
   const stopped = new AbortController();
 
+  /// How long a replacement may still be begun: it needs part of the time after
+  /// which the caller of a silent stream leaves.
+  const replaceableFor = () => {
+    if (route.kind !== "stream") return Infinity;
+    const silentSince = progress.lastWriteAt ?? request.arrivedAt;
+    const patience = REPLACEMENT_START_SHARE * route.silenceMilliseconds;
+    return silentSince + patience - clock.now();
+  };
+
   const onSilence = (record: AttemptRecord) => {
     const { placement, result } = record;
     metrics.silences.inc({ route_kind: route.kind });
@@ -104,9 +115,12 @@
         MINIMUM_IDLE_TIMEOUT_MILLISECONDS,
         IDLE_TIMEOUT_FACTOR * route.pauseMilliseconds,
       ),
-      extendsTimeout: placer.isLong,
-      mayRetry: () => retries.mayRunElsewhere(placement),
-      remainingPrefill: () => placements.remainingPrefill(upstream.id),
+      silence: {
+        extendsTimeout: placer.isLong,
+        mayRetry: () => retries.mayRunElsewhere(placement),
+        remainingPrefill: () => placements.remainingPrefill(upstream.id),
+        replaceableFor,
+      },
       onResponse: (head, tunnelVm) => {
         const { requestLimit: limit, isAuthentic, retryAfter } = head;
         if (head.isLeaving) context.leavingUpstreams.record(upstream);
