Report a silent engine once per timeout

Each report also starts another search for a replacement.

Cause: a shortened wait became the timeout of all following ones.

A wait for other work no longer changes the timeout.

--- a/src/gateway/inactivity_watch.ts
+++ b/src/gateway/inactivity_watch.ts
@@ -83,7 +83,11 @@
     return Math.min(TIMEOUT_EXTENSION_MILLISECONDS, latest);
   };
 
-  const onTimeout = async (timeout: Milliseconds, scheduled: Timer) => {
+  /// `waited` is the time of this wait, and `timeout` that of the next one.
+  const onTimeout = async (
+    { waited, timeout }: { waited: Milliseconds; timeout: Milliseconds },
+    scheduled: Timer,
+  ) => {
     const received = bytesReceived() - bytesBefore;
     if (received > MAXIMUM_UNPRODUCTIVE_BYTES && !isPaused()) {
       if (phase() === "stream") {
@@ -105,9 +109,9 @@
     const isDoubtful = reachability === "through_others" &&
       !options.isTunnel();
     const expected = expectedSilence(prefill, { isReached, isDoubtful });
-    if (expected > 0) return restart(expected);
+    if (expected > 0) return wait(expected, timeout);
     const place = isDoubtful ? " on a lost path" : " and unreachable";
-    const reason = `silent for ${Math.round(timeout)} ms`;
+    const reason = `silent for ${Math.round(waited)} ms`;
     options.onSilence(
       isReached && !isDoubtful ? reason : reason + place,
       reachability,
@@ -116,11 +120,12 @@
     if (timer === scheduled) restart(timeout);
   };
 
-  const restart = (timeout: Milliseconds) => {
+  /// Waits for `waited`, and for `timeout` each time after that.
+  const wait = (waited: Milliseconds, timeout: Milliseconds) => {
     stop();
     bytesBefore = bytesReceived();
-    const scheduled = clock.schedule(timeout, () => {
-      onTimeout(timeout, scheduled).catch(() => {
+    const scheduled = clock.schedule(waited, () => {
+      onTimeout({ waited, timeout }, scheduled).catch(() => {
         // Nothing is known of the upstream, which may still respond.
         if (timer === scheduled) restart(timeout);
       });
@@ -128,5 +133,7 @@
     timer = scheduled;
   };
 
+  const restart = (timeout: Milliseconds) => wait(timeout, timeout);
+
   return { restart, stop };
 }
