Leave a fifth of a caller's patience to a replacement

Two bounds on the silence that other work of an engine explains met in one change of configuration of attempts: the later one now decides, and what may be reused follows it.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -176,7 +176,7 @@
         return fail("gone at the end of its answer", reachability);
       }
       const reason = "silent at the end of its answer";
-      if (plan.mayRetry()) endOrReport(reason, reachability);
+      if (plan.silence.mayRetry()) endOrReport(reason, reachability);
       clock.schedule(
         CHECK_DELAY_MILLISECONDS,
         () => isSettled || finishUnlessGone(),
@@ -198,7 +198,9 @@
     }),
     body: request.body.length > 0 ? request.body : undefined,
     reuse: {
-      maximumIdle: plan.mayRetry() ? undefined : MAXIMUM_ONCE_IDLE_MILLISECONDS,
+      maximumIdle: plan.silence.mayRetry()
+        ? undefined
+        : MAXIMUM_ONCE_IDLE_MILLISECONDS,
       isNew: plan.isRepeated || attemptId === undefined,
     },
   }, {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -30,7 +30,7 @@
 const IDLE_TIMEOUT_FACTOR = 2.5;
 const MINIMUM_IDLE_TIMEOUT_MILLISECONDS: Milliseconds = 900;
 /// Part of a caller's patience within which a replacement is prepared.
-const REPLACEMENT_START_SHARE = 2 / 3;
+const REPLACEMENT_START_SHARE = 0.8;
 
 /// Handles a request to its end and resolves to the outcome.
 export async function handleRequest(
--- a/test/gateway/aborted_attempt_test.ts
+++ b/test/gateway/aborted_attempt_test.ts
@@ -54,7 +54,7 @@
     {
       upstream: { address: "127.0.0.1:1" },
       firstEventTimeout: 60_000,
-      mayRetry: () => false,
+      silence: { mayRetry: () => false },
       onResponse() {},
       onEvents: () => ++written > 0,
     } as unknown as Parameters<typeof startAttempt>[2],
