Test responses without a length that no VM can check at once

A VM without a path of its own asks another one whether the upstream is still there; that one may be stopping, or answer too late.

--- a/test/gateway/unframed_responses_test.ts
+++ b/test/gateway/unframed_responses_test.ts
@@ -122,3 +122,39 @@
     t.is(runs(), 1);
   });
 }
+
+/// Starts a response without a length through another VM. `end` ends it.
+async function respondThroughVm(t: ExecutionContext, request: CallerRequest) {
+  const deployment = await startPlatformDeployment({ gateways: 2 });
+  t.teardown(deployment.close);
+  let end = () => {};
+  const service = request === STREAM ? "engines" : "desk";
+  const upstream = await deployment.addUpstream(service, "u1", () => ({
+    kind: "raw",
+    write(socket, head) {
+      const fields = request === STREAM
+        ? ["Content-Type: text/event-stream", "Connection: close"]
+        : ["Connection: close"];
+      socket.write(`${head(fields)}\r\n`);
+      end = () => void socket.end(wholeOf(request));
+    },
+  }));
+  await until(() => isConnected(deployment, 1));
+  deployment.upstreamNetworks[0]!.partition("refuse");
+  const answer = deployment.send(request);
+  await until(() => upstream.requests.length === 1);
+  return { deployment, answer, end: () => end() };
+}
+
+for (const request of [STREAM, SAFE, ONCE]) {
+  test(`a response to ${request.path} without a length is whole although no VM can tell at once whether its upstream is there`, async (t) => {
+    const { deployment, answer, end } = await respondThroughVm(t, request);
+    // It opens no connection for others any more.
+    void deployment.gateways[1]!.drain();
+    end();
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    deployment.upstreamNetworks[0]!.heal();
+    const { status, body, isWhole } = await answer;
+    t.deepEqual([status, body, isWhole], [200, wholeOf(request), true]);
+  });
+}
