Reach upstreams through another VM after their entry is gone

A complete response without a length was broken off when it came through another VM and the upstream's entry had been removed meanwhile, as it is when an upstream leaves and finishes its last requests: that VM opened no connection to an address that it no longer listed, so that nobody could tell whether the upstream was still there.

VMs now connect others to addresses of upstreams that they remember. To which upstream a request is sent is decided from the entries by the VM that sends it, as before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -172,8 +172,9 @@
     dataCentreOf: (address) => findUpstream(address)?.dataCentre,
     mayConnect(address) {
       const upstream = findUpstream(address);
-      return upstream !== undefined &&
-        upstreamHolds.delayOf(upstream.id) === 0;
+      return upstream
+        ? upstreamHolds.delayOf(upstream.id) === 0
+        : view.isUpstreamAddress(address);
     },
     tunnels: metrics.tunnels,
   });
--- a/test/gateway/unframed_responses_test.ts
+++ b/test/gateway/unframed_responses_test.ts
@@ -157,4 +157,13 @@
     const { status, body, isWhole } = await answer;
     t.deepEqual([status, body, isWhole], [200, wholeOf(request), true]);
   });
+
+  test(`a response to ${request.path} without a length is whole although the entry of its upstream was removed`, async (t) => {
+    const { deployment, answer, end } = await respondThroughVm(t, request);
+    deployment.store.remove("servers/u1");
+    await until(() => isConnected(deployment, 0));
+    end();
+    const { status, body, isWhole } = await answer;
+    t.deepEqual([status, body, isWhole], [200, wholeOf(request), true]);
+  });
 }
