Open tunnels through listed VMs while no VM is linked

A VM that was partitioned from all upstreams refused every request with 503 for up to half a second when its links had fallen silent together, some 3.2 to 4.2 s after the silence and so in the calm: it closed all links as silent at the same moment, and asked only linked VMs for tunnels until it was linked again.

The class of the fault: the end of a link was taken for the end of its VM. While no VM is linked, all listed ones are asked; linked ones still come alone.

The new test failed in four of four runs before (503 while it linked again).

--- a/src/tunnels/upstream_access.ts
+++ b/src/tunnels/upstream_access.ts
@@ -56,7 +56,12 @@
     async vms() {
       const linked = new Set(links.peers().map(({ vm }) => vm));
       const listed = await options.vmList.read();
-      return listed.filter(({ name }) => linked.has(name));
+      const known = listed.filter(({ name }) => linked.has(name));
+      if (known.length > 0) return known;
+      // Links that fail together say nothing about the VMs.
+      return listed.filter(({ name, kind, state }) =>
+        name !== links.self.vm && kind !== "upstream" && state === "live"
+      );
     },
     onTunnel: () => tunnels.inc({ opened_by: "other VM" }),
   });
--- /dev/null
+++ b/test/gateway/silent_links_test.ts
@@ -0,0 +1,72 @@
+import diagnostics from "node:diagnostics_channel";
+import type { Socket } from "node:net";
+import test from "ava";
+import {
+  isConnected,
+  startPlatformDeployment,
+  until,
+} from "../../stand_ins/platform/platform_deployment.ts";
+
+/// Links between VMs that fall silent for good, without a reset, while new ones
+/// work.
+
+const GATEWAYS = 2;
+/// Time between two requests: much shorter than VMs take to link again.
+const INTERVAL_MILLISECONDS = 50;
+const REQUESTS = [
+  { path: "/ask/1", headers: { "X-Token-Counts": "100,20" } },
+  { path: "/look/1" },
+  { path: "/once/1" },
+];
+
+/// Connections that this process has opened.
+const opened = new Set<Socket>();
+diagnostics.subscribe("net.client.socket", (message) => {
+  const { socket } = message as { socket: Socket };
+  opened.add(socket);
+  socket.on("close", () => opened.delete(socket));
+});
+
+/// Makes a socket lose all bytes in both directions.
+function silence(socket: Socket) {
+  socket.push = () => true;
+  socket.write = () => true;
+}
+
+test("a VM that is partitioned from upstreams serves its callers while it links again", async (t) => {
+  const deployment = await startPlatformDeployment({ gateways: GATEWAYS });
+  t.teardown(deployment.close);
+  for (const service of ["engines", "desk"]) {
+    for (let index = 0; index < 2; index++) {
+      await deployment.addUpstream(
+        service,
+        `${service}-${index}`,
+        () =>
+          service === "engines"
+            ? { kind: "stream", to: 3 }
+            : { kind: "answer", body: "done" },
+      );
+    }
+  }
+  await until(() => isConnected(deployment, 4));
+  deployment.upstreamNetworks[0]!.partition("refuse");
+  const send = () => Promise.all(REQUESTS.map(deployment.send));
+  await send();
+  const links = deployment.gateways.map(({ addresses }) => addresses.links);
+  const isLink = ({ remoteAddress, remotePort }: Socket) =>
+    links.includes(`${remoteAddress}:${remotePort}`);
+  const silenced = [...opened].filter(isLink);
+  silenced.forEach(silence);
+  const sent: ReturnType<typeof send>[] = [];
+  await until(async () => {
+    sent.push(send());
+    await new Promise((resolve) => setTimeout(resolve, INTERVAL_MILLISECONDS));
+    return silenced.every(({ destroyed }) => destroyed) &&
+      await isConnected(deployment, 4);
+  });
+  const results = (await Promise.all(sent)).flat();
+  const statuses = results.map(({ status, isWhole }) =>
+    isWhole ? status : undefined
+  );
+  t.deepEqual([...new Set(statuses)], [200]);
+});
