--- a/src/gateway/attempt_race.ts
+++ b/src/gateway/attempt_race.ts
@@ -55,6 +55,9 @@
   resume(): void;
 }
 
+// Not created in a closure, which would keep the values around it.
+const doNothing = () => {};
+
 /// What ends a run.
 interface Run {
   finish(result: RaceResult): void;
@@ -68,7 +71,15 @@
   let search: AbortController | undefined;
   /// Ends the run while only the search for a replacement goes on: the retry and
   /// the place in the queue that it has aren't given up.
-  let endSearching = () => {};
+  let endSearching = doNothing;
+
+  /// A race lives as long as its caller's connection is idle, an attempt and what
+  /// it has read doesn't.
+  const finishSearching = () => {
+    const end = endSearching;
+    endSearching = doNothing;
+    end();
+  };
 
   const cancelSearch = () => {
     search?.abort();
@@ -89,7 +100,7 @@
     prepared: PreparedAttempt,
     run: Run,
   ) => {
-    endSearching = () => {};
+    endSearching = doNothing;
     const started = options.start(prepared, {
       onSilent() {
         silent.add(started);
@@ -107,6 +118,7 @@
       const isFinal = options.isFinal(record);
       const mayContinue = !isFinal && options.onFailed(record);
       running.delete(started);
+      silent.delete(started);
       if (running.size > 0 && !isFinal) return void replace(run);
       const end = () => run.finish({ record, mayContinue });
       if (search && mayContinue) return void (endSearching = end);
@@ -139,7 +151,7 @@
     if (isCurrent) search = undefined;
     if (prepared && isCurrent) return launch(prepared, run);
     if (prepared) options.discard(prepared);
-    if (isCurrent) endSearching();
+    if (isCurrent) finishSearching();
   };
 
   return {
@@ -148,7 +160,7 @@
     abort() {
       cancelSearch();
       for (const each of running) each.abort();
-      endSearching();
+      finishSearching();
     },
     resume() {
       for (const each of running) each.resume();
