Look for the gateway's events where they are logged since the start was split

The program's log lines are in gateway_program.ts now; the test read the small module that loads it. It compares the same two lists as before.

--- a/test/gateway/gateway_events_test.ts
+++ b/test/gateway/gateway_events_test.ts
@@ -16,7 +16,7 @@
     }),
   );
   const sources = await Promise.all(
-    [...files.flat(), "src/bin/gateway.ts"]
+    [...files.flat(), "src/bin/gateway_program.ts"]
       .map((path) => readFile(path, "utf8")),
   );
   const logged = new Set(
