Answer the requests before one for a tunnel first

A whole request that was running at an upstream got no answer when a request for a tunnel followed it on its connection: the refusal of the tunnel was written at once, into the middle of a stream or in the place of the answer to a call that runs at most once, and the connection was closed a moment later.

Class of fault: a connection is ended for a reason of its own while requests that were read on it still wait. The tunnel is now refused when these have been answered. Node.js gives such a connection up, so the gateway also passes on that a slow reader takes more, and ends the connection of a caller that leaves.

Both tests of answers failed before (405 alone; 405 within the stream) and pass now. The test of a slow reader failed without the passing on of its progress (the stream ended midway at its deadline) and passes now. The test of a caller that leaves passes.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -5,6 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { Milliseconds } from "../support/clock.ts";
 import { chooseService } from "./service_choice.ts";
 import { createBodyReader } from "./body_reader.ts";
@@ -281,7 +282,9 @@
     });
   });
   // Node.js closes the connection of this method if nothing handles it.
-  server.on("connect", (_message, socket) => refuseTunnel(socket, clock));
+  server.on("connect", (_message, stream) => {
+    refuseTunnel(stream as Socket, { clock, sequence });
+  });
   handleCallerFaults(server, sequence);
   const idleConnections = startIdleConnections(server, clock);
   const traffic = watchCallerTraffic(server, {
--- a/test/gateway/caller_faults_test.ts
+++ b/test/gateway/caller_faults_test.ts
@@ -40,7 +40,10 @@
   },
 ];
 
-const deploy = (t: Parameters<typeof deployForCaller>[0]) =>
+const deploy = (
+  t: Parameters<typeof deployForCaller>[0],
+  stream: { to?: number; formatEvent?: (event: number) => string } = {},
+) =>
   deployForCaller(t, {
     configuration: CONFIGURATION,
     act: () => ({
@@ -51,7 +54,8 @@
     stream: {
       kind: "stream",
       to: EVENTS,
-      pauseMilliseconds: WORK_MILLISECONDS / EVENTS,
+      pauseMilliseconds: WORK_MILLISECONDS / (stream.to ?? EVENTS),
+      ...stream,
     },
   });
 
@@ -110,3 +114,52 @@
   await until(() => desk.requests[0]!.wasAborted);
   t.pass();
 });
+
+for (const path of ["/once/1", "/ask/1"]) {
+  test(`a request to ${path} is answered although one for a tunnel follows it`, async (t) => {
+    const { desk, engine, connection } = await deploy(t);
+    const others = path === "/ask/1" ? "" : formatPatientRequest("/look/2");
+    connection.send(formatPatientRequest(path) + others);
+    await until(() => desk.requests.length + engine.requests.length === 1);
+    if (path === "/ask/1") {
+      await until(() => connection.received().includes("piece"));
+    }
+    connection.send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n");
+    await until(connection.isClosed);
+    const { complete, rest } = readAnswers(connection.received());
+    t.is(rest, "");
+    const before = path === "/ask/1" ? [200] : [200, 200];
+    t.deepEqual(complete.map(({ status }) => status), [...before, 405]);
+  });
+}
+
+test("an upstream stops for a caller that leaves behind a request for a tunnel", async (t) => {
+  const { desk, connection } = await deploy(t);
+  connection.send(formatPatientRequest("/once/1"));
+  await until(() => desk.requests.length === 1);
+  connection.send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n");
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  connection.socket.end();
+  await until(() => desk.requests[0]!.wasAborted);
+  t.pass();
+});
+
+test("a slow reader gets its whole stream although a request for a tunnel follows it", async (t) => {
+  const to = 300;
+  const size = 60_000;
+  const { connection, engine } = await deploy(t, {
+    to,
+    formatEvent: (event) => `id: ${event}\ndata: ${"n".repeat(size)}\n\n`,
+  });
+  connection.send(formatPatientRequest("/ask/1"));
+  await until(() => engine.requests.length === 1);
+  connection.socket.pause();
+  connection.send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n");
+  await new Promise((resolve) => setTimeout(resolve, 2_000));
+  connection.socket.resume();
+  await until(connection.isClosed);
+  const { complete, rest } = readAnswers(connection.received());
+  t.is(rest.length, 0);
+  t.deepEqual(complete.map(({ status }) => status), [200, 405]);
+  t.true(complete[0]!.body.length > to * size);
+});
