Answer all requests of a daemon's connection before invalid bytes

Of whole requests that a caller of the daemon had sent one behind the other, only the first was answered when bytes that are no request followed them: the connection was closed after the response that was open when the bytes arrived.

It is now closed when no complete request on it is open.

The test with three requests failed before (one answer) and passes now, as does the test with one, which is the former test of such bytes.

--- a/src/requests/caller_api.ts
+++ b/src/requests/caller_api.ts
@@ -76,19 +76,23 @@
 export function createCallerApi(options: CallerApiOptions): CallerApi {
   const { clock, random, handler } = options;
   const responses = createOpenResponses(clock);
-  /// Connections that are closed after their open response.
+  /// Connections that are closed after their open responses.
   const closing = new WeakSet<Socket>();
+  const closeAfterResponses = (socket: Socket) => {
+    const response = responses.find(socket);
+    if (!response) return void socket.destroy();
+    response.once("close", () => closeAfterResponses(socket));
+  };
   const application = Fastify({
     bodyLimit: options.bodyLimit,
     genReqId: () => random.hex(REQUEST_ID_BYTES),
     clientErrorHandler(error, connection) {
       const socket = connection as Socket;
-      const response = responses.find(socket);
-      if (!response) return rejectMalformedHttp(error, socket);
-      // The bytes follow a request that is still being answered.
+      if (!responses.find(socket)) return rejectMalformedHttp(error, socket);
+      // The bytes follow requests that are still being answered.
       if (closing.has(socket)) return;
       closing.add(socket);
-      response.once("close", () => socket.destroy());
+      closeAfterResponses(socket);
     },
     forceCloseConnections: true,
   });
--- a/test/requests/caller_api_test.ts
+++ b/test/requests/caller_api_test.ts
@@ -205,25 +205,30 @@
   });
 }
 
-test("a running request is answered although other bytes follow its body", async (t) => {
-  const body = JSON.stringify({
-    model: "text",
-    prompt: "hello",
-    max_tokens: 20,
+for (const count of [1, 3]) {
+  test(`${count} running requests of a connection are answered although other bytes follow them`, async (t) => {
+    const body = JSON.stringify({
+      model: "text",
+      prompt: "hello",
+      max_tokens: 20,
+    });
+    const lines = [
+      "POST /v1/completions HTTP/1.1",
+      "host: a",
+      "content-type: application/json",
+      `authorization: Bearer ${KEY}`,
+      `content-length: ${body.length}`,
+      "",
+      body,
+    ];
+    const requests = lines.join("\r\n").repeat(count);
+    const answer = await sendRaw(
+      `${requests}these bytes are no request\r\n\r\n`,
+    );
+    t.is(answer.match(/HTTP\/1\.1 200 /g)?.length, count);
+    t.is(answer.match(/"finish_reason":"length"/g)?.length, count);
   });
-  const lines = [
-    "POST /v1/completions HTTP/1.1",
-    "host: a",
-    "content-type: application/json",
-    `authorization: Bearer ${KEY}`,
-    `content-length: ${body.length}`,
-    "",
-    body + "these bytes are no request\r\n\r\n",
-  ];
-  const answer = await sendRaw(lines.join("\r\n"));
-  t.regex(answer, /^HTTP\/1\.1 200 /);
-  t.regex(answer, /"finish_reason":"length"/);
-});
+}
 
 for (const tokens of [1_000, 44_000]) {
   test.serial(`answers a prompt of ${tokens} tokens completely`, async (t) => {
