Answer the requests of a daemon before one for a tunnel

Callers of the daemon got no answer to whole requests that were running when a request for a tunnel followed them on their connection.

The daemon now closes it when no complete request on it is open, and passes on that a slow reader takes more.

No test covers the slow reader.

--- a/src/requests/caller_api.ts
+++ b/src/requests/caller_api.ts
@@ -96,6 +96,18 @@
     },
     forceCloseConnections: true,
   });
+  // Node.js gives up a connection with a request for a tunnel, and closes it at
+  // once if nothing handles that.
+  application.server.on("connect", (_message, stream) => {
+    const socket = stream as Socket;
+    socket.on("error", () => {
+      // The caller reset the connection; its "close" event follows.
+    });
+    socket.once("end", () => socket.destroy());
+    socket.on("drain", () => responses.find(socket)?.emit("drain"));
+    socket.resume();
+    closeAfterResponses(socket);
+  });
 
   const toReceivedRequest = (
     request: FastifyRequest,
--- a/test/requests/caller_api_test.ts
+++ b/test/requests/caller_api_test.ts
@@ -205,29 +205,38 @@
   });
 }
 
-for (const count of [1, 3]) {
-  test(`${count} running requests of a connection are answered although other bytes follow them`, async (t) => {
-    const body = JSON.stringify({
-      model: "text",
-      prompt: "hello",
-      max_tokens: 20,
+/// What may follow requests on a connection without being one.
+const FOLLOWING: readonly [string, string][] = [
+  ["other bytes follow", "these bytes are no request\r\n\r\n"],
+  [
+    "a request for a tunnel follows",
+    "CONNECT a:80 HTTP/1.1\r\nhost: a\r\n\r\n",
+  ],
+];
+
+for (const [name, following] of FOLLOWING) {
+  for (const count of [1, 3]) {
+    test(`${count} running requests of a connection are answered although ${name}`, async (t) => {
+      const body = JSON.stringify({
+        model: "text",
+        prompt: "hello",
+        max_tokens: 20,
+      });
+      const lines = [
+        "POST /v1/completions HTTP/1.1",
+        "host: a",
+        "content-type: application/json",
+        `authorization: Bearer ${KEY}`,
+        `content-length: ${body.length}`,
+        "",
+        body,
+      ];
+      const requests = lines.join("\r\n").repeat(count);
+      const answer = await sendRaw(requests + following);
+      t.is(answer.match(/HTTP\/1\.1 200 /g)?.length, count);
+      t.is(answer.match(/"finish_reason":"length"/g)?.length, count);
     });
-    const lines = [
-      "POST /v1/completions HTTP/1.1",
-      "host: a",
-      "content-type: application/json",
-      `authorization: Bearer ${KEY}`,
-      `content-length: ${body.length}`,
-      "",
-      body,
-    ];
-    const requests = lines.join("\r\n").repeat(count);
-    const answer = await sendRaw(
-      `${requests}these bytes are no request\r\n\r\n`,
-    );
-    t.is(answer.match(/HTTP\/1\.1 200 /g)?.length, count);
-    t.is(answer.match(/"finish_reason":"length"/g)?.length, count);
-  });
+  }
 }
 
 for (const tokens of [1_000, 44_000]) {
