Split the target of a request from the callers' server, and name a bound by its use

A bound on idle connections holds for each last attempt since requests that may not be sent again follow it, not only for those that run once.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -25,7 +25,7 @@
 /// have fallen silent, so a request that may not be sent again isn't sent on it.
 /// The platform states 300 ms as the shortest time after which upstreams drop
 /// idle connections.
-const MAXIMUM_ONCE_IDLE_MILLISECONDS: Milliseconds = 250;
+const MAXIMUM_LAST_ATTEMPT_IDLE_MILLISECONDS: Milliseconds = 250;
 /// Delay after a check that tells nothing of the upstream.
 const CHECK_DELAY_MILLISECONDS: Milliseconds = 200;
 
@@ -200,7 +200,7 @@
     reuse: {
       maximumIdle: plan.silence.mayRetry()
         ? undefined
-        : MAXIMUM_ONCE_IDLE_MILLISECONDS,
+        : MAXIMUM_LAST_ATTEMPT_IDLE_MILLISECONDS,
       isNew: plan.isRepeated || attemptId === undefined,
     },
   }, {
--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -23,6 +23,7 @@
 import { findRequestFault } from "./request_check.ts";
 import { refuseTunnel } from "./refused_tunnel.ts";
 import { createRequestSequence } from "./request_sequence.ts";
+import { hostOf, pathOf } from "./request_target.ts";
 import { watchCallerTraffic } from "./caller_traffic.ts";
 import { timingOf } from "./stop_schedule.ts";
 
@@ -59,15 +60,6 @@
   readonly path?: string;
 }
 
-function hostOf(value: string | undefined): string {
-  return (value ?? "").replace(/:\d+$/, "");
-}
-
-function pathOf(target: string): string {
-  const end = target.search(/[?#]/);
-  return end < 0 ? target : target.slice(0, end);
-}
-
 export function createCallerServer(
   context: RequestContext,
   plannedStop: PlannedStop,
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -29,7 +29,8 @@
 /// of the route's maximum event gap.
 const IDLE_TIMEOUT_FACTOR = 2.5;
 const MINIMUM_IDLE_TIMEOUT_MILLISECONDS: Milliseconds = 900;
-/// Part of a caller's patience within which a replacement is prepared.
+/// Part of the time after which the caller of a silent stream leaves, within which
+/// a replacement is prepared. The replacement needs the rest to respond.
 const REPLACEMENT_START_SHARE = 0.8;
 
 /// Handles a request to its end and resolves to the outcome.
@@ -65,8 +66,7 @@
   /// Ends whatever the request waits for.
   const stopped = new AbortController();
 
-  /// How long a replacement may still be begun: it needs part of the time after
-  /// which the caller of a silent stream leaves.
+  /// How long the preparation of a replacement may still be put off.
   const replaceableFor = () => {
     if (route.kind !== "stream") return Infinity;
     const silentSince = progress.lastWriteAt ?? request.arrivedAt;
