Ask for former addresses of upstreams only where none is listed

Cause: the question whether an address is remembered also searched the listed upstreams, which the only caller had searched before. It now covers those that are gone, and its name says so.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -38,9 +38,9 @@
   revision(): number;
   upstream(id: string): Upstream | undefined;
   upstreams(): readonly Upstream[];
-  /// Whether an upstream has or had the address, as far as it is remembered. One
-  /// that isn't listed any more may still be responding.
-  isUpstreamAddress(address: string): boolean;
+  /// Whether an upstream that is remembered and not listed any more has had the
+  /// address. It may still be responding.
+  wasUpstreamAddress(address: string): boolean;
   /// Upstreams of a service that accept new requests.
   available(service: string): readonly Upstream[];
   /// Applies a configuration if its version is newer than the one in force.
@@ -153,8 +153,7 @@
     revision: () => revision,
     upstream: (id) => upstreams.get(id),
     upstreams: () => [...upstreams.values()],
-    isUpstreamAddress: (address) =>
-      [...upstreams.values()].some((each) => each.address === address) ||
+    wasUpstreamAddress: (address) =>
       [...gone.values()].some(({ upstream }) => upstream.address === address),
     available(service) {
       if (!byService) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -174,7 +174,7 @@
       const upstream = findUpstream(address);
       return upstream
         ? upstreamHolds.delayOf(upstream.id) === 0
-        : view.isUpstreamAddress(address);
+        : view.wasUpstreamAddress(address);
     },
     tunnels: metrics.tunnels,
   });
