--- a/stand_ins/platform/caller_connection.ts
+++ b/stand_ins/platform/caller_connection.ts
@@ -1,4 +1,5 @@
 import { connect, type Socket } from "node:net";
+import type { Milliseconds } from "../../src/support/clock.ts";
 import { API_KEY, HOST } from "./platform_deployment.ts";
 
 /// A caller's connection to a gateway as bytes, for requests that an HTTP client
@@ -18,21 +19,35 @@
 
 let nextAttempt = 1;
 
-/// The bytes of a request; `lines` are further header fields.
+const PATIENT_MILLISECONDS: Milliseconds = 14_000;
+
+/// What a request has beside its path.
+export interface RequestFormat {
+  /// Further header fields.
+  readonly lines?: readonly string[];
+  readonly body?: string;
+  readonly version?: string;
+  readonly key?: string;
+  /// Time from its arrival.
+  readonly deadline?: Milliseconds;
+}
+
+/// The bytes of a request.
 export function formatRequest(
   path: string,
-  { lines = [], body = "an order", version = "1.1", key = API_KEY }: {
-    readonly lines?: readonly string[];
-    readonly body?: string;
-    readonly version?: string;
-    readonly key?: string;
-  } = {},
+  {
+    lines = [],
+    body = "an order",
+    version = "1.1",
+    key = API_KEY,
+    deadline = 2_500,
+  }: RequestFormat = {},
 ): string {
   return [
     `POST ${path} HTTP/${version}`,
     `Host: ${HOST}`,
     `X-Attempt-Id: bytes-${nextAttempt++}`,
-    "X-Deadline-Ms: 2500",
+    `X-Deadline-Ms: ${deadline}`,
     `Authorization: Token ${key}`,
     `Content-Length: ${body.length}`,
     ...lines,
@@ -43,10 +58,10 @@
 
 /// The same with a deadline that a busy processor doesn't reach.
 export function formatPatientRequest(
-  ...parameters: Parameters<typeof formatRequest>
+  path: string,
+  format: RequestFormat = {},
 ): string {
-  return formatRequest(...parameters)
-    .replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 14000");
+  return formatRequest(path, { deadline: PATIENT_MILLISECONDS, ...format });
 }
 
 export function openCallerConnection(address: string): CallerConnection {
--- a/stand_ins/platform/upstream_network.ts
+++ b/stand_ins/platform/upstream_network.ts
@@ -22,7 +22,8 @@
 const CLOSED_PORT = 1;
 
 /// Makes a socket lose all bytes in both directions.
-function silence(socket: Socket) {
+export function silence(socket: Socket): void {
+  socket.push = () => true;
   socket.read = () => null;
   socket.write = () => true;
 }
--- a/test/gateway/caller_faults_test.ts
+++ b/test/gateway/caller_faults_test.ts
@@ -12,6 +12,7 @@
 const HEADER_TIMEOUT_MILLISECONDS = 200;
 const WORK_MILLISECONDS = 1_500;
 const EVENTS = 15;
+const TUNNEL_REQUEST = "CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n";
 const { Limits, Routes } = sampleConfiguration(1);
 const CONFIGURATION = {
   Limits: { ...Limits, HeaderTimeoutMs: HEADER_TIMEOUT_MILLISECONDS },
@@ -104,17 +105,6 @@
   t.deepEqual(connection.statuses(), [200, 200]);
 });
 
-test("an upstream stops for a caller that leaves behind an invalid request", async (t) => {
-  const { desk, connection } = await deploy(t);
-  connection.send(formatPatientRequest("/once/1"));
-  await until(() => desk.requests.length === 1);
-  connection.send("no request\r\n\r\n");
-  await new Promise((resolve) => setTimeout(resolve, 200));
-  connection.socket.end();
-  await until(() => desk.requests[0]!.wasAborted);
-  t.pass();
-});
-
 for (const path of ["/once/1", "/ask/1"]) {
   test(`a request to ${path} is answered although one for a tunnel follows it`, async (t) => {
     const { desk, engine, connection } = await deploy(t);
@@ -124,7 +114,7 @@
     if (path === "/ask/1") {
       await until(() => connection.received().includes("piece"));
     }
-    connection.send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n");
+    connection.send(TUNNEL_REQUEST);
     await until(connection.isClosed);
     const { complete, rest } = readAnswers(connection.received());
     t.is(rest, "");
@@ -133,16 +123,23 @@
   });
 }
 
-test("an upstream stops for a caller that leaves behind a request for a tunnel", async (t) => {
-  const { desk, connection } = await deploy(t);
-  connection.send(formatPatientRequest("/once/1"));
-  await until(() => desk.requests.length === 1);
-  connection.send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n");
-  await new Promise((resolve) => setTimeout(resolve, 200));
-  connection.socket.end();
-  await until(() => desk.requests[0]!.wasAborted);
-  t.pass();
-});
+for (
+  const [title, bytes] of [
+    ["an invalid request", "no request\r\n\r\n"],
+    ["a request for a tunnel", TUNNEL_REQUEST],
+  ]
+) {
+  test(`an upstream stops for a caller that leaves behind ${title}`, async (t) => {
+    const { desk, connection } = await deploy(t);
+    connection.send(formatPatientRequest("/once/1"));
+    await until(() => desk.requests.length === 1);
+    connection.send(bytes!);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    connection.socket.end();
+    await until(() => desk.requests[0]!.wasAborted);
+    t.pass();
+  });
+}
 
 test("a slow reader gets its whole stream although a request for a tunnel follows it", async (t) => {
   const to = 300;
@@ -154,7 +151,7 @@
   connection.send(formatPatientRequest("/ask/1"));
   await until(() => engine.requests.length === 1);
   connection.socket.pause();
-  connection.send("CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n");
+  connection.send(TUNNEL_REQUEST);
   await new Promise((resolve) => setTimeout(resolve, 2_000));
   connection.socket.resume();
   await until(connection.isClosed);
--- a/test/gateway/checked_responses_test.ts
+++ b/test/gateway/checked_responses_test.ts
@@ -7,6 +7,7 @@
   until,
 } from "../../stand_ins/platform/platform_deployment.ts";
 import type { UpstreamAction } from "../../stand_ins/platform/scripted_upstream.ts";
+import { unframedFields } from "../../stand_ins/platform/unframed_fields.ts";
 
 /// Responses without a length whose upstreams accept no connection at their end.
 
@@ -57,9 +58,7 @@
         return {
           kind: "raw",
           write(socket, head) {
-            const fields = request === STREAM
-              ? ["Content-Type: text/event-stream", "Connection: close"]
-              : ["Connection: close"];
+            const fields = unframedFields(request === STREAM);
             socket.write(`${head(fields)}\r\n${wholeOf(request)}`);
             for (const { partition } of networks) {
               partition("hang", upstream.address);
--- a/test/gateway/former_service_test.ts
+++ b/test/gateway/former_service_test.ts
@@ -7,6 +7,7 @@
   until,
 } from "../../stand_ins/platform/platform_deployment.ts";
 import type { ReceivedRequest } from "../../stand_ins/platform/scripted_upstream.ts";
+import { unframedFields } from "../../stand_ins/platform/unframed_fields.ts";
 
 /// Requests under way whose service a new configuration no longer has.
 
@@ -45,9 +46,7 @@
           kind: "raw",
           write: (socket, head) =>
             void socket.write(
-              begin(() =>
-                head(["Content-Type: text/event-stream", "Connection: close"])
-              ),
+              begin(() => head(unframedFields(true))),
             ),
         };
       }
--- a/test/gateway/partitioned_vm_test.ts
+++ b/test/gateway/partitioned_vm_test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext } from "ava";
+import { addAnsweringUpstreams } from "../../stand_ins/platform/answering_upstreams.ts";
 import {
   type CallerRequest,
   countRecordedCrashes,
@@ -40,21 +41,11 @@
 ) {
   const deployment = await startPlatformDeployment({ gateways: GATEWAYS });
   t.teardown(deployment.close);
-  const services = ["engines", "desk"];
-  for (const service of services) {
-    for (let index = 0; index < UPSTREAMS_PER_SERVICE; index++) {
-      await deployment.addUpstream(
-        service,
-        `${service}-${index}`,
-        () =>
-          service === "engines"
-            ? { kind: "stream", to: events, pauseMilliseconds }
-            : { kind: "answer", body: "done" },
-      );
-    }
-  }
-  const count = services.length * UPSTREAMS_PER_SERVICE;
-  await until(() => isConnected(deployment, count));
+  await addAnsweringUpstreams(deployment, {
+    perService: UPSTREAMS_PER_SERVICE,
+    stream: { kind: "stream", to: events, pauseMilliseconds },
+  });
+  await until(() => isConnected(deployment, 2 * UPSTREAMS_PER_SERVICE));
   /// Sends requests of each kind, several at a time, `times` times to each of
   /// `gateways`, and returns the statuses; undefined for an incomplete response.
   const send = async (times: number, gateways: readonly number[]) => {
--- a/test/gateway/placement_owner_test.ts
+++ b/test/gateway/placement_owner_test.ts
@@ -306,13 +306,9 @@
   t.false(owner!.health.isSuspended("north-e0"));
 });
 
-for (
-  const [title, isKnownFirst] of [["not yet", false], [
-    "no longer",
-    true,
-  ]] as const
-) {
-  test(`a request is placed although its owner's configuration has its service ${title}`, async (t) => {
+for (const isKnownFirst of [false, true]) {
+  const when = isKnownFirst ? "no longer" : "not yet";
+  test(`a request is placed although its owner's configuration has its service ${when}`, async (t) => {
     const fleet = createFleet({
       vmsPerDataCentre: 40,
       enginesPerDataCentre: 1,
--- a/test/gateway/silent_links_test.ts
+++ b/test/gateway/silent_links_test.ts
@@ -1,11 +1,13 @@
 import diagnostics from "node:diagnostics_channel";
 import type { Socket } from "node:net";
 import test from "ava";
+import { addAnsweringUpstreams } from "../../stand_ins/platform/answering_upstreams.ts";
 import {
   isConnected,
   startPlatformDeployment,
   until,
 } from "../../stand_ins/platform/platform_deployment.ts";
+import { silence } from "../../stand_ins/platform/upstream_network.ts";
 
 /// Links between VMs that fall silent for good, without a reset, while new ones
 /// work.
@@ -27,27 +29,10 @@
   socket.on("close", () => opened.delete(socket));
 });
 
-/// Makes a socket lose all bytes in both directions.
-function silence(socket: Socket) {
-  socket.push = () => true;
-  socket.write = () => true;
-}
-
 test("a VM that is partitioned from upstreams serves its callers while it links again", async (t) => {
   const deployment = await startPlatformDeployment({ gateways: GATEWAYS });
   t.teardown(deployment.close);
-  for (const service of ["engines", "desk"]) {
-    for (let index = 0; index < 2; index++) {
-      await deployment.addUpstream(
-        service,
-        `${service}-${index}`,
-        () =>
-          service === "engines"
-            ? { kind: "stream", to: 3 }
-            : { kind: "answer", body: "done" },
-      );
-    }
-  }
+  await addAnsweringUpstreams(deployment, { perService: 2 });
   await until(() => isConnected(deployment, 4));
   deployment.upstreamNetworks[0]!.partition("refuse");
   const send = () => Promise.all(REQUESTS.map(deployment.send));
--- a/test/gateway/unframed_responses_test.ts
+++ b/test/gateway/unframed_responses_test.ts
@@ -6,6 +6,7 @@
   until,
 } from "../../stand_ins/platform/platform_deployment.ts";
 import type { UpstreamAction } from "../../stand_ins/platform/scripted_upstream.ts";
+import { unframedFields } from "../../stand_ins/platform/unframed_fields.ts";
 
 /// Responses without a length, which end when their connection closes.
 
@@ -30,9 +31,7 @@
 ): UpstreamAction => ({
   kind: "raw",
   write(socket, head) {
-    const fields = request === STREAM
-      ? ["Content-Type: text/event-stream", "Connection: close"]
-      : ["Connection: close"];
+    const fields = unframedFields(request === STREAM);
     socket.write(`${head(fields)}\r\n${text}`);
     if (isReset) socket.resetAndDestroy();
     else socket.end();
@@ -132,9 +131,7 @@
   const upstream = await deployment.addUpstream(service, "u1", () => ({
     kind: "raw",
     write(socket, head) {
-      const fields = request === STREAM
-        ? ["Content-Type: text/event-stream", "Connection: close"]
-        : ["Connection: close"];
+      const fields = unframedFields(request === STREAM);
       socket.write(`${head(fields)}\r\n`);
       end = () => void socket.end(wholeOf(request));
     },
--- a/test/upgrade_tunnels_test.ts
+++ b/test/upgrade_tunnels_test.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from "node:os";
 import test from "ava";
 import { STORED_CRASHES_PREFIX } from "../src/requests/stored_crashes.ts";
+import { addAnsweringUpstreams } from "../stand_ins/platform/answering_upstreams.ts";
 import {
   type CallerRequest,
   startPlatformDeployment,
@@ -51,18 +52,9 @@
     t.teardown(() => rmSync(folder, { recursive: true }));
     const deployment = await startPlatformDeployment({ gateways: 2 });
     t.teardown(deployment.close);
-    for (const service of ["engines", "desk"]) {
-      for (let index = 0; index < UPSTREAMS_PER_SERVICE; index++) {
-        await deployment.addUpstream(
-          service,
-          `${service}-${index}`,
-          () =>
-            service === "engines"
-              ? { kind: "stream", to: 3 }
-              : { kind: "answer", body: "done" },
-        );
-      }
-    }
+    await addAnsweringUpstreams(deployment, {
+      perService: UPSTREAMS_PER_SERVICE,
+    });
     deployment.store.put(`${STORED_CRASHES_PREFIX}1`, {
       key: "deadly",
       records: [],
