Log whether a failed attempt was sent, and which connection it had

Change: `try ended` and `try silent` have wasSent, isReused and tunnelVm. An exchange remembers whether its connection was reused when it began: the connection counts as reused again once its response has ended.

Measured: attempt_log_test and the 32 tests of gateway_test, aborted_attempt_test and gateway_events_test pass; npm run check passes.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -74,8 +74,19 @@
   ) => boolean;
 }
 
+/// The connection of an attempt.
+export interface AttemptConnection {
+  /// Whether it has carried another request before.
+  readonly isReused: boolean;
+  /// Name of the VM through which it goes, if it is a tunnel.
+  readonly tunnelVm: string | undefined;
+  /// Whether the upstream may have received the request.
+  readonly wasSent: boolean;
+}
+
 export interface Attempt {
   readonly result: Promise<AttemptResult>;
+  connection(): AttemptConnection;
   abort(): void;
   resume(): void;
 }
@@ -282,6 +293,11 @@
 
   return {
     result,
+    connection: () => ({
+      isReused: exchange.isReused(),
+      tunnelVm: exchange.tunnelVm(),
+      wasSent: exchange.wasSent(),
+    }),
     abort() {
       exchange.abort();
       settle({ kind: "aborted", wasSent: exchange.wasSent() });
--- a/src/gateway/attempt_records.ts
+++ b/src/gateway/attempt_records.ts
@@ -1,6 +1,7 @@
 import { findCrashRefusal } from "../requests/crash_attribution.ts";
 import { abbreviateFingerprint } from "../requests/crash_records.ts";
 import type { Milliseconds } from "../support/clock.ts";
+import type { AttemptConnection } from "./attempt.ts";
 import type { AttemptResult } from "./attempt_result.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { Placement } from "./request_placer.ts";
@@ -13,6 +14,7 @@
 export interface AttemptRecord {
   readonly placement: Placement;
   readonly result: AttemptResult;
+  readonly connection: AttemptConnection;
   /// Time since the attempt was started.
   readonly took: Milliseconds;
 }
@@ -97,13 +99,16 @@
     if (refusal) storedCrashes.save(refusal.key);
   };
 
-  const fieldsOf = ({ placement, result, took }: AttemptRecord) => ({
+  const fieldsOf = (
+    { placement, result, connection, took }: AttemptRecord,
+  ) => ({
     request: metadata.attemptId,
     fingerprint: abbreviateFingerprint(request.fingerprint),
     promptParts: metadata.sharedParts.join() || undefined,
     route: route.name,
     upstream: placement.upstream.id,
     address: placement.upstream.address,
+    ...connection,
     try: progress.attempts,
     result: result.kind,
     status: result.kind === "answered" ? result.status : undefined,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -104,6 +104,7 @@
     request.address,
     request.reuse,
   );
+  const wasReused = connection.isReused();
   let hasEnded = false;
   let wasSent = false;
   let isFramed = true;
@@ -126,7 +127,6 @@
     if (hasEnded) return;
     end();
     connection.discard();
-    const wasReused = connection.isReused();
     const hadNoPath = connection.openingFailure() === "unknown";
     handler.onFailure({ wasSent, wasReused, wasClosed, hadNoPath, reason });
   };
@@ -229,6 +229,6 @@
     bytesReceived: connection.bytesReceived,
     wasSent: () => wasSent,
     tunnelVm: connection.tunnelVm,
-    isReused: connection.isReused,
+    isReused: () => wasReused,
   };
 }
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -102,6 +102,12 @@
     const work = placer.startWork(decision);
     health.recordSent(upstream.id);
     const sentAt = clock.now();
+    const recordOf = (result: AttemptResult): AttemptRecord => ({
+      placement,
+      result,
+      connection: attempt.connection(),
+      took: clock.now() - sentAt,
+    });
     const attempt = startAttempt(context, request, {
       upstream,
       helpers,
@@ -132,7 +138,7 @@
         context.upstreamLimits.record(upstream.id, { limit, sentAt });
       },
       onSilence(result) {
-        onSilence({ placement, result, took: clock.now() - sentAt });
+        onSilence(recordOf(result));
         events.onSilent();
       },
       onEvents(bytes, head, id) {
@@ -145,7 +151,7 @@
     const end = (result: AttemptResult): AttemptRecord => {
       if (result.kind === "not_run") work.prefillDone();
       work.end();
-      const record = { placement, result, took: clock.now() - sentAt };
+      const record = recordOf(result);
       records.ended(record);
       void reservations?.release();
       return record;
