Send no request again on a connection to an address that has refused it

Callers saw: a call that may run once ran twice, and the answer of the second run (TWICE); with all upstreams at one address, 503 for a call that had run (REFUSED).

Cause: responses are matched to requests by the id of the attempt, and a second attempt of a request has the same id. It had a connection of its own only if the id of its upstream had had the request, but connections are kept by address. After a process has started again at its address with a new id, while the former entry is still listed or comes back, the second attempt reused the connection of the first one, and a late copy of its refusal was taken for a refusal of the second, which had run. The class: an identity that outlives or falls short of the channel it is checked for.

Change: the request remembers the addresses of its attempts, and a connection to one of them is always new. A connection that has not carried the request can't bring a response with its id.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -40,9 +40,10 @@
 export interface AttemptPlan {
   readonly upstream: Upstream;
   readonly helpers: readonly HelperEngine[];
-  /// Whether the request has been sent before. A new connection is used then: a
-  /// late copy of an earlier response would have the same ID, and what silenced
-  /// one kept connection may have silenced the others.
+  /// Whether the request has been sent to the address before, or may have run
+  /// elsewhere. A new connection is used then: a late copy of an earlier response
+  /// would have the same ID, and what silenced one kept connection may have
+  /// silenced the others.
   readonly isRepeated: boolean;
   /// 0 is the highest; undefined for calls.
   readonly priority: number | undefined;
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -102,6 +102,9 @@
     const work = placer.startWork(decision);
     health.recordSent(upstream.id);
     const sentAt = clock.now();
+    const isRepeated = progress.attemptedAddresses.has(upstream.address) ||
+      progress.mayHaveExecutedAt.size > 0;
+    progress.attemptedAddresses.add(upstream.address);
     const recordOf = (result: AttemptResult): AttemptRecord => ({
       placement,
       result,
@@ -111,8 +114,7 @@
     const attempt = startAttempt(context, request, {
       upstream,
       helpers,
-      isRepeated: progress.avoided.has(upstream.id) ||
-        progress.mayHaveExecutedAt.size > 0,
+      isRepeated,
       priority: placer.priority,
       remaining: remaining(),
       resumeAfterEventId: response.isStarted() ? progress.lastId : undefined,
--- a/src/gateway/request_progress.ts
+++ b/src/gateway/request_progress.ts
@@ -25,6 +25,9 @@
   lastPlacement: RequestOutcome["placement"];
   /// Placements of the attempts that may have been executed.
   readonly mayHaveExecutedAt: Set<Placement>;
+  /// Addresses that attempts were made at. Several upstreams may be listed at one,
+  /// after a process has started again there.
+  readonly attemptedAddresses: Set<string>;
   /// IDs of upstreams that are used again only if there are no others.
   readonly avoided: Set<string>;
 }
@@ -44,6 +47,7 @@
     lastWriteAt: undefined,
     lastPlacement: undefined,
     mayHaveExecutedAt: new Set(),
+    attemptedAddresses: new Set(),
     avoided: new Set(),
   };
 }
