Run no request of a connection that was ended before it was read

Callers saw: "408 Request Timeout", or the close after a response with Connection: close, for a request that then reached its upstream and ran. Either tells that the request isn't run, so the caller sends it again, and it runs twice.

Cause: socket.end() and destroySoon() don't stop reading. In the same pass over the sockets that completes a response, the bytes of the next request are read, and Node.js hands it over before the connection is destroyed. The request sequence looked at the connection only if an earlier response was still open, and not if it had just ended.

Now a request starts, and its body counts as read, only while the connection can carry a response. Whatever ends a connection ends its writing side first, in the same call, so this holds for all of them.

--- a/src/gateway/caller_server.ts
+++ b/src/gateway/caller_server.ts
@@ -73,7 +73,8 @@
     maximumBytes: MAXIMUM_BUFFERED_BODY_BYTES,
   });
 
-  /// Reads the body, or sends an error response and resolves to undefined.
+  /// Reads the body. Resolves to undefined after an error response, or if the
+  /// connection has been ended, which tells the caller that the request isn't run.
   const readBody = async (
     message: IncomingMessage,
     callerResponse: CallerResponse,
@@ -82,7 +83,7 @@
     const result = await bodies.read(message, limit);
     switch (result.kind) {
       case "read":
-        return result.body;
+        return message.socket.writable ? result.body : undefined;
       case "too_large":
         callerResponse.sendText(413, "the body is too large\n");
         return undefined;
@@ -143,12 +144,9 @@
     const request = metadata.attemptId;
     if (!table) {
       const reason = "no configuration is known yet";
+      const retryAfter = NO_CONFIGURATION_RETRY_AFTER_SECONDS;
       const fields = { status: 503, reason, request };
-      return refuse(
-        callerResponse,
-        fields,
-        NO_CONFIGURATION_RETRY_AFTER_SECONDS,
-      );
+      return refuse(callerResponse, fields, retryAfter);
     }
     const { headerBytes, bodyBytes } = table.configuration.limits;
     const fault = findRequestFault(message, headerBytes);
--- a/src/gateway/request_sequence.ts
+++ b/src/gateway/request_sequence.ts
@@ -4,10 +4,12 @@
 /// Starts the pipelined requests of a connection one after the other. Node.js
 /// hands them over at once, but only the first response has a connection: if that
 /// closes, the others neither get an answer nor learn that their caller is gone.
+/// It also hands over what it reads on a connection that this VM has ended, until
+/// that is closed: its caller takes such a request for one that isn't run.
 
 export interface RequestSequence {
   /// Calls `start` when the responses before this one have ended, unless the
-  /// connection closes by then.
+  /// connection has been ended by then.
   add(
     message: IncomingMessage,
     response: ServerResponse,
@@ -26,6 +28,7 @@
   return {
     add({ socket }, response, start) {
       const run = () => {
+        if (!socket.writable) return;
         current.set(socket, response);
         response.once("close", () => current.delete(socket));
         start();
@@ -33,9 +36,7 @@
       const previous = last.get(socket);
       last.set(socket, response);
       if (!previous || previous.destroyed) return run();
-      previous.once("close", () => {
-        if (socket.writable) run();
-      });
+      previous.once("close", run);
     },
     current: (socket) => current.get(socket),
     last: (socket) => last.get(socket),
