Read what has arrived before a request counts as late

Callers saw: "408 Request Timeout" after a pause of the gateway's process, although their whole request had arrived during it. It wasn't run, so the status was true, but the time was the gateway's own.

Cause: Node.js checks with a timer how long heads take, and timers run before sockets are read. The same holds where the check waits for the response before.

A late request is now refused in a callback of setImmediate, before which what has arrived is read, as for idle connections. A body that was late and has arrived is no longer late either.

--- a/src/gateway/caller_faults.ts
+++ b/src/gateway/caller_faults.ts
@@ -34,14 +34,26 @@
   };
 
   const refuseAfterOthers = (socket: Socket, code: string) => {
-    const current = sequence.current(socket);
-    if (!current?.req.complete) return refuse(socket, code);
     const last = sequence.last(socket);
-    current.once("close", () => {
-      // The rest of a late head has arrived.
-      const isOver = code === TIMEOUT_CODE && sequence.last(socket) !== last;
-      if (!isOver && !socket.destroyed) refuseAfterOthers(socket, code);
-    });
+    const isWhole = last?.req.complete;
+    // The rest of a late request has arrived.
+    const isOver = () =>
+      code === TIMEOUT_CODE &&
+      (sequence.last(socket) !== last || last?.req.complete !== isWhole);
+
+    const refuseUnlessOver = () => {
+      if (socket.destroyed || isOver()) return;
+      const current = sequence.current(socket);
+      if (!current?.req.complete) return refuse(socket, code);
+      current.once("close", check);
+    };
+    // Timers run first after a pause of the process: what has arrived is read
+    // before callbacks of setImmediate run.
+    const check = () =>
+      code === TIMEOUT_CODE
+        ? void setImmediate(refuseUnlessOver)
+        : refuseUnlessOver();
+    check();
   };
 
   server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
