Pass on no promise of an upstream that may have run the request

Callers saw: 408, 429 or 503 for a call that may run once, or a stream that can't be resumed, although its upstream had executed it. They take these statuses for a promise that it hasn't run and send it again, so it runs twice (REFUSED).

Cause: a signed failure of an upstream was passed on whatever its status. Only a response that says that the request wasn't executed shows that; another 503 is that of a request that ran and failed.

Change: such a status ends the attempt like any other failure of a request that may have run: the caller gets 502. Requests that may be repeated get the upstream's response as before.

--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -165,7 +165,7 @@
   const isFinal = ({ result }: AttemptRecord) =>
     result.kind === "streamed" || result.kind === "aborted" ||
     (result.kind === "answered" && result.status < 500 &&
-      !response.isStarted());
+      retries.mayForward(result.status) && !response.isStarted());
 
   const race = createAttemptRace({
     start,
@@ -230,7 +230,7 @@
       const outcome = isTimedOut ? "timed_out" : "broken_off";
       return end(outcome, undefined, lastReason);
     }
-    if (lastResponse) {
+    if (lastResponse && retries.mayForward(lastResponse.status)) {
       const headers = dialect.buildCallerHeaders(lastResponse.headers);
       response.forward({ ...lastResponse, headers }, lastResponse.body);
       return end(
--- a/src/gateway/retry_rules.ts
+++ b/src/gateway/retry_rules.ts
@@ -13,7 +13,15 @@
 /// it is refused; a full engine refuses within a round trip.
 const STALL_MILLISECONDS: Milliseconds = 700;
 
+/// Statuses after which callers send any request again, since they promise that it
+/// hasn't run and never will.
+const PROMISES = new Set([408, 421, 429, 503]);
+
 export interface RetryRules {
+  /// Whether the status of an upstream's response may be passed on. A promise may
+  /// not for a request that runs once: the upstream would have said that it hasn't
+  /// run.
+  mayForward(status: number): boolean;
   /// Whether an upstream is listed that has had no attempt.
   hasUntriedUpstream(): boolean;
   /// Whether the request may have a further attempt, beside those that may have
@@ -109,6 +117,7 @@
   };
 
   return {
+    mayForward: (status) => isRetryable || !PROMISES.has(status),
     hasUntriedUpstream,
     mayRunElsewhere,
     mayReplace: () =>
