Stop renewing memory that no request uses

Cause: reservations at other engines were renewed until the end of the attempt, also while the engine that runs the request hung before it used them.

Change: from 9 s less the lifetime of a reservation on (Bounds.IdleMaxMs), each renewal first asks the engine's report whether a request uses the memory. If none does, it isn't renewed. An engine that doesn't tell is asked again and renewed only if it does.

--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -101,6 +101,9 @@
     readonly leaseDuration: Milliseconds;
   }): Promise<boolean>;
   release(connection: Dispatcher, id: string): Promise<void>;
+  /// Resolves to whether a request uses the reservation. Throws if the engine
+  /// doesn't tell.
+  isUsed(connection: Dispatcher, id: string): Promise<boolean>;
 }
 
 /// Parses the documents in the platform's store.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,7 +24,10 @@
 } from "./dialect.ts";
 import { createFleetView } from "./fleet_view.ts";
 import { createGatewayMetrics } from "./gateway_metrics.ts";
-import type { GatewaySettings } from "./gateway_settings.ts";
+import {
+  DEFAULT_UNUSED_HOLD_MILLISECONDS,
+  type GatewaySettings,
+} from "./gateway_settings.ts";
 import { createLeavingUpstreams } from "./leaving_upstreams.ts";
 import { createPieceQuota } from "./piece_quota.ts";
 import { createPlannedStop } from "./planned_stop.ts";
@@ -234,6 +237,8 @@
     responseBytes: createByteBudget(MAXIMUM_RESPONSE_BYTES),
     reservationPrefix: `${settings.vm}-${incarnation}`,
     maximumReservationLifetime: settings.longestHoldMilliseconds,
+    maximumUnusedReservation: settings.longestUnusedHoldMilliseconds ??
+      DEFAULT_UNUSED_HOLD_MILLISECONDS,
   }, plannedStop);
 
   /// Upstreams listed after the last change. The health of a removed upstream
--- a/src/gateway/gateway_events.ts
+++ b/src/gateway/gateway_events.ts
@@ -62,6 +62,8 @@
   "memory not reserved":
     "an engine refused a reservation or did not respond; tokens, reason",
   "reservation not renewed": "it may expire before its request ends; reason",
+  "unused reservation not renewed":
+    "no request uses it, so that its memory becomes free for others",
   "reservation not released": "it expires within the time given",
   "owner passed over":
     "the owner of a data centre's placement didn't reply; its name. The next " +
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -1,11 +1,14 @@
 import { type Static, Type } from "@sinclair/typebox";
 import { Value } from "@sinclair/typebox/value";
+import type { Milliseconds } from "../support/clock.ts";
 
 /// Settings of the gateway, from a JSON file that the deployment writes.
 
 const Address = Type.String({ pattern: "^[0-9.]+:[0-9]{1,5}$" });
 const Count = Type.Integer({ minimum: 0 });
 
+export const DEFAULT_UNUSED_HOLD_MILLISECONDS: Milliseconds = 9_000;
+
 export const GatewaySettings = Type.Object({
   vm: Type.String({ minLength: 1 }),
   dataCentre: Type.String({ minLength: 1 }),
@@ -28,6 +31,9 @@
   repeatWindowSeconds: Type.Number({ exclusiveMinimum: 0 }),
   /// Longest time for which an engine holds a memory reservation.
   longestHoldMilliseconds: Count,
+  /// Longest time for which a reservation may exist without a request that uses
+  /// it; `DEFAULT_UNUSED_HOLD_MILLISECONDS` by default.
+  longestUnusedHoldMilliseconds: Type.Optional(Count),
   /// Share of a processor core that the process may use, and the speed of that
   /// core. VMs with more capacity do more of the fleet's common work.
   processorShare: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
--- a/src/gateway/memory_reservations.ts
+++ b/src/gateway/memory_reservations.ts
@@ -3,6 +3,7 @@
 import type { HelperEngine } from "./dialect.ts";
 import type { RequestContext } from "./request_context.ts";
 import type { Placement } from "./request_placer.ts";
+import { renewReservation } from "./reservation_renewal.ts";
 import type { UpstreamConnection } from "./upstream_connections.ts";
 
 /// Reserves memory on several engines for a prompt that fits into none of them
@@ -12,10 +13,6 @@
 /// Shorter than the time after which the platform counts memory without a
 /// request as leaked (`FreeMs`, 4 s on all sites).
 const RESERVATION_LIFETIME_MILLISECONDS: Milliseconds = 3_400;
-const RENEWAL_INTERVAL_MILLISECONDS: Milliseconds = 1_100;
-/// Delay after a renewal that failed. An engine that was silent for two seconds
-/// still gets the next one before the reservation expires.
-const RENEWAL_RETRY_DELAY_MILLISECONDS: Milliseconds = 100;
 
 export interface MemoryReservations {
   /// The helper engines of the request, with the reservations of those that
@@ -72,27 +69,6 @@
     );
   const results = await Promise.allSettled(entries.map(reserve));
   const released = new AbortController();
-  const renew = async (entry: typeof entries[number]) => {
-    let delay = RENEWAL_INTERVAL_MILLISECONDS;
-    while (!released.signal.aborted) {
-      await context.clock.sleep(delay, released.signal).catch(() => {
-        // Released while waiting; the loop ends.
-      });
-      if (released.signal.aborted) return;
-      try {
-        await reserve(entry);
-        delay = RENEWAL_INTERVAL_MILLISECONDS;
-      } catch (error) {
-        delay = RENEWAL_RETRY_DELAY_MILLISECONDS;
-        log.warn("reservation not renewed", {
-          request: attemptId,
-          upstream: entry.upstream.id,
-          reservation: entry.id,
-          reason: (error as Error).message,
-        });
-      }
-    }
-  };
   const release = async () => {
     released.abort(new Error("released"));
     // An engine that refused holds no memory; one that didn't respond may.
@@ -135,7 +111,23 @@
     );
     return { kind: "refused", unresponsive };
   }
-  for (const entry of entries) void renew(entry);
+  const renewableUntil = context.clock.now() +
+    context.maximumUnusedReservation - lifetime;
+  for (const entry of entries) {
+    void renewReservation(context, {
+      upstream: entry.upstream.id,
+      id: entry.id,
+      attemptId,
+      unusedUntil: renewableUntil,
+      renew: () => reserve(entry),
+      isUsed: () =>
+        useConnection(
+          connections.acquire(entry.upstream.address),
+          (client) => reservations.isUsed(client, entry.id),
+        ),
+      signal: released.signal,
+    });
+  }
   const ids = new Map(entries.map(({ upstream, id }) => [upstream, id]));
   // Engines fill the reservations in the order of this list.
   const helpers = [
--- a/src/gateway/request_context.ts
+++ b/src/gateway/request_context.ts
@@ -53,6 +53,8 @@
   /// Upper limit for the lifetime of a memory reservation, which the settings
   /// define.
   readonly maximumReservationLifetime: Milliseconds;
+  /// Time for which a reservation may exist without a request that uses it.
+  readonly maximumUnusedReservation: Milliseconds;
 }
 
 /// A request that has been read, matched to a route and authorised.
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -85,6 +85,8 @@
   readonly losesOrder?: () => boolean;
   /// Requests per second that its responses state as its limit.
   readonly requestLimit?: () => number | undefined;
+  /// State of the reservations that its reports list.
+  readonly ticketState?: () => "held" | "used";
   /// Further header fields of its responses.
   readonly headers?: () => Readonly<Record<string, string>>;
   readonly act: (request: ReceivedRequest) => UpstreamAction;
@@ -238,11 +240,17 @@
     const body = Buffer.concat(chunks).toString("utf8");
     if (message.url === "/sequoiaturn/order") {
       if (options.losesOrder?.()) return;
-      orders.push(JSON.parse(body) as Record<string, unknown>);
+      const order = JSON.parse(body) as Record<string, unknown>;
+      orders.push({ ...order, receivedAt: performance.now() });
       const delay = orders.length === 1 ? firstOrderDelayMilliseconds : 0;
       await new Promise((resolve) => setTimeout(resolve, delay));
       return response.writeHead(200).end("{}");
     }
+    if (message.url === "/sequoiaturn/report") {
+      const State = options.ticketState?.() ?? "used";
+      const Tickets = orders.map(({ Id }) => ({ Id, State }));
+      return response.writeHead(200).end(JSON.stringify({ Tickets }));
+    }
     const request: ReceivedRequest = {
       method: message.method!,
       target: message.url!,
