Keep connections that callers open before they have a request

Callers saw: 408 on a connection that they had opened in advance, 3 s later, with no request on it; and for a request that they sent in that moment, although other connections stay open for the idle timeout.

Cause: Node.js counts the time for a head from the start of a connection, and no idle timeout applied to one without a request.

Two cases of unused_connections_test.ts failed before, with 408.

Change: a connection without a byte is idle, and is closed without a response after the idle timeout.

Measured: the four cases and 96 tests of the files next to them pass.

--- a/src/gateway/caller_faults.ts
+++ b/src/gateway/caller_faults.ts
@@ -63,6 +63,9 @@
       code.startsWith(PARSER_CODE_PREFIX);
     // A caller that has closed its connection reads no response.
     if (!isFault || socket.readableEnded) return void socket.destroy();
+    // Node.js counts the time for a head from the start of the connection, which
+    // may have been opened before there was a request. It is idle until then.
+    if (code === TIMEOUT_CODE && socket.bytesRead === 0) return;
     // What follows a fault in the bytes is one too.
     if (ending.has(socket)) return;
     if (code !== TIMEOUT_CODE) ending.add(socket);
--- a/src/gateway/idle_connections.ts
+++ b/src/gateway/idle_connections.ts
@@ -3,7 +3,8 @@
 import type { Clock, Milliseconds } from "../support/clock.ts";
 
 /// Closes callers' connections that have been idle for the idle timeout in force,
-/// or for a longer one that the last response stated. Node.js would close each
+/// or for a longer one that the last response stated, also before their first
+/// request. Node.js would close each
 /// after the timeout that was in force at the end of that response, and when its
 /// timer is due, although a request may have arrived during a pause of the
 /// process.
@@ -47,8 +48,16 @@
     else close(socket);
   });
 
+  server.on("connection", (socket) => {
+    const stated = server.keepAliveTimeout;
+    idle.set(socket, { since: clock.now(), stated });
+    socket.setTimeout(stated && stated + MARGIN_MILLISECONDS);
+  });
+
   return {
     track({ socket }, response) {
+      // Node.js does so for further requests.
+      if (idle.delete(socket)) socket.setTimeout(0);
       const stated = server.keepAliveTimeout;
       response.once(
         "close",
