Refuse a fault of a connection only after all requests that wait

Callers saw: with three or more requests behind each other on a connection, and then a late head or bytes that are no request, 408 or 400 and the close of the connection in the place of the response to a request that was running at its upstream. 408 tells that it isn't run, so the caller sends it again, and it runs twice.

Cause: a request that waits listens for the end of the one before when it arrives, and the request sequence forgets which response is under way at the same event. For the third request on, the listener that starts it came first, and the sequence then forgot the request just started, so that the fault was refused beside it.

The sequence now forgets a response only while that is the one under way.

--- a/src/gateway/request_sequence.ts
+++ b/src/gateway/request_sequence.ts
@@ -30,7 +30,10 @@
       const run = () => {
         if (!socket.writable) return;
         current.set(socket, response);
-        response.once("close", () => current.delete(socket));
+        response.once("close", () => {
+          // The next request may have been started by then.
+          if (current.get(socket) === response) current.delete(socket);
+        });
         start();
       };
       const previous = last.get(socket);
--- a/test/gateway/caller_faults_test.ts
+++ b/test/gateway/caller_faults_test.ts
@@ -93,6 +93,22 @@
   t.deepEqual(complete.map(({ status }) => status), [200, 200, 400]);
 });
 
+// Guards against a fault that stands for a request under way.
+for (const { title, bytes, status } of FAULTS) {
+  test(`a request and those that wait for it are answered in turn although the next one ${title}`, async (t) => {
+    const { desk, connection } = await deploy(t);
+    const requests = ["/once/1", "/once/2", "/once/3", "/once/4"]
+      .map((path) => formatPatientRequest(path));
+    connection.send(requests.join("") + bytes);
+    await until(connection.isClosed);
+    const { complete, rest } = readAnswers(connection.received());
+    t.is(rest, "");
+    const statuses = [...requests.map(() => 200), status];
+    t.deepEqual(complete.map((answer) => answer.status), statuses);
+    t.is(desk.requests.length, requests.length);
+  });
+}
+
 test("a head that arrives late behind a request under way is answered", async (t) => {
   const { desk, connection } = await deploy(t);
   const next = formatPatientRequest("/look/2");
