Count the request before one whose head is late among those that run once

Cause: the request that another one waits behind was a safe one, so the phases didn't show that an answer to the second one may be taken for the first's. Change: it has the kind of the case and is judged too, and heads have less time than a pause takes.

--- a/stand_ins/platform/run_once_deployment.ts
+++ b/stand_ins/platform/run_once_deployment.ts
@@ -30,6 +30,8 @@
 const UPSTREAMS = ["a", "b"];
 /// Deadline of the requests.
 const PATIENCE_MILLISECONDS = 4_000;
+/// Time in which callers have to send a head; less than a pause.
+const HEAD_MILLISECONDS = 1_500;
 /// Time in which a request may still run that has been answered.
 const LATE_MILLISECONDS = 700;
 const KINDS = [
@@ -63,11 +65,12 @@
   version: number,
   overrides: object = {},
 ) {
-  const { Routes, Services, ...rest } = sampleConfiguration(version);
+  const { Routes, Services, Limits, ...rest } = sampleConfiguration(version);
   const times = { TimeoutMs: 8_000, TargetLatencyMs: 2_000, MaxAttempts: 3 };
   const { Engine } = Services[0] as { Engine: object };
   return {
     ...rest,
+    Limits: { ...Limits, HeaderTimeoutMs: HEAD_MILLISECONDS },
     Routes: CASES.flatMap(({ name: Service, fields }) => {
       const Prefix = `/${Service}/`;
       const Name = Service;
@@ -162,14 +165,15 @@
   return gateways;
 }
 
-/// Brings the request of a case into its phase.
+/// Brings the request of a case into its phase. Resolves to it and to the one that
+/// it is sent behind, if any.
 async function beginRequest(
   one: Case,
   { open, arrivals }: {
     readonly open: () => CallerConnection;
     readonly arrivals: () => readonly { readonly attempt: string }[];
   },
-): Promise<OpenRequest> {
+): Promise<OpenRequest[]> {
   const lines = one.isQueued ? ["X-Token-Counts: 100,10"] : [];
   const format = (path: string) =>
     formatRequest(`/${one.name}/${path}`, {
@@ -188,26 +192,33 @@
   const connection = open();
   const { socket, send } = connection;
   if (one.readsLate) socket.pause();
-  if (one.isBehindOther) send(format(`${HELD}/${HELD}`));
-  const text = format("one");
-  const attempt = /X-Attempt-Id: (.*)\r/.exec(text)![1]!;
-  send(text.slice(0, one.sent));
-  const isComplete = one.sent === undefined && !one.isUnread &&
-    !one.isQueued && !one.isLimited && !one.isBehindOther;
-  if (isComplete) {
+  const add = (path: string, sent?: number): OpenRequest => {
+    const text = format(path);
+    const before = opened.length;
+    send(text.slice(0, sent));
+    return {
+      title: before < last ? `${one.title}, the one before` : one.title,
+      attempt: /X-Attempt-Id: (.*)\r/.exec(text)![1]!,
+      connection,
+      before,
+      finish() {
+        if (sent !== undefined) send(text.slice(sent));
+        if (before < last) return;
+        socket.resume();
+        one.finish?.(connection);
+      },
+    };
+  };
+  const opened: OpenRequest[] = [];
+  const last = one.isBehindOther ? 1 : 0;
+  if (one.isBehindOther) opened.push(add(HELD));
+  opened.push(add("one", one.sent));
+  const { attempt } = opened[0]!;
+  const isComplete = one.isBehindOther || one.sent === undefined;
+  if (isComplete && !one.isUnread && !one.isQueued && !one.isLimited) {
     await until(() => arrivals().some((each) => each.attempt === attempt));
   }
-  return {
-    title: one.title,
-    attempt,
-    connection,
-    before: one.isBehindOther ? 1 : 0,
-    finish() {
-      if (one.sent !== undefined) send(text.slice(one.sent));
-      socket.resume();
-      one.finish?.(connection);
-    },
-  };
+  return opened;
 }
 
 /// Starts a deployment and brings a request into each phase.
@@ -230,12 +241,13 @@
     t.teardown(() => connection.socket.destroy());
     return connection;
   };
-  const requests = await Promise.all(CASES.map((one, index) => {
+  const begun = await Promise.all(CASES.map((one, index) => {
     const first = index * UPSTREAMS.length;
     const own = upstreams.slice(first, first + UPSTREAMS.length);
     const arrivals = () => own.flatMap((upstream) => upstream.arrivals);
     return beginRequest(one, { open, arrivals });
   }));
+  const requests = begun.flat();
   let isReleased = false;
   const release = () => {
     if (isReleased) return;
