--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -83,6 +83,8 @@
   readonly firstOrderDelayMilliseconds?: number;
   /// Whether an order gets lost now, so that it gets no response.
   readonly losesOrder?: () => boolean;
+  /// Bytes that it writes before its response to an order on a connection.
+  readonly strayBytes?: (connection: Socket) => string | undefined;
   /// Requests per second that its responses state as its limit.
   readonly requestLimit?: () => number | undefined;
   /// State of the reservations that its reports list.
@@ -242,6 +244,7 @@
       if (options.losesOrder?.()) return;
       const order = JSON.parse(body) as Record<string, unknown>;
       orders.push({ ...order, receivedAt: performance.now() });
+      message.socket.write(options.strayBytes?.(message.socket) ?? "");
       const delay = orders.length === 1 ? firstOrderDelayMilliseconds : 0;
       await new Promise((resolve) => setTimeout(resolve, delay));
       return response.writeHead(200).end("{}");
