Name the need for a new connection, and move two types beside their users

Change: needsNewConnection, refuseWhenRead, the comment of mayForward; the types of an attempt's connection and of a response's head are in attempt_result.ts and response_writer.ts. No behaviour changes.

Measured: npm run check and the tests of six files pass.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,17 +3,19 @@
 import type { Reachability } from "../tunnels/upstream_dialler.ts";
 import {
   acceptsConnections,
+  type AttemptConnection,
   type AttemptResult,
   failedResult,
 } from "./attempt_result.ts";
 import type { HelperEngine, UpstreamResponseMetadata } from "./dialect.ts";
 import { createEventSplitter, isEventStream } from "./event_splitter.ts";
-import { type Exchange, type HeaderFields, startExchange } from "./exchange.ts";
+import { type Exchange, startExchange } from "./exchange.ts";
 import {
   createInactivityWatch,
   type SilenceConditions,
 } from "./inactivity_watch.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
+import type { ResponseHead } from "./response_writer.ts";
 import type { Upstream } from "./upstream.ts";
 
 /// One attempt: a request that is sent to one upstream once.
@@ -29,22 +31,13 @@
 /// Delay after a check that tells nothing of the upstream.
 const CHECK_DELAY_MILLISECONDS: Milliseconds = 200;
 
-export interface ResponseHead {
-  readonly status: number;
-  readonly headers: HeaderFields;
-  /// Whether the framing marks the end of the body.
-  readonly isFramed: boolean;
-  readonly metadata: UpstreamResponseMetadata;
-}
-
 export interface AttemptPlan {
   readonly upstream: Upstream;
   readonly helpers: readonly HelperEngine[];
-  /// Whether the request has been sent to the address before, or may have run
-  /// elsewhere. A new connection is used then: a late copy of an earlier response
-  /// would have the same ID, and what silenced one kept connection may have
-  /// silenced the others.
-  readonly isRepeated: boolean;
+  /// Set if the request has been sent to the address before, or may have run
+  /// elsewhere: a late copy of an earlier response would have the same ID, and
+  /// what silenced one kept connection may have silenced the others.
+  readonly needsNewConnection: boolean;
   /// 0 is the highest; undefined for calls.
   readonly priority: number | undefined;
   readonly remaining: Milliseconds;
@@ -75,16 +68,6 @@
   ) => boolean;
 }
 
-/// The connection of an attempt.
-export interface AttemptConnection {
-  /// Whether it has carried another request before.
-  readonly isReused: boolean;
-  /// Name of the VM through which it goes, if it is a tunnel.
-  readonly tunnelVm: string | undefined;
-  /// Whether the upstream may have received the request.
-  readonly wasSent: boolean;
-}
-
 export interface Attempt {
   readonly result: Promise<AttemptResult>;
   connection(): AttemptConnection;
@@ -213,7 +196,7 @@
       maximumIdle: plan.silence.mayRetry()
         ? undefined
         : MAXIMUM_LAST_ATTEMPT_IDLE_MILLISECONDS,
-      isNew: plan.isRepeated || attemptId === undefined,
+      isNew: plan.needsNewConnection || attemptId === undefined,
     },
   }, {
     onHead(status, headers, isFramed) {
--- a/src/gateway/attempt_records.ts
+++ b/src/gateway/attempt_records.ts
@@ -1,8 +1,7 @@
 import { findCrashRefusal } from "../requests/crash_attribution.ts";
 import { abbreviateFingerprint } from "../requests/crash_records.ts";
 import type { Milliseconds } from "../support/clock.ts";
-import type { AttemptConnection } from "./attempt.ts";
-import type { AttemptResult } from "./attempt_result.ts";
+import type { AttemptConnection, AttemptResult } from "./attempt_result.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { Placement } from "./request_placer.ts";
 import type { RequestProgress } from "./request_progress.ts";
--- a/src/gateway/attempt_result.ts
+++ b/src/gateway/attempt_result.ts
@@ -39,6 +39,16 @@
   /// The gateway aborted the attempt. A request that wasn't sent never will be.
   | { readonly kind: "aborted"; readonly wasSent: boolean };
 
+/// The connection of an attempt.
+export interface AttemptConnection {
+  /// Whether it has carried another request before.
+  readonly isReused: boolean;
+  /// Name of the VM through which it goes, if it is a tunnel.
+  readonly tunnelVm: string | undefined;
+  /// Whether the upstream may have received the request.
+  readonly wasSent: boolean;
+}
+
 /// Whether the upstream accepts connections, of this VM or of another one.
 export function acceptsConnections(reachability: Reachability): boolean {
   return reachability === "accepts" || reachability === "through_others";
--- a/src/gateway/caller_faults.ts
+++ b/src/gateway/caller_faults.ts
@@ -45,15 +45,15 @@
       if (socket.destroyed || isOver()) return;
       const current = sequence.current(socket);
       if (!current?.req.complete) return refuse(socket, code);
-      current.once("close", check);
+      current.once("close", refuseWhenRead);
     };
     // Timers run first after a pause of the process: what has arrived is read
     // before callbacks of setImmediate run.
-    const check = () =>
+    const refuseWhenRead = () =>
       code === TIMEOUT_CODE
         ? void setImmediate(refuseUnlessOver)
         : refuseUnlessOver();
-    check();
+    refuseWhenRead();
   };
 
   server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
--- a/src/gateway/request_handler.ts
+++ b/src/gateway/request_handler.ts
@@ -102,7 +102,8 @@
     const work = placer.startWork(decision);
     health.recordSent(upstream.id);
     const sentAt = clock.now();
-    const isRepeated = progress.attemptedAddresses.has(upstream.address) ||
+    const needsNewConnection =
+      progress.attemptedAddresses.has(upstream.address) ||
       progress.mayHaveExecutedAt.size > 0;
     progress.attemptedAddresses.add(upstream.address);
     const recordOf = (result: AttemptResult): AttemptRecord => ({
@@ -114,7 +115,7 @@
     const attempt = startAttempt(context, request, {
       upstream,
       helpers,
-      isRepeated,
+      needsNewConnection,
       priority: placer.priority,
       remaining: remaining(),
       resumeAfterEventId: response.isStarted() ? progress.lastId : undefined,
--- a/src/gateway/response_writer.ts
+++ b/src/gateway/response_writer.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "../support/clock.ts";
-import type { ResponseHead } from "./attempt.ts";
 import type { AttemptResult } from "./attempt_result.ts";
+import type { UpstreamResponseMetadata } from "./dialect.ts";
+import type { HeaderFields } from "./exchange.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { RequestOutcome } from "./request_outcome.ts";
@@ -8,6 +9,15 @@
 
 /// Writes the response of one request, and measures when its parts are written.
 
+/// The head of an upstream's response.
+export interface ResponseHead {
+  readonly status: number;
+  readonly headers: HeaderFields;
+  /// Whether the framing marks the end of the body.
+  readonly isFramed: boolean;
+  readonly metadata: UpstreamResponseMetadata;
+}
+
 export interface ResponseWriter {
   /// Writes complete events. Returns false if the caller reads more slowly.
   writeEvents(
--- a/src/gateway/retry_rules.ts
+++ b/src/gateway/retry_rules.ts
@@ -18,9 +18,8 @@
 const PROMISES = new Set([408, 421, 429, 503]);
 
 export interface RetryRules {
-  /// Whether the status of an upstream's response may be passed on. A promise may
-  /// not for a request that runs once: the upstream would have said that it hasn't
-  /// run.
+  /// Whether the status of an upstream that may have executed the request may be
+  /// passed on: not if it promises the opposite and the request may run only once.
   mayForward(status: number): boolean;
   /// Whether an upstream is listed that has had no attempt.
   hasUntriedUpstream(): boolean;
