--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -7,6 +7,7 @@
 const Address = Type.String({ pattern: "^[0-9.]+:[0-9]{1,5}$" });
 const Count = Type.Integer({ minimum: 0 });
 
+/// Default of `longestUnusedHoldMilliseconds`.
 export const DEFAULT_UNUSED_HOLD_MILLISECONDS: Milliseconds = 9_000;
 
 export const GatewaySettings = Type.Object({
--- a/src/gateway/idle_connections.ts
+++ b/src/gateway/idle_connections.ts
@@ -4,10 +4,9 @@
 
 /// Closes callers' connections that have been idle for the idle timeout in force,
 /// or for a longer one that the last response stated, also before their first
-/// request. Node.js would close each
-/// after the timeout that was in force at the end of that response, and when its
-/// timer is due, although a request may have arrived during a pause of the
-/// process.
+/// request. Node.js would close each after the timeout that was in force at the end
+/// of that response, and when its timer is due, although a request may have arrived
+/// during a pause of the process.
 
 /// Time beyond the idle timeout: a request may be on its way. It is the same as
 /// that of Node.js.
--- a/src/gateway/memory_reservations.ts
+++ b/src/gateway/memory_reservations.ts
@@ -111,14 +111,14 @@
     );
     return { kind: "refused", unresponsive };
   }
-  const renewableUntil = context.clock.now() +
+  const unusedUntil = context.clock.now() +
     context.maximumUnusedReservation - lifetime;
   for (const entry of entries) {
     void renewReservation(context, {
       upstream: entry.upstream.id,
       id: entry.id,
       attemptId,
-      unusedUntil: renewableUntil,
+      unusedUntil,
       renew: () => reserve(entry),
       isUsed: () =>
         useConnection(
