Log who sent a version, at what era and revision

`store lost` didn't say since when the store had been silent.

Change: sources of changes name the VM; lines have era and revision, split by store_revision.ts, which moves from platform/ since the core names eras now. `configuration outdated` is new.

--- a/src/gateway/fleet_view.ts
+++ b/src/gateway/fleet_view.ts
@@ -18,6 +18,8 @@
 /// Origin of a change, for logs.
 export interface ViewSource {
   readonly kind: "store" | "peer" | "upstream";
+  /// Name of the VM that sent it, if one did.
+  readonly peer?: string;
   /// Store revision of the change.
   readonly revision: number;
 }
@@ -44,7 +46,8 @@
   /// Upstreams of a service that accept new requests.
   available(service: string): readonly Upstream[];
   /// Applies a configuration if its version is newer than the one in force.
-  setConfiguration(configuration: Configuration, source: ViewSource): void;
+  /// Returns false if it isn't.
+  setConfiguration(configuration: Configuration, source: ViewSource): boolean;
   /// Adds or replaces an upstream. A restored store may list what has left since:
   /// a process that was draining stays so, and one that is gone is added only by
   /// a later entry. Returns false if the entry is outdated.
@@ -170,11 +173,16 @@
     setConfiguration(configuration, source) {
       revision = Math.max(revision, source.revision);
       const current = table?.configuration.version;
-      if (current !== undefined && configuration.version <= current) return;
+      if (current !== undefined && configuration.version <= current) {
+        return false;
+      }
       table = createRouteTable(configuration);
       recordServices(configuration.services);
-      const detail = `version ${configuration.version}`;
+      const detail = current === undefined
+        ? `version ${configuration.version}`
+        : `version ${configuration.version} after ${current}`;
       notify({ kind: "configuration", detail, source });
+      return true;
     },
     setUpstream,
     setLeaving(id, startedAt) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { LongPollingStore } from "../infrastructure/key_value_store.ts";
+import { splitEra } from "../infrastructure/store_revision.ts";
 import { HubTopology } from "../links/hub_topology.ts";
 import { createLinkMesh } from "../links/link_mesh.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
@@ -259,7 +260,8 @@
     log.info(`${kind} changed`, {
       detail,
       source: source.kind,
-      revision: source.revision,
+      peer: source.peer,
+      ...splitEra(source.revision),
     });
     if (kind === "upstream") discardRemoved();
     const table = view.routeTable();
--- a/src/gateway/gateway_events.ts
+++ b/src/gateway/gateway_events.ts
@@ -10,21 +10,26 @@
     "SIGHUP received and the file is valid",
   "settings file not usable": "SIGHUP received and the file is invalid; reason",
   "store connected": "a store call succeeded; duration of the outage",
-  "store lost": "a store call failed; reason, revision of the watch",
+  "store lost":
+    "a store call failed; reason, time without a response, revision followed",
   "store dropped its history":
     "the watch revision was compacted; all contents are read again",
   "following the store": "this VM starts to watch the store; its revision",
   "store left to others":
     "this VM stops watching because other VMs send changes; its revision",
   "store restored":
-    "the store came back from an earlier copy; era, its revision, the known one",
+    "the store came back from an earlier copy; its era and revision, those known",
   "store read": "all contents were read from the store; revision, values",
   "view taken from a peer":
     "a VM with a newer revision sent changes; its name, the new revision",
   "view not taken from a peer":
     "the call to a VM for its changes failed; its name, reason",
-  "configuration changed": "a version is in force; its source and revision",
-  "configuration not readable": "the stored configuration is ignored; reason",
+  "configuration changed":
+    "a version is in force; the one before, the VM that sent it, era, revision",
+  "configuration outdated":
+    "a stored version isn't newer than the one in force; both, its source",
+  "configuration not readable":
+    "the stored configuration is ignored; reason, its source",
   "upstream changed":
     "an upstream is ready, draining or removed; source, revision",
   "caller sent bytes without end":
--- a/src/gateway/store_replica.ts
+++ b/src/gateway/store_replica.ts
@@ -13,7 +13,8 @@
 const MAXIMUM_TOMBSTONES = 1_024;
 const EMPTY_VALUE = new Uint8Array();
 
-export type ChangeSource = "store" | "peer";
+/// Where changes come from: the store itself, or another VM.
+export type ChangeSource = "store" | { readonly peer: string };
 
 /// The changes after one revision, up to another.
 export interface ReplicaChanges {
--- a/src/gateway/store_watcher.ts
+++ b/src/gateway/store_watcher.ts
@@ -2,6 +2,7 @@
   type KeyValueStore,
   StoreCompactedError,
 } from "../infrastructure/key_value_store.ts";
+import { splitEra } from "../infrastructure/store_revision.ts";
 import type { Clock, Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { StoreReplica } from "./store_replica.ts";
@@ -85,24 +86,33 @@
       isConnected = false;
       disconnectedAt = clock.now();
       options.onConnected(false);
-      log.warn("store lost", { reason: error.message, followed });
+      log.warn("store lost", {
+        reason: error.message,
+        silentFor: Math.round(clock.now() - lastReceivedAt),
+        ...splitEra(followed ?? replica.revision()),
+      });
     }
   };
 
   const readContents = async (signal: AbortSignal) => {
     const range = await store.range(ALL_KEYS_PREFIX, { signal });
     recordSuccess();
-    const { revision, era } = range;
+    const { revision } = range;
+    const { era } = splitEra(revision);
     if (knownEra !== undefined && era !== knownEra) {
-      log.warn("store restored", { era, revision, known: replica.revision() });
+      const known = splitEra(replica.revision());
+      log.warn("store restored", {
+        ...splitEra(revision),
+        knownEra: known.era,
+        knownRevision: known.revision,
+      });
       options.onReconnected();
     }
     knownEra = era;
     replica.replaceContents(range, "store");
     followed = revision;
     log.info("store read", {
-      revision,
-      era,
+      ...splitEra(revision),
       values: range.values.length,
     });
   };
@@ -162,15 +172,15 @@
     setActive(next) {
       if (next === isActive) return;
       isActive = next;
-      const revision = replica.revision();
+      const known = splitEra(replica.revision());
       if (!isActive) {
-        log.info("store left to others", { revision });
+        log.info("store left to others", { ...known });
         watchAbort.abort(new Error("other VMs follow the store"));
         isConnected = false;
         disconnectedAt = undefined;
         return;
       }
-      log.info("following the store", { revision });
+      log.info("following the store", { ...known });
       disconnectedAt = clock.now();
       lastReceivedAt = clock.now();
       retryDelay = INITIAL_RETRY_DELAY_MILLISECONDS;
--- a/src/gateway/view_builder.ts
+++ b/src/gateway/view_builder.ts
@@ -1,10 +1,11 @@
 import type { StoredCrashes } from "../requests/stored_crashes.ts";
 import type { WatchEvent } from "../infrastructure/key_value_store.ts";
+import { splitEra } from "../infrastructure/store_revision.ts";
 import type { Milliseconds } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { FleetDocuments } from "./dialect.ts";
 import type { FleetView, ViewSource } from "./fleet_view.ts";
-import type { StoreReplica } from "./store_replica.ts";
+import type { ChangeSource, StoreReplica } from "./store_replica.ts";
 import type { VmDirectory } from "./vm_directory.ts";
 
 /// Parses the changes of the store replica and applies them to the view of the
@@ -28,13 +29,17 @@
   const { log, documents, replica, view, vms, storedCrashes } = options;
 
   const applyConfiguration = (value: Uint8Array, source: ViewSource) => {
+    const { peer, revision } = source;
+    const origin = { peer, ...splitEra(revision) };
     try {
-      view.setConfiguration(documents.parseConfiguration(value), source);
+      const configuration = documents.parseConfiguration(value);
+      if (view.setConfiguration(configuration, source)) return;
+      const { version } = configuration;
+      const inForce = view.routeTable()?.configuration.version;
+      log.info("configuration outdated", { version, inForce, ...origin });
     } catch (error) {
-      log.warn("configuration not readable", {
-        reason: (error as Error).message,
-        revision: source.revision,
-      });
+      const reason = (error as Error).message;
+      log.warn("configuration not readable", { reason, ...origin });
     }
   };
 
@@ -48,11 +53,14 @@
     const upstream = documents.parseUpstream(key, value);
     if (upstream) {
       if (!view.setUpstream(upstream, source)) {
-        log.info("entry outdated", { key, revision: source.revision });
+        log.info("entry outdated", { key, ...splitEra(source.revision) });
       }
       return;
     }
-    log.warn("entry names no upstream", { key, revision: source.revision });
+    log.warn("entry names no upstream", {
+      key,
+      ...splitEra(source.revision),
+    });
     view.unlistUpstream(key.slice(documents.upstreamPrefix.length), source);
   };
 
@@ -64,10 +72,15 @@
     view.removeUpstream(key.slice(documents.upstreamPrefix.length), source);
   };
 
-  replica.onChange((events: readonly WatchEvent[], kind) => {
+  const toViewSource = (source: ChangeSource, revision: number): ViewSource =>
+    source === "store"
+      ? { kind: "store", revision }
+      : { kind: "peer", peer: source.peer, revision };
+
+  replica.onChange((events: readonly WatchEvent[], from) => {
     for (const event of events) {
-      const { key, value, modifiedRevision: revision } = event.value;
-      const source = { kind, revision };
+      const { key, value, modifiedRevision } = event.value;
+      const source = toViewSource(from, modifiedRevision);
       if (event.kind === "put") applyPut(key, value, source);
       else applyDelete(key, source);
     }
--- a/src/gateway/view_catch_up.ts
+++ b/src/gateway/view_catch_up.ts
@@ -1,8 +1,9 @@
+import { splitEra } from "../infrastructure/store_revision.ts";
 import type { Links } from "../links/links.ts";
 import type { Clock, Milliseconds, Timer } from "../support/clock.ts";
 import type { Logger } from "../support/log.ts";
 import type { RandomSource } from "../support/random.ts";
-import type { StoreReplica } from "./store_replica.ts";
+import type { ChangeSource, StoreReplica } from "./store_replica.ts";
 import {
   packReply,
   toEvent,
@@ -72,15 +73,15 @@
 
   const isBehind = () => Math.max(0, ...reported.values()) > replica.revision();
 
-  const applyReply = (reply: ViewReply) => {
+  const applyReply = (reply: ViewReply, source: ChangeSource) => {
     const events = unpackReply(reply).map(toEvent);
     if (reply.relisting > 0) options.onRelisting(reply.relisting);
     const { revision } = reply;
     if (reply.isWhole) {
       const values = events.map(({ value }) => value);
-      return replica.replaceContents({ values, revision }, "peer");
+      return replica.replaceContents({ values, revision }, source);
     }
-    replica.applyChanges(events, "peer");
+    replica.applyChanges(events, source);
     replica.advanceRevision(revision);
   };
 
@@ -109,10 +110,10 @@
       const reply = await links.call(vm, viewReadCall, {
         revision: replica.revision(),
       });
-      applyReply(reply);
+      applyReply(reply, { peer: vm });
       log.info("view taken from a peer", {
         peer: vm,
-        revision: replica.revision(),
+        ...splitEra(replica.revision()),
       });
     } catch (error) {
       const reason = (error as Error).message;
--- a/src/gateway/view_sharing.ts
+++ b/src/gateway/view_sharing.ts
@@ -46,7 +46,7 @@
     const { from, to, changes, relisting } = message;
     if (relisting > 0) options.onRelisting(relisting);
     const isComplete = message.isComplete && from <= replica.revision();
-    replica.applyChanges(changes.map(toEvent), "peer");
+    replica.applyChanges(changes.map(toEvent), { peer: vm });
     if (isComplete) replica.advanceRevision(to);
     catchUp.recordReportedRevision(vm, to);
   });
--- a/src/infrastructure/key_value_store.ts
+++ b/src/infrastructure/key_value_store.ts
@@ -39,9 +39,6 @@
 export interface RangeResult {
   readonly values: readonly StoredValue[];
   readonly revision: number;
-  /// Rises when the store has been restored from an earlier copy; absent if the
-  /// store doesn't state it.
-  readonly era?: number;
 }
 
 export interface WatchEvent {
--- a/platform/store_era.ts
+++ b/src/infrastructure/store_revision.ts
@@ -23,11 +23,3 @@
   const revision = joined % REVISIONS_PER_ERA;
   return { era: (joined - revision) / REVISIONS_PER_ERA, revision };
 }
-
-/// Parses the era that a response states; undefined if it states none.
-export function parseEra(
-  text: string | string[] | undefined,
-): number | undefined {
-  const era = typeof text === "string" ? Number(text) : NaN;
-  return Number.isSafeInteger(era) && era >= 0 ? era : undefined;
-}
--- a/test/gateway/store_replica_test.ts
+++ b/test/gateway/store_replica_test.ts
@@ -5,6 +5,8 @@
 } from "../../src/gateway/store_replica.ts";
 import type { WatchEvent } from "../../src/infrastructure/key_value_store.ts";
 
+const PEER = { peer: "vm-1" };
+
 function put(key: string, revision: number): WatchEvent {
   return {
     kind: "put",
@@ -43,14 +45,14 @@
 for (const [title, events, expected] of changeSequences) {
   test(`the replica ${title}`, (t) => {
     const replica = createStoreReplica();
-    for (const event of events) replica.applyChanges([event], "peer");
+    for (const event of events) replica.applyChanges([event], PEER);
     t.deepEqual(contents(replica), expected);
   });
 }
 
 test("replacing the replica's contents keeps later changes", (t) => {
   const replica = createStoreReplica();
-  replica.applyChanges([put("a", 1), put("b", 7), deletion("c", 8)], "peer");
+  replica.applyChanges([put("a", 1), put("b", 7), deletion("c", 8)], PEER);
   const values = [put("a", 1), put("c", 2)].map(({ value }) => value);
   replica.replaceContents({ values, revision: 5 }, "store");
   t.deepEqual(contents(replica), ["a@1", "b@7"]);
@@ -62,13 +64,13 @@
   replica.applyChanges([put("a", 1), put("b", 2)], "store");
   replica.advanceRevision(2);
   const other = createStoreReplica();
-  other.applyChanges(replica.changesSince(0).events, "peer");
+  other.applyChanges(replica.changesSince(0).events, PEER);
   replica.applyChanges([deletion("a", 3), put("c", 4)], "store");
   replica.advanceRevision(4);
   const changes = replica.changesSince(2);
   t.false(changes.isWhole);
   t.is(changes.to, 4);
-  other.applyChanges(changes.events, "peer");
+  other.applyChanges(changes.events, PEER);
   t.deepEqual(contents(other), contents(replica));
 });
 
