Detect a silent watch within the time after which VMs count as in touch

Cause: two times were added that don't add up. A watch call was held for 3.5 s and more, growing to 25 s with the number of VMs, and failed half a second later, since a VM's exemption (StableWindowMs) and the time for a change (ConfigMs) were taken one after the other. But VMs count as in touch StableWindowMs after the disruption, and a change that was acknowledged during it has to be in force then. The other source, links, falls silent with the store and is given up after 3.2 to 4.2 s.

Change: a watch call is held for at most StableWindowMs less what a failed call, a retry and a full read take (2.1 s on the small sites), counted from the store's last response, for any number of VMs.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import { createFleetView } from "./fleet_view.ts";
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import {
+  DEFAULT_RECOVERY_MILLISECONDS,
   DEFAULT_UNUSED_HOLD_MILLISECONDS,
   type GatewaySettings,
 } from "./gateway_settings.ts";
@@ -301,7 +302,12 @@
     setActive(isActive, followers) {
       const vmCount = Math.max(estimateVmCount(), vms.count());
       const followerCount = followers ?? vmCount;
-      const pace = createWatchPace({ followerCount, vmCount }, random);
+      const recovery = settings.recoveryMilliseconds ??
+        DEFAULT_RECOVERY_MILLISECONDS;
+      const pace = createWatchPace(
+        { followerCount, vmCount, recovery },
+        random,
+      );
       callPause = pace.callPause;
       store.setWatchPace(pace);
       storeWatcher.setActive(isActive);
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -9,6 +9,8 @@
 
 /// Default of `longestUnusedHoldMilliseconds`.
 export const DEFAULT_UNUSED_HOLD_MILLISECONDS: Milliseconds = 9_000;
+/// Default of `recoveryMilliseconds`.
+export const DEFAULT_RECOVERY_MILLISECONDS: Milliseconds = 3_000;
 
 export const GatewaySettings = Type.Object({
   vm: Type.String({ minLength: 1 }),
@@ -35,6 +37,9 @@
   /// Longest time for which a reservation may exist without a request that uses
   /// it; `DEFAULT_UNUSED_HOLD_MILLISECONDS` by default.
   longestUnusedHoldMilliseconds: Type.Optional(Count),
+  /// Time after a disruption of its connections within which a VM has to know the
+  /// store's contents again; `DEFAULT_RECOVERY_MILLISECONDS` by default.
+  recoveryMilliseconds: Type.Optional(Count),
   /// Share of a processor core that the process may use, and the speed of that
   /// core. VMs with more capacity do more of the fleet's common work.
   processorShare: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
