End test gateways with their test run, and give each run addresses of its own

Change: the process ends when its standard input closes, by a module that is loaded before the program. Servers of tests listen at a loopback address that follows from process and thread; ports are no longer drawn from the process id.

--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -18,6 +18,7 @@
   startScriptedUpstream,
   type UpstreamAction,
 } from "./scripted_upstream.ts";
+import { processHost } from "../process_host.ts";
 import {
   createUpstreamNetwork,
   type UpstreamNetwork,
@@ -139,8 +140,8 @@
   readonly stopSeconds?: number;
 }
 
-/// A loopback address with a port that the operating system chooses.
-const ANY_PORT = "127.0.0.1:0";
+/// An address of this thread with a port that the operating system chooses.
+const ANY_PORT = `${processHost()}:0`;
 
 let nextAttempt = 1;
 
--- a/stand_ins/platform/platform_store.ts
+++ b/stand_ins/platform/platform_store.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { processHost } from "../process_host.ts";
 
 /// Stand-in for the platform's metadata store: items, leases, watches and
 /// conditional writes over HTTP, with failures that tests enable.
@@ -216,17 +217,18 @@
   };
 
   const openEndpoint = async (): Promise<StoreEndpoint> => {
+    const host = processHost();
     let mode: StoreMode = "serving";
     const server = createServer((request, response) => {
       handle(request, response, () => mode).catch(() => response.destroy());
     });
     servers.push(server);
     await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", () => resolve())
+      server.listen(0, host, () => resolve())
     );
     const { port } = server.address() as AddressInfo;
     return {
-      address: `127.0.0.1:${port}`,
+      address: `${host}:${port}`,
       setMode(next) {
         mode = next;
         if (next !== "busy") return;
--- a/stand_ins/soak/gateway_process.ts
+++ b/stand_ins/soak/gateway_process.ts
@@ -4,7 +4,7 @@
 import { createServer } from "node:net";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
-import { threadId } from "node:worker_threads";
+import { processHost } from "../process_host.ts";
 import type { GatewaySettings } from "../../src/gateway/gateway_settings.ts";
 
 /// A gateway in a separate process. It keeps its addresses across restarts.
@@ -34,13 +34,13 @@
   new URL("../../src/bin/gateway.js", import.meta.url),
 );
 
+const EXIT_WITH_PARENT = new URL("exit_with_parent.js", import.meta.url).href;
+
 /// Start of a range below the ephemeral ports. An outgoing connection could
 /// otherwise take the port of a gateway while the gateway restarts.
 const FIRST_PORT = 20_000;
 const PORT_COUNT = 10_000;
-/// Test files run in threads of one process, and each has ports of its own.
-const PORTS_PER_THREAD = 500;
-let nextPort = (process.pid * 97 + threadId * PORTS_PER_THREAD) % PORT_COUNT;
+let nextPort = 0;
 
 async function findFreePort(): Promise<number> {
   while (true) {
@@ -48,7 +48,7 @@
     const server = createServer();
     const isFree = await new Promise<boolean>((resolve) => {
       server.once("error", () => resolve(false));
-      server.listen(port, "127.0.0.1", () => resolve(true));
+      server.listen(port, processHost(), () => resolve(true));
     });
     if (!isFree) continue;
     await new Promise((resolve) => server.close(resolve));
@@ -65,7 +65,8 @@
     readonly nodeOptions?: readonly string[];
   },
 ): Promise<GatewayProcess> {
-  const findFreeAddress = async () => `127.0.0.1:${await findFreePort()}`;
+  const findFreeAddress = async () =>
+    `${processHost()}:${await findFreePort()}`;
   const callerAddress = await findFreeAddress();
   const settings: GatewaySettings = {
     vm,
@@ -101,10 +102,11 @@
     async start(program = PROGRAM) {
       if (isRunning()) return;
       const { nodeOptions = [] } = options;
+      const flags = ["--settings", file];
       child = spawn(
         process.execPath,
-        [...nodeOptions, program, "--settings", file],
-        { stdio: ["ignore", "pipe", "inherit"] },
+        ["--import", EXIT_WITH_PARENT, ...nodeOptions, program, ...flags],
+        { stdio: ["pipe", "pipe", "inherit"] },
       );
       const started = new Promise<void>((resolve, reject) => {
         // Another fault may end the process while it starts.
