Ask who responds at the end of a response without a length

Cause: the check after the close asked whether the address accepts connections, not whose process does.

Change: a process that is reached at once is the upstream, since addresses are used again seconds later. One that is reached later is asked at the service's HealthPath with X-Expected-Instance, which another process answers with 421, and by its X-Instance-Id. A process that doesn't say is asked again until the attempt ends. The checks move from attempt.ts to unframed_end.ts.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,7 +2,6 @@
 import type { Milliseconds } from "../support/clock.ts";
 import type { Reachability } from "../tunnels/upstream_dialler.ts";
 import {
-  acceptsConnections,
   type AttemptConnection,
   type AttemptResult,
   failedResult,
@@ -16,6 +15,7 @@
 } from "./inactivity_watch.ts";
 import type { GatewayRequest, RequestContext } from "./request_context.ts";
 import type { ResponseHead } from "./response_writer.ts";
+import { findUnframedEnd } from "./unframed_end.ts";
 import type { Upstream } from "./upstream.ts";
 
 /// One attempt: a request that is sent to one upstream once.
@@ -28,8 +28,6 @@
 /// The platform states 300 ms as the shortest time after which upstreams drop
 /// idle connections.
 const MAXIMUM_LAST_ATTEMPT_IDLE_MILLISECONDS: Milliseconds = 250;
-/// Delay after a check that tells nothing of the upstream.
-const CHECK_DELAY_MILLISECONDS: Milliseconds = 200;
 
 export interface AttemptPlan {
   readonly upstream: Upstream;
@@ -162,21 +160,23 @@
     settle({ kind: "streamed" });
   };
 
-  /// Finishes a response without a length unless its upstream is gone. Silence
-  /// doesn't show that it is.
-  const finishUnlessGone = () =>
-    checkReachable((reachability) => {
-      if (acceptsConnections(reachability)) return finish();
-      if (reachability === "refuses") {
-        return fail("gone at the end of its answer", reachability);
-      }
-      const reason = "silent at the end of its answer";
-      if (plan.silence.mayRetry()) endOrReport(reason, reachability);
-      clock.schedule(
-        CHECK_DELAY_MILLISECONDS,
-        () => isSettled || finishUnlessGone(),
-      );
+  /// Finishes a response without a length unless its upstream is gone.
+  const finishUnlessGone = async () => {
+    inactivity.stop();
+    const end = await findUnframedEnd(context, {
+      upstream: plan.upstream,
+      service: request.service,
+      isSettled: () => isSettled,
+      onSilent(reachability) {
+        const reason = "silent at the end of its answer";
+        if (plan.silence.mayRetry()) endOrReport(reason, reachability);
+      },
     });
+    if (isSettled) return;
+    if (end === "whole") return finish();
+    if (end === "gone") return fail("gone at the end of its answer", "refuses");
+    fail("replaced at the end of its answer", "silent");
+  };
 
   const exchange: Exchange = startExchange(context, {
     address: plan.upstream.address,
@@ -243,7 +243,9 @@
     },
     onEnd() {
       if (head?.isFramed !== false) return finish();
-      finishUnlessGone();
+      finishUnlessGone().catch((error: Error) =>
+        fail(`not checked: ${error.message}`)
+      );
     },
     onFailure({ wasSent, wasReused, wasClosed, hadNoPath, reason }) {
       if (!wasSent) {
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -67,6 +67,8 @@
   name: Type.String(),
   /// Connections that one upstream accepts from all VMs combined.
   maxConnections: Type.Number(),
+  /// Path at which an upstream says whether it is healthy, and which one it is.
+  healthTarget: Type.Optional(Type.String()),
   /// Present if the upstreams are model engines.
   engine: Type.Optional(EngineProfile),
 });
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -67,6 +67,9 @@
   readonly requestLimit: number | undefined;
 }
 
+/// Which process responds at an address; `unknown` if it doesn't say.
+export type UpstreamIdentity = "same" | "other" | "unknown";
+
 /// Translates between header fields of the platform and their meaning.
 export interface GatewayDialect {
   parseCallerHeaders(headers: HeaderFields): CallerRequestMetadata;
@@ -87,6 +90,14 @@
       readonly isReused: boolean;
     },
   ): UpstreamResponseMetadata;
+  /// Returns the header list of a question about an upstream's health, which
+  /// only its own process answers.
+  buildHealthHeaders(upstream: Upstream): string[];
+  /// Returns which process answered that question.
+  identifyUpstream(
+    upstream: Upstream,
+    response: { readonly status: number; readonly headers: HeaderFields },
+  ): UpstreamIdentity;
   /// Returns the header fields of an upstream's response that are forwarded to
   /// the caller.
   buildCallerHeaders(headers: HeaderFields): [string, string | string[]][];
--- a/stand_ins/platform/platform_deployment.ts
+++ b/stand_ins/platform/platform_deployment.ts
@@ -75,8 +75,13 @@
       route("/open/", "safe", { Service: "desk", Public: true }),
     ],
     Services: [
-      { Name: "engines", MaxConnections: 100, Engine: ENGINE_PROFILE },
-      { Name: "desk", MaxConnections: 100 },
+      {
+        Name: "engines",
+        HealthPath: "/healthz",
+        MaxConnections: 100,
+        Engine: ENGINE_PROFILE,
+      },
+      { Name: "desk", HealthPath: "/healthz", MaxConnections: 100 },
     ],
     Limits: {
       MaxHeaderBytes: 16_384,
--- a/stand_ins/platform/scripted_upstream.ts
+++ b/stand_ins/platform/scripted_upstream.ts
@@ -249,6 +249,9 @@
       await new Promise((resolve) => setTimeout(resolve, delay));
       return response.writeHead(200).end("{}");
     }
+    if (message.url === "/healthz") {
+      return response.writeHead(200, { "X-Instance-Id": id }).end();
+    }
     if (message.url === "/sequoiaturn/report") {
       const State = options.ticketState?.() ?? "used";
       const Tickets = orders.map(({ Id }) => ({ Id, State }));
--- a/test/gateway/succeeded_upstream_test.ts
+++ b/test/gateway/succeeded_upstream_test.ts
@@ -12,7 +12,7 @@
 
 const PARTITION_MILLISECONDS = 600;
 
-test.failing("a cut off response without a length isn't whole because another process has its upstream's address", async (t) => {
+test("a cut off response without a length isn't whole because another process has its upstream's address", async (t) => {
   const deployment = await startPlatformDeployment();
   t.teardown(deployment.close);
   const [network] = deployment.upstreamNetworks;
