Let a stopping VM say whether an upstream refuses connections

Cause: a VM that loses a connection asks another one whether the upstream is gone, since it may be partitioned itself. A stopping VM answered 503 to every such question before it tried, and an answer that tells nothing counts before a refusal.

Change: a stopping VM still dials, and says that the upstream refuses or is silent; if it accepts, the tunnel is refused as before.

Test: tunnel_test.ts "a VM that is stopping says whether the upstream refuses" failed before ("unavailable" for "refused"); 44 tests of tunnels and planned stops pass.

--- a/src/tunnels/tunnel_server.ts
+++ b/src/tunnels/tunnel_server.ts
@@ -53,7 +53,8 @@
 export interface TunnelServer {
   /// Number of open tunnels.
   count(): number;
-  /// Opens no tunnel from now on.
+  /// Opens no tunnel from now on. Whether an upstream refuses connections is still
+  /// told: other VMs decide by it whether its process has crashed.
   startDraining(): void;
   /// Closes the tunnels of a VM. One that lost its power closes none itself, and
   /// the connections of its tunnels may stay open for long.
@@ -106,8 +107,7 @@
   const findRefusal = (address: string, message: IncomingMessage) => {
     const credentials = message.headers["proxy-authorization"];
     if (!isTunnelAllowed(credentials, { secrets, address })) return "forbidden";
-    if (!options.mayConnect(address)) return "unknown";
-    return isDraining ? "draining" : undefined;
+    return options.mayConnect(address) ? undefined : "unknown";
   };
 
   options.linkServer.on("connect", (message: IncomingMessage, stream, head) => {
@@ -135,6 +135,11 @@
         respond(options.isPartitioned() ? "unavailable" : result.failure);
         return caller.end();
       }
+      if (isDraining) {
+        result.socket.destroy();
+        respond("draining");
+        return caller.end();
+      }
       options.onOpened();
       respond("connected");
       caller.setNoDelay(true);
--- a/test/tunnels/tunnel_test.ts
+++ b/test/tunnels/tunnel_test.ts
@@ -288,6 +288,14 @@
   t.like(await dial(), { kind: "failed", failure: "unavailable" });
 });
 
+test("a VM that is stopping says whether the upstream refuses", async (t) => {
+  const { dial, upstream, tunnels } = await deploy(t, echo);
+  tunnels.startDraining();
+  t.like(await dial(), { kind: "failed", failure: "unavailable" });
+  await new Promise((resolve) => upstream.close(resolve));
+  t.like(await dial(), { kind: "failed", failure: "refused" });
+});
+
 test("a VM that is partitioned itself doesn't say that the upstream refuses", async (t) => {
   const { dial, upstream, partition } = await deploy(t, echo);
   await new Promise((resolve) => upstream.close(resolve));
