Share the list of opened connections between two tests

Cause: silent_store_test.ts repeated silent_links_test.ts's record of the connections that a process opens. Change: opened_connections.ts; silent_store_test.ts also checks that connections were silenced. No source, bound or check else changes.

--- a/test/gateway/silent_links_test.ts
+++ b/test/gateway/silent_links_test.ts
@@ -1,7 +1,6 @@
-import diagnostics from "node:diagnostics_channel";
-import type { Socket } from "node:net";
 import test from "ava";
 import { addAnsweringUpstreams } from "../../stand_ins/platform/answering_upstreams.ts";
+import { openedTo } from "../../stand_ins/platform/opened_connections.ts";
 import {
   isConnected,
   startPlatformDeployment,
@@ -21,14 +20,6 @@
   { path: "/once/1" },
 ];
 
-/// Connections that this process has opened.
-const opened = new Set<Socket>();
-diagnostics.subscribe("net.client.socket", (message) => {
-  const { socket } = message as { socket: Socket };
-  opened.add(socket);
-  socket.on("close", () => opened.delete(socket));
-});
-
 test("a VM that is partitioned from upstreams serves its callers while it links again", async (t) => {
   const deployment = await startPlatformDeployment({ gateways: GATEWAYS });
   t.teardown(deployment.close);
@@ -38,9 +29,7 @@
   const send = () => Promise.all(REQUESTS.map(deployment.send));
   await send();
   const links = deployment.gateways.map(({ addresses }) => addresses.links);
-  const isLink = ({ remoteAddress, remotePort }: Socket) =>
-    links.includes(`${remoteAddress}:${remotePort}`);
-  const silenced = [...opened].filter(isLink);
+  const silenced = openedTo(links);
   silenced.forEach(silence);
   const sent: ReturnType<typeof send>[] = [];
   await until(async () => {
--- a/test/gateway/silent_store_test.ts
+++ b/test/gateway/silent_store_test.ts
@@ -1,8 +1,7 @@
-import diagnostics from "node:diagnostics_channel";
-import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import test from "ava";
 import { addAnsweringUpstreams } from "../../stand_ins/platform/answering_upstreams.ts";
+import { openedTo } from "../../stand_ins/platform/opened_connections.ts";
 import {
   isConnected,
   type PlatformDeployment,
@@ -23,21 +22,6 @@
 const RELISTING_MILLISECONDS = 1_500;
 const VM_PREFIX = "sequoiaturn/vms/";
 
-/// Connections that this process has opened.
-const opened = new Set<Socket>();
-diagnostics.subscribe("net.client.socket", (message) => {
-  const { socket } = message as { socket: Socket };
-  opened.add(socket);
-  socket.on("close", () => opened.delete(socket));
-});
-
-function silenceAll(addresses: readonly string[]) {
-  for (const socket of opened) {
-    const { remoteAddress, remotePort } = socket;
-    if (addresses.includes(`${remoteAddress}:${remotePort}`)) silence(socket);
-  }
-}
-
 function addRoute({ store }: PlatformDeployment) {
   const configuration = sampleConfiguration(2);
   const [model] = configuration.Routes.filter(({ Name }) => Name === "open");
@@ -87,10 +71,12 @@
     }
     store.put("servers/unknown", {});
     await sleep(200);
-    silenceAll([
+    const silenced = openedTo([
       ...storeEndpoints.map(({ address }) => address),
       ...areLinksSilent ? gateways.map(({ addresses }) => addresses.links) : [],
     ]);
+    silenced.forEach(silence);
+    t.true(silenced.length >= GATEWAYS);
     addRoute(deployment);
     await sleep(STABLE_MILLISECONDS);
     const results = await Promise.all(
